--- /dev/null
+++ b/src/brain.cpp
@@ -0,0 +1,789 @@
+// chalksail: every decision of one gateway, in the order of a request's life. Its types, events, actions and
+// settings are in include/chalksail/chalksail.hpp; the reasons are in docs/design.md.
+#include <algorithm>
+#include <chalksail/chalksail.hpp>
+#include <cmath>
+#include <deque>
+#include <map>
+#include <optional>
+#include <set>
+#include <stdexcept>
+
+namespace chalksail {
+namespace {
+
+// ---- constants: the design's own ----
+constexpr double kDecodePenaltyPerToken = 3.3e-5;    // harm of a token in a writer's batch (paper, 5.2)
+constexpr double kPrefillSecondsPerToken = 3.2e-4;   // time of a prompt token in the paper's units (paper, 5.2)
+constexpr double kEpsilonSeconds = 4.0;              // below it readers tie: some four usual prompts under way
+constexpr double kAlpha = 0.5;                       // weight of prompt against decode at a mixed server (paper)
+constexpr double kFirstBucketEdge = 250;             // output buckets: 250, 1000, 4000, ... tokens
+constexpr double kBucketGrowth = 4;
+// ---- constants: the adaptive limit of a writer, in tokens ----
+constexpr double kLimitStart = 1.5;        // our share of its memory; gateways are seldom equally busy
+constexpr double kLimitDown = 0.8;         // after a full outcome or a high memory report
+constexpr double kLimitUp = 0.05;          // share of an ok request's tokens added while the limit binds
+constexpr double kLimitFloor = 0.1;        // of the start: a writer is never closed by the limit alone
+constexpr double kHighMemory = 0.9;        // reported share of memory that counts as nearly full
+constexpr double kUntoldMemory = 100'000;  // tokens, where the settings tell none
+// ---- constants: ours, for what the design leaves open ----
+constexpr double kFarTokens = 2;       // a state leaving its cell weighs as this many times its prompt more ...
+constexpr double kZoneTokens = 2;      // ... and leaving its zone as this many again
+constexpr double kOutputWork = 25;     // work of one output token in prompt tokens, for cold budgets only
+constexpr double kColdCaution = 0.6;   // part of the cold budget used; bursts of others take the rest
+constexpr double kSmooth = 0.2;        // weight of a new observation in a running mean
+constexpr double kErrorStep = 0.25;    // weight of an outcome in a server's error share ...
+constexpr double kErrorEject = 0.4;    // ... which ejects it here: two errors close together
+constexpr double kTimeoutFactor = 4;   // an attempt may take this many times what is usual
+constexpr int kTrialPasses = 2;        // answers that end an ejected server's trial
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+Duration from_seconds(double s) {
+    return Duration(static_cast<std::int64_t>(std::clamp(s, 0.0, 1e9) * 1e9));
+}
+
+// FNV-1a, then a finaliser: the same on every machine, so that ties fall alike at every gateway.
+std::uint64_t hash(const std::string& a, const std::string& b) {
+    std::uint64_t h = 1469598103934665603ULL;
+    for (const std::string* text : {&a, &b})
+        for (const char c : *text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    h ^= h >> 33U;
+    h *= 0xff51afd7ed558ccdULL;
+    return h ^ (h >> 33U);
+}
+
+struct RunningMean {
+    double mean = 0;
+    bool heard = false;
+    void add(double value) {
+        mean = heard ? mean + kSmooth * (value - mean) : value;
+        heard = true;
+    }
+    [[nodiscard]] double or_else(double value) const { return heard ? mean : value; }
+};
+
+struct Server {
+    ServerEntry entry;
+    Role role = Role::mixed;
+    bool listed = true;
+    // Work of ours there.
+    double stream_tokens = 0;  // writer: prompts and predicted outputs of our attempts and streams
+    double prompt_tokens = 0;  // reader: prompts of our unfinished reads and waiting states
+    int in_use = 0;            // attempts out and states waiting
+    // The adaptive limit, and the last report.
+    double memory = 0;
+    double limit = 0;
+    Time limit_lowered{};
+    std::optional<double> reported_tokens;
+    double ours_at_report = 0;
+    // Health, from our own outcomes.
+    double error_share = 0;
+    Time last_answer{};
+    Time ejected_until{};
+    Duration ejection{};  // length of the last one; zero: in good standing
+    int trial_passes = 0;
+    bool trial_open = false;  // a probe or time has let it back on trial
+    bool probing = false;
+    RunningMean slowness;
+    std::deque<std::pair<Time, double>> cold_sends;  // work sent within the rule's window
+};
+
+struct Attempt {
+    AttemptId id;
+    ServerId server;
+    Time sent{};
+    bool read = false;      // at a prefill server: ends with a state, has no effect
+    double ahead = 0;       // prompt tokens of ours there when it was sent
+    bool started = false;   // its stream has begun
+    Time started_at{};
+    bool cancelled = false;
+};
+
+struct Request {
+    Arrived in;
+    std::size_t cls = 0;
+    Time deadline{};
+    Time aim{};
+    double output = 0;  // predicted
+    bool over_share = false;
+    bool ended = false;  // final answer given; kept for an attempt that is still out
+    std::optional<Attempt> out;
+    std::optional<ServerId> state_at;  // the reader that keeps the read state
+    Time last_outcome{};
+    Time not_before{};
+    int sends = 0;
+    std::set<ServerId> failed_at;
+    // Once an attempt may have run: where and when the first such was sent.
+    std::optional<ServerEntry> ran_at;
+    Time ran_sent{};
+    [[nodiscard]] double tokens() const { return in.prompt_tokens + output; }
+};
+
+}  // namespace
+
+class Brain::Impl {
+public:
+    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), seed_(seed) {
+        if (s_.classes.empty()) throw std::invalid_argument("no request classes");
+        if (s_.kinds.empty()) throw std::invalid_argument("no kinds of server");
+        if (s_.gateways < 1) throw std::invalid_argument("fewer than one gateway");
+        if (s_.tick <= Duration::zero()) throw std::invalid_argument("tick must be above 0");
+        if (s_.max_attempts < 1) throw std::invalid_argument("fewer than one attempt allowed");
+        for (const auto& c : s_.classes)
+            if (c.aim <= Duration::zero() || c.deadline < c.aim)
+                throw std::invalid_argument("class " + c.name + ": aim must be above 0 and within the deadline");
+        stream_length_.resize(s_.classes.size());
+        stream_seconds_.resize(s_.classes.size());
+        class_work_.resize(s_.classes.size());
+        shortest_aim_ = s_.classes.front().aim;
+        for (const auto& c : s_.classes) shortest_aim_ = std::min(shortest_aim_, c.aim);
+        for (const auto& t : s_.tenants) share_left_[t.name] = t.quota_per_s / s_.gateways;
+    }
+
+    std::vector<Action> step(Time now, std::span<const Event> events) {
+        if (!begun_) {
+            begun_ = true;
+            begun_at_ = last_refill_ = now;
+            if (s_.must_ask_for_list) ask_for_list(now);
+        }
+        now_ = now;
+        actions_.clear();
+        if (list_asked_) actions_.emplace_back(FollowList{true});
+        list_asked_ = false;
+        refill_shares();
+        for (const auto& event : events)
+            std::visit([this](const auto& e) { on(e); }, event);
+        review();
+        set_wake();
+        return std::move(actions_);
+    }
+
+    [[nodiscard]] std::size_t tracked() const { return requests_.size(); }
+
+private:
+    // ================= arrival =================
+    void on(const Arrived& in) {
+        if (requests_.contains(in.id)) return;
+        const auto cls = std::find_if(s_.classes.begin(), s_.classes.end(),
+                                      [&](const auto& c) { return c.name == in.class_name; });
+        if (cls == s_.classes.end()) {  // nothing is known of it: safe to refuse, it was never sent
+            actions_.emplace_back(Refuse{in.id, {}});
+            return;
+        }
+        Request r;
+        r.in = in;
+        r.cls = static_cast<std::size_t>(cls - s_.classes.begin());
+        r.deadline = now_ + in.time_left;
+        r.aim = now_ + std::min(in.time_left, cls->aim + from_seconds(seconds(cls->aim_per_1000_tokens) *
+                                                                      in.prompt_tokens / 1000));
+        r.output = predicted_output(r);
+        class_work_[r.cls].add(std::max(0.0, in.prompt_tokens - in.shared_tokens) + kOutputWork * r.output);
+        if (auto left = share_left_.find(in.tenant); left != share_left_.end()) {
+            r.over_share = left->second < 1;
+            if (!r.over_share) left->second -= 1;
+        }
+        requests_.emplace(in.id, std::move(r));
+    }
+
+    // The upper edge of the bucket that the guess falls in, capped by what the client allows.
+    [[nodiscard]] double predicted_output(const Request& r) const {
+        const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
+        const double guess = r.in.length_hint > Duration::zero()
+                                 ? seconds(r.in.length_hint) / interval
+                                 : stream_length_[r.cls].or_else(kFirstBucketEdge);
+        double edge = kFirstBucketEdge;
+        while (edge < guess && edge < 1e9) edge *= kBucketGrowth;
+        return r.in.max_output > 0 ? std::min(edge, r.in.max_output) : edge;
+    }
+
+    // Tenants: this gateway's part of each quota, with one second's worth of burst.
+    void refill_shares() {
+        const double passed = seconds(now_ - last_refill_);
+        last_refill_ = now_;
+        for (const auto& t : s_.tenants) {
+            const double rate = t.quota_per_s / s_.gateways;
+            auto& left = share_left_[t.name];
+            left = std::min(left + rate * passed, std::max(1.0, rate));
+        }
+    }
+
+    // ================= held at the router =================
+    // What one unit of its work earns if it starts now: late work keeps only its late worth.
+    [[nodiscard]] double urgency(const Request& r) const {
+        const auto& c = s_.classes[r.cls];
+        double worth = c.worth * (r.over_share ? s_.over_share_worth : 1);
+        if (now_ + service_time(r) > r.aim) worth *= c.late_worth;
+        return s_.worth_by_work ? worth : worth / std::max(1.0, class_work_[r.cls].mean);
+    }
+    // How long from a read's start to the first token, as things are.
+    [[nodiscard]] Duration service_time(const Request& r) const {
+        const double read = r.state_at ? 0 : read_pace_.or_else(0) * r.in.prompt_tokens;
+        return from_seconds(read + first_token_.or_else(0));
+    }
+
+    void review() {
+        std::vector<RequestId> ids;
+        for (const auto& [id, r] : requests_) ids.push_back(id);
+        for (const auto id : ids) {
+            auto& r = requests_.at(id);
+            if (r.ended || r.out) continue;
+            if (now_ + service_time(r) + s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2))
+                give_up(id);  // it can't be served in time any more: answered at once
+        }
+        std::vector<std::pair<RequestId, double>> held;
+        for (const auto& [id, r] : requests_)
+            if (!r.ended && !r.out && r.not_before <= now_) held.emplace_back(id, urgency(r));
+        // Waiting states first: their time runs. Then the worthiest, then the one whose aim ends first.
+        std::stable_sort(held.begin(), held.end(), [this](const auto& a, const auto& b) {
+            const Request& x = requests_.at(a.first);
+            const Request& y = requests_.at(b.first);
+            if (x.state_at.has_value() != y.state_at.has_value()) return x.state_at.has_value();
+            if (a.second != b.second) return a.second > b.second;
+            return x.aim < y.aim;
+        });
+        for (const auto& [id, worth] : held) {
+            auto& r = requests_.at(id);
+            if (r.state_at)
+                go_on_to_writer(id, r);
+            else
+                start(id, r);
+        }
+    }
+
+    [[nodiscard]] int attempts_left(const Request& r) const { return s_.max_attempts - r.sends; }
+
+    // ================= reading =================
+    void start(RequestId id, Request& r) {
+        // Reads under way and waiting states will want the same room: count them first.
+        double room = 0;
+        double promised = 0;
+        for (auto& [sid, w] : servers_)
+            if (w.role != Role::prefill && usable(w, r) && has_room(w)) room += w.limit - load(w);
+        for (const auto& [other, o] : requests_)
+            if (!o.ended && ((o.out && o.out->read) || (!o.out && o.state_at))) promised += o.tokens();
+        if (room <= promised) return;  // hold: memory_aware
+        Server* reader = best_reader(r);
+        Server* writer = best_writer(r, true);
+        Server* mixed = best_mixed(r);
+        if (mixed != nullptr &&
+            (reader == nullptr || writer == nullptr ||
+             blend(*mixed, *mixed, r) >= blend(*reader, *writer, r))) {
+            send(id, r, *mixed, false);
+        } else if (reader != nullptr) {
+            send(id, r, *reader, true);
+        } else if (s_.read_in_place && writer != nullptr && !any_usable(Role::prefill, r)) {
+            send(id, r, *writer, false);  // exception: no reader is left, a writer may read by itself
+        }
+    }
+
+    [[nodiscard]] double read_score(const Server& s, const Request& r) const {
+        const double time = kPrefillSecondsPerToken * (r.in.prompt_tokens + s.prompt_tokens) * slow(s);
+        return time < kEpsilonSeconds ? 1 : 1 - time / kEpsilonSeconds;
+    }
+    [[nodiscard]] double decode_score(const Server& s, const Request& r) const {
+        return -kDecodePenaltyPerToken * (load(s) * slow(s) / weight(s) + r.tokens() + far_tokens(s, r));
+    }
+    [[nodiscard]] double blend(const Server& reader, const Server& writer, const Request& r) const {
+        return kAlpha * read_score(reader, r) + (1 - kAlpha) * decode_score(writer, r);
+    }
+    // Moving a state out of its cell takes link time and costs points: it weighs as so many tokens more.
+    [[nodiscard]] double far_tokens(const Server& s, const Request& r) const {
+        if (!r.state_at) return s.entry.zone == s_.zone ? 0 : kZoneTokens * r.in.prompt_tokens;
+        const auto reader = servers_.find(*r.state_at);
+        if (reader == servers_.end() || reader->second.entry.cell == s.entry.cell) return 0;
+        return r.in.prompt_tokens *
+               (reader->second.entry.zone == s.entry.zone ? kFarTokens : kFarTokens + kZoneTokens);
+    }
+
+    Server* best_reader(const Request& r) {
+        return pick(r, [&](const Server& s) { return s.role == Role::prefill; },
+                    [&](const Server& s) {
+                        // Ties go to this zone, then by prefix-key hash, so that kept text is found again.
+                        const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
+                        return std::tuple(read_score(s, r), s.entry.zone == s_.zone ? 1 : 0,
+                                          hash(key, s.entry.id.value));
+                    });
+    }
+    Server* best_writer(const Request& r, bool need_room) {
+        return pick(r, [&](const Server& s) { return s.role != Role::prefill && (!need_room || has_room(s)); },
+                    [&](const Server& s) {
+                        return std::tuple(decode_score(s, r), 0, hash(r.in.session, s.entry.id.value));
+                    });
+    }
+    Server* best_mixed(const Request& r) {
+        return pick(r, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
+                    [&](const Server& s) {
+                        return std::tuple(blend(s, s, r), 0, hash(r.in.session, s.entry.id.value));
+                    });
+    }
+    // The best of the usable servers that fit; those where this request has failed come last.
+    template <class Fits, class Score>
+    Server* pick(const Request& r, Fits fits, Score score) {
+        Server* best = nullptr;
+        using Key = std::pair<int, decltype(score(std::declval<const Server&>()))>;
+        std::optional<Key> best_key;
+        for (auto& [id, s] : servers_) {
+            if (!fits(s) || !usable(s, r)) continue;
+            const Key key{r.failed_at.contains(id) ? 0 : 1, score(s)};
+            if (!best_key || key > *best_key) {
+                best = &s;
+                best_key = key;
+            }
+        }
+        return best;
+    }
+
+    // ================= writing =================
+    void go_on_to_writer(RequestId id, Request& r) {
+        Server* writer = best_writer(r, true);
+        // A state may wait for room, but not past its release time; then the least harmed writer gets it.
+        const Time last = r.last_outcome + s_.release_within - 3 * s_.tick;
+        if (writer == nullptr && now_ >= last) writer = best_writer(r, false);
+        if (writer != nullptr)
+            send(id, r, *writer, false);
+        else if (now_ >= last)
+            let_go(id, r);  // no writer at all: the state goes, the request is held again
+    }
+
+    void let_go(RequestId id, Request& r) {
+        if (!r.state_at) return;
+        drop_state(r);
+        actions_.emplace_back(Release{id});
+    }
+    void drop_state(Request& r) {
+        if (!r.state_at) return;
+        if (auto it = servers_.find(*r.state_at); it != servers_.end()) {
+            it->second.prompt_tokens -= r.in.prompt_tokens;
+            it->second.in_use -= 1;
+        }
+        r.state_at.reset();
+    }
+
+    // The writer's sum: our tokens, raised by its reports; one that has not reported counts as average.
+    [[nodiscard]] double load(const Server& s) const {
+        if (memory_reports() == false) return s.stream_tokens;
+        const double reported = s.reported_tokens ? *s.reported_tokens : average_report_;
+        const double ours_then = s.reported_tokens ? s.ours_at_report : 0;
+        return std::max(s.stream_tokens, reported + std::max(0.0, s.stream_tokens - ours_then));
+    }
+    [[nodiscard]] bool memory_reports() const {
+        return std::find(s_.report_fields.begin(), s_.report_fields.end(), ReportField::memory_share) !=
+               s_.report_fields.end();
+    }
+    [[nodiscard]] bool has_room(const Server& s) const { return load(s) < s.limit; }
+    [[nodiscard]] double starting_limit(const Server& s) const {
+        return memory_reports() ? kHighMemory * s.memory
+                                : std::min(s.memory, kLimitStart * s.memory / s_.gateways);
+    }
+    void lower_limit(Server& s) {
+        if (s.limit_lowered != Time{} && now_ - s.limit_lowered < shortest_aim_ / 4) return;  // one jam, one step
+        s.limit_lowered = now_;
+        s.limit = std::max(kLimitFloor * starting_limit(s), kLimitDown * std::min(s.limit, load(s)));
+    }
+    void raise_limit(Server& s, double tokens) {
+        if (load(s) > kLimitDown * s.limit) s.limit = std::min(s.memory, s.limit + kLimitUp * tokens);
+    }
+
+    // ================= sending =================
+    void send(RequestId id, Request& r, Server& s, bool read) {
+        Attempt a{{r.sends}, s.entry.id, now_, read, s.prompt_tokens, false, {}, false};
+        Duration timeout{};
+        // A "once" request at a writer is not timed out: it could neither go again nor be refused.
+        const bool spare = attempts_left(r) > (read ? 2 : 1);
+        if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
+            const double usual = read ? read_pace_.or_else(0) * (r.in.prompt_tokens + a.ahead)
+                                      : first_token_.or_else(0);
+            timeout = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
+            timeout = std::min(timeout, r.deadline - now_);
+        }
+        r.sends += 1;
+        s.in_use += 1;
+        if (read)
+            s.prompt_tokens += r.in.prompt_tokens;
+        else
+            s.stream_tokens += r.tokens();
+        note_work(s, class_work_[r.cls].mean);
+        if (s.ejection > Duration::zero()) s.trial_open = false;  // one request at a time while on trial
+        r.out = a;
+        actions_.emplace_back(Send{id, s.entry.id, timeout});
+    }
+
+    // ================= cold starts =================
+    [[nodiscard]] bool cold(const Server& s) const {
+        return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for;
+    }
+    // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets no
+    // more than our part of what the rule lets it bear, or one request a window where nothing is known.
+    [[nodiscard]] bool cold_budget_allows(const Server& s, double work) const {
+        if (!cold(s)) return true;
+        double sent = 0;
+        for (const auto& [at, amount] : s.cold_sends)
+            if (at + s_.fall_window + s_.tick > now_) sent += amount;
+        const auto rate = warm_rate_.find(s.role);
+        const double budget = kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) *
+                              (rate == warm_rate_.end() ? 0 : rate->second);
+        return sent == 0 || sent + work <= budget;
+    }
+    void note_work(Server& s, double work) {
+        if (cold(s)) {
+            s.cold_sends.emplace_back(now_, work);
+            while (s.cold_sends.front().first + 2 * s_.fall_window < now_) s.cold_sends.pop_front();
+        } else {
+            s.cold_sends.clear();
+            warm_work_[s.role] += work;
+        }
+    }
+    // Mean work a second that we send to a warm server of each role, over a few windows.
+    void update_warm_rates() {
+        const double span = seconds(now_ - warm_since_);
+        if (span < seconds(s_.fall_window) / 2) return;
+        std::map<Role, int> warm;
+        for (const auto& [id, s] : servers_)
+            if (s.listed && s.entry.state == ServerState::up && !cold(s) && !ejected(s)) warm[s.role] += 1;
+        for (const auto& [role, count] : warm) {
+            const double rate = warm_work_[role] / span / count;
+            auto [it, fresh] = warm_rate_.try_emplace(role, rate);
+            if (!fresh) it->second += kSmooth * (rate - it->second);
+        }
+        warm_work_.clear();
+        warm_since_ = now_;
+    }
+
+    // ================= outcomes =================
+    void on(const StreamStarted& e) {
+        const auto it = requests_.find(e.id);
+        if (it == requests_.end() || !it->second.out || it->second.out->id != e.attempt) return;
+        Request& r = it->second;
+        r.out->started = true;
+        r.out->started_at = now_;
+        drop_state(r);
+        first_token_.add(seconds(e.taken));
+        if (Server* s = find(r.out->server)) answered(*s);
+    }
+
+    void on(const AttemptEnded& e) {
+        Server* s = find(e.server);
+        if (s != nullptr) take_report(*s, e.report);
+        const auto it = requests_.find(e.id);
+        if (it == requests_.end() || !it->second.out || it->second.out->id != e.attempt) return;
+        Request& r = it->second;
+        const Attempt a = *r.out;
+        r.out.reset();
+        r.last_outcome = now_;
+        if (s != nullptr) settle(*s, r, a, e);
+        const bool may_have_run = !a.read && e.outcome != Outcome::full && e.outcome != Outcome::connect_failed &&
+                                  e.outcome != Outcome::moot;
+        if (may_have_run && !r.ran_at && s != nullptr) {
+            r.ran_at = s->entry;
+            r.ran_sent = a.sent;
+        }
+        if (e.finished || r.ended) {
+            // A read that ends after its request leaves a state behind: let it go.
+            if (e.outcome == Outcome::read || r.state_at) actions_.emplace_back(Release{e.id});
+            forget(e.id);
+            return;
+        }
+        if (e.outcome == Outcome::read && s != nullptr) {
+            r.state_at = e.server;
+            s->prompt_tokens += r.in.prompt_tokens;
+            s->in_use += 1;
+            return;
+        }
+        if (e.outcome == Outcome::moot) {
+            give_up(e.id);
+            return;
+        }
+        r.failed_at.insert(e.server);
+        if (e.outcome == Outcome::full && e.remark == 1) drop_state(r);  // state gone: read anew
+        if (!may_go_again(r) || now_ >= r.deadline) give_up(e.id);
+    }
+
+    // What an outcome tells of the server.
+    void settle(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
+        s.in_use -= 1;
+        if (a.read)
+            s.prompt_tokens -= r.in.prompt_tokens;
+        else
+            s.stream_tokens -= r.tokens();
+        switch (e.outcome) {
+            case Outcome::ok:
+                answered(s);
+                passed(s);
+                raise_limit(s, r.tokens());
+                if (a.started) {
+                    const double length = seconds(now_ - a.started_at);
+                    const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
+                    if (stream_seconds_[r.cls].heard)
+                        s.slowness.add(length / std::max(1e-3, stream_seconds_[r.cls].mean));
+                    stream_seconds_[r.cls].add(length);
+                    stream_length_[r.cls].add(length / interval);
+                }
+                break;
+            case Outcome::read: {
+                answered(s);
+                passed(s);
+                const double pace = seconds(e.taken) / std::max(1.0, r.in.prompt_tokens + a.ahead);
+                if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
+                read_pace_.add(pace);
+                break;
+            }
+            case Outcome::full:
+                answered(s);
+                if (e.remark != 1 && !a.read) lower_limit(s);
+                break;
+            case Outcome::error:
+                answered(s);
+                s.error_share += kErrorStep * (1 - s.error_share);
+                if (s.error_share > kErrorEject || s.ejection > Duration::zero()) eject(s);
+                break;
+            case Outcome::timeout:
+                // Usual times follow what is seen, so that a slow fleet is not timed out again and again.
+                if (a.read)
+                    read_pace_.add(seconds(e.taken) / std::max(1.0, r.in.prompt_tokens + a.ahead));
+                else if (!a.started)
+                    first_token_.add(seconds(e.taken));
+                if (!a.started && s.last_answer <= a.sent) eject(s);  // silent ever since
+                break;
+            case Outcome::connect_failed:
+            case Outcome::reset:
+                eject(s);
+                break;
+            case Outcome::cancelled:
+            case Outcome::moot:
+                break;
+        }
+    }
+
+    // ================= health =================
+    [[nodiscard]] bool ejected(const Server& s) const { return s.ejection > Duration::zero() && !s.trial_open; }
+    [[nodiscard]] bool any_usable(Role role, const Request& r) {
+        return std::any_of(servers_.begin(), servers_.end(),
+                           [&](const auto& p) { return p.second.role == role && usable(p.second, r); });
+    }
+    // May this request go there now?
+    [[nodiscard]] bool usable(const Server& s, const Request& r) const {
+        if (!s.listed || s.entry.state != ServerState::up) return false;
+        if (!cold_budget_allows(s, class_work_[r.cls].mean)) return false;
+        if (s.role != Role::prefill && !group_allows(s, r)) return false;
+        if (s.ejection == Duration::zero()) return true;
+        if (s.trial_open && s_.classes[r.cls].effect == Effect::repeatable) return true;
+        return !role_has_healthy(s.role);  // all of them look bad: rather the least bad than none
+    }
+    [[nodiscard]] bool role_has_healthy(Role role) const {
+        return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
+            const Server& s = p.second;
+            return (s.role == role || s.role == Role::mixed) && s.listed && s.entry.state == ServerState::up &&
+                   s.ejection == Duration::zero();
+        });
+    }
+    void answered(Server& s) { s.last_answer = now_; }
+    void passed(Server& s) {
+        s.error_share *= 1 - kErrorStep;
+        if (s.ejection == Duration::zero()) return;
+        s.trial_open = true;
+        if (++s.trial_passes >= kTrialPasses) reinstate(s);
+    }
+    void reinstate(Server& s) {
+        s.ejection = Duration::zero();
+        s.error_share = 0;
+        s.trial_passes = 0;
+        s.trial_open = false;
+    }
+    // Out for the shortest aim, then twice as long each time, up to the time that a restart takes to warm.
+    void eject(Server& s) {
+        if (ejected(s) && now_ < s.ejected_until) return;  // failures of the same moment count once
+        s.ejection = s.ejection == Duration::zero()
+                         ? shortest_aim_
+                         : std::min(2 * s.ejection, std::max(shortest_aim_, s_.cold_for));
+        s.ejected_until = now_ + s.ejection;
+        s.trial_passes = 0;
+        s.trial_open = false;
+    }
+    // The way back: a probe where allowed, then one repeatable request at a time.
+    void review_ejected() {
+        for (auto& [id, s] : servers_) {
+            if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing) continue;
+            if (!s.listed || s.entry.state != ServerState::up || s.in_use > 0) continue;
+            if (s_.may_probe) {
+                s.probing = true;
+                actions_.emplace_back(Probe{id});
+            } else {
+                s.trial_open = true;
+            }
+        }
+    }
+    void on(const ProbeEnded& e) {
+        Server* s = find(e.server);
+        if (s == nullptr) return;
+        s->probing = false;
+        if (e.outcome == Outcome::ok) {
+            take_report(*s, e.report);
+            if (s->ejection > Duration::zero()) s->trial_open = true;
+        } else if (s->ejection > Duration::zero()) {
+            s->ejected_until = now_ + s->ejection;
+        }
+    }
+    [[nodiscard]] double slow(const Server& s) const { return std::clamp(s.slowness.or_else(1), 1.0, 10.0); }
+
+    void take_report(Server& s, const std::vector<double>& report) {
+        for (std::size_t i = 0; i < report.size() && i < s_.report_fields.size(); ++i) {
+            if (s_.report_fields[i] != ReportField::memory_share || s.role == Role::prefill) continue;
+            s.reported_tokens = report[i] * s.memory;
+            s.ours_at_report = s.stream_tokens;
+            average_report_ += kSmooth * (*s.reported_tokens - average_report_);
+            if (report[i] > kHighMemory) lower_limit(s);
+        }
+    }
+
+    // ================= further attempts =================
+    // No effect twice: "once" only while every writer attempt is proved not to have run; "by_key" only in its
+    // group and window.
+    [[nodiscard]] bool may_go_again(const Request& r) const {
+        const auto& c = s_.classes[r.cls];
+        if (!r.ran_at || c.effect == Effect::repeatable) return true;
+        return c.effect == Effect::by_key && now_ + s_.tick < r.ran_sent + c.window;
+    }
+    [[nodiscard]] bool group_allows(const Server& s, const Request& r) const {
+        const auto& c = s_.classes[r.cls];
+        if (!r.ran_at || c.effect == Effect::repeatable) return true;
+        if (!may_go_again(r)) return false;
+        if (c.group == Group::zone) return s.entry.zone == r.ran_at->zone;
+        if (c.group == Group::cell) return s.entry.cell == r.ran_at->cell;
+        return true;
+    }
+    [[nodiscard]] bool may_refuse(const Request& r) const {
+        const auto& c = s_.classes[r.cls];
+        if (!r.ran_at || c.effect == Effect::repeatable) return true;
+        return c.effect == Effect::by_key && c.group == Group::all;
+    }
+
+    // ================= the end =================
+    void give_up(RequestId id) {
+        auto& r = requests_.at(id);
+        if (may_refuse(r) && now_ < r.deadline)
+            actions_.emplace_back(Refuse{id, s_.max_retry_after / 2});
+        else
+            actions_.emplace_back(Fail{id});
+        let_go(id, r);
+        forget(id);
+    }
+    void on(const ClientGone& e) {
+        const auto it = requests_.find(e.id);
+        if (it == requests_.end()) return;
+        Request& r = it->second;
+        r.ended = true;
+        if (r.out && !r.out->started && s_.may_cancel && !r.out->cancelled) {
+            actions_.emplace_back(CancelAttempt{e.id, r.out->id});
+            r.out->cancelled = true;
+        }
+        let_go(e.id, r);
+        if (!r.out) forget(e.id);
+    }
+    void forget(RequestId id) {
+        const auto it = requests_.find(id);
+        if (it == requests_.end()) return;
+        drop_state(it->second);
+        requests_.erase(it);
+    }
+
+    // ================= the list of servers =================
+    void on(const ListChanged& e) {
+        if (e.scope == ListScope::lost) {
+            if (s_.must_ask_for_list) actions_.emplace_back(FollowList{true});
+            return;
+        }
+        if (e.scope != ListScope::changes)
+            for (auto& [id, s] : servers_) s.listed = false;
+        for (const auto& entry : e.entries) {
+            auto [it, fresh] = servers_.try_emplace(entry.id);
+            Server& s = it->second;
+            const bool restarted = !fresh && s.entry.born != entry.born;
+            s.entry = entry;
+            s.listed = entry.state != ServerState::removed;
+            if (!fresh && !restarted) continue;
+            const auto kind = std::find_if(s_.kinds.begin(), s_.kinds.end(),
+                                           [&](const auto& k) { return k.name == entry.kind; });
+            s.role = kind == s_.kinds.end() ? Role::mixed : kind->role;
+            s.memory = kind == s_.kinds.end() || kind->memory_tokens <= 0 ? kUntoldMemory : kind->memory_tokens;
+            s.limit = starting_limit(s);
+            s.reported_tokens.reset();
+            s.slowness = {};
+            reinstate(s);
+        }
+        std::erase_if(servers_, [](const auto& p) { return !p.second.listed && p.second.in_use == 0; });
+        std::map<Role, std::pair<double, int>> weights;
+        for (const auto& [id, s] : servers_) {
+            weights[s.role].first += std::max(0.0, s.entry.weight);
+            weights[s.role].second += 1;
+        }
+        for (const auto& [role, sum] : weights) mean_weight_[role] = sum.first / sum.second;
+    }
+    [[nodiscard]] double weight(const Server& s) const {
+        const auto mean = mean_weight_.find(s.role);
+        if (mean == mean_weight_.end() || mean->second <= 0 || s.entry.weight <= 0) return 1;
+        return s.entry.weight / mean->second;
+    }
+    Server* find(const ServerId& id) {
+        const auto it = servers_.find(id);
+        return it == servers_.end() ? nullptr : &it->second;
+    }
+    void ask_for_list(Time) { list_asked_ = true; }
+
+    // ================= timers, and what is not used =================
+    void on(const TimerFired& e) {
+        if (e.id == wake_id_) wake_at_.reset();
+    }
+    void on(const SeatAnswer&) {}
+    void on(const PeerMessage&) {}
+
+    // One timer, for the earliest thing that time alone can change.
+    void set_wake() {
+        update_warm_rates();
+        review_ejected();
+        std::optional<Time> next;
+        const auto want = [&](Time at) { next = next ? std::min(*next, at) : at; };
+        for (const auto& [id, r] : requests_)
+            if (!r.ended && !r.out) want(now_ + 2 * s_.tick);
+        for (const auto& [id, s] : servers_)
+            if (s.ejection > Duration::zero() && !s.trial_open && !s.probing && s.in_use == 0)
+                want(std::max(s.ejected_until, now_ + 2 * s_.tick));
+        if (!next || (wake_at_ && *wake_at_ <= *next && *wake_at_ > now_)) return;
+        wake_at_ = std::max(*next, now_ + s_.tick);
+        wake_id_ = {wake_id_.value + 1};
+        actions_.emplace_back(Wake{*wake_at_, wake_id_});
+    }
+
+    Settings s_;
+    std::uint64_t seed_;
+    Time now_{};
+    Time begun_at_{};
+    bool begun_ = false;
+    bool list_asked_ = false;
+    std::vector<Action> actions_;
+    std::map<RequestId, Request> requests_;
+    std::map<ServerId, Server> servers_;
+    std::map<Role, double> mean_weight_;
+    std::map<Role, double> warm_work_;
+    std::map<Role, double> warm_rate_;
+    Time warm_since_{};
+    std::map<std::string, double> share_left_;
+    Time last_refill_{};
+    Duration shortest_aim_{};
+    std::vector<RunningMean> stream_length_;   // tokens, by class
+    std::vector<RunningMean> stream_seconds_;  // by class
+    std::vector<RunningMean> class_work_;      // prompt tokens' worth of work, by class
+    RunningMean read_pace_;                    // seconds for each prompt token asked for and ahead
+    RunningMean first_token_;                  // seconds from a writer's send
+    double average_report_ = 0;
+    std::optional<Time> wake_at_;
+    TimerId wake_id_{};
+};
+
+Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
+Brain::~Brain() = default;
+Brain::Brain(Brain&&) noexcept = default;
+Brain& Brain::operator=(Brain&&) noexcept = default;
+std::vector<Action> Brain::step(Time now, std::span<const Event> events) { return impl_->step(now, events); }
+std::size_t Brain::tracked_requests() const { return impl_->tracked(); }
+
+}  // namespace chalksail
--- /dev/null
+++ b/tests/brain_test.cpp
@@ -0,0 +1,196 @@
+#include "fixture.hpp"
+
+namespace chalksail::testing {
+namespace {
+
+TEST(Life, ReadsThenWritesThenForgets) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    EXPECT_EQ(g.sent_to(), "r");
+    g.end(1, 0, "r", Outcome::read);
+    EXPECT_EQ(g.sent_to(), "w");
+    g.begin_stream(1, 1, "w");
+    EXPECT_EQ(g.brain.tracked_requests(), 1U);
+    g.end(1, 1, "w", Outcome::ok, true);
+    EXPECT_EQ(g.brain.tracked_requests(), 0U);
+}
+
+TEST(Settings, NonsenseIsRefusedWithAReason) {
+    auto s = plain_settings();
+    s.classes.clear();
+    EXPECT_THROW(Brain(s, 1), std::invalid_argument);
+    s = plain_settings();
+    s.tick = 0ms;
+    EXPECT_THROW(Brain(s, 1), std::invalid_argument);
+    s = plain_settings();
+    s.classes[0].deadline = 1ms;
+    EXPECT_THROW(Brain(s, 1), std::invalid_argument);
+}
+
+TEST(Rules, DrainingServerGetsNothing) {
+    Gateway g;
+    auto draining = server("r", "reader");
+    draining.state = ServerState::draining;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.list({draining}, ListScope::changes);
+    g.arrive(1);
+    EXPECT_EQ(g.sent_to(), "");
+}
+
+TEST(Rules, OnceIsNotRepeatedNorRefusedAfterItMayHaveRun) {
+    for (const auto outcome : {Outcome::error, Outcome::timeout, Outcome::reset, Outcome::cancelled}) {
+        Gateway g;
+        g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
+        g.arrive(1, "order");
+        g.end(1, 0, "r", Outcome::read);
+        const auto at = g.sent_to();
+        g.end(1, 1, at, outcome);
+        EXPECT_EQ(g.all<Send>().size(), 0U);
+        EXPECT_EQ(g.all<Refuse>().size(), 0U);
+        EXPECT_EQ(g.all<Fail>().size(), 1U);
+        EXPECT_EQ(g.all<Release>().size(), 1U);
+    }
+}
+
+TEST(Rules, OnceGoesAgainWhenProvedNotToHaveRun) {
+    for (const auto outcome : {Outcome::full, Outcome::connect_failed}) {
+        Gateway g;
+        g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
+        g.arrive(1, "order");
+        g.end(1, 0, "r", Outcome::read);
+        const auto first = g.sent_to();
+        g.end(1, 1, first, outcome);
+        EXPECT_EQ(g.all<Send>().size(), 1U);
+        EXPECT_NE(g.sent_to(), first);
+    }
+}
+
+TEST(Rules, KeyedStaysInItsGroup) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer", "north"), server("far", "writer", "south", 1)});
+    g.arrive(1, "keyed");
+    g.end(1, 0, "r", Outcome::read);
+    ASSERT_EQ(g.sent_to(), "w");
+    g.end(1, 1, "w", Outcome::error);
+    EXPECT_NE(g.sent_to(), "far");
+    EXPECT_EQ(g.all<Refuse>().size(), 0U);
+}
+
+TEST(Rules, StateIsReleasedWhenTheClientGoes) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    g.step({ClientGone{{1}}});
+    EXPECT_EQ(g.all<CancelAttempt>().size(), 1U);
+    g.end(1, 0, "r", Outcome::read);  // the read had ended all the same
+    EXPECT_EQ(g.all<Release>().size(), 1U);
+    EXPECT_EQ(g.brain.tracked_requests(), 0U);
+}
+
+TEST(Rules, WaitingStateIsSentOnOrReleasedInTime) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    auto gone = server("w", "writer");
+    gone.state = ServerState::removed;
+    g.list({gone}, ListScope::changes);
+    g.end(1, 0, "r", Outcome::read);
+    EXPECT_EQ(g.all<Release>().size(), 0U);
+    const Time ended = g.now;
+    while (g.all<Release>().empty() && g.now < ended + 1s) {
+        g.pass(4ms);
+        g.step();
+    }
+    EXPECT_LT(g.now - ended, 400ms);
+}
+
+TEST(Rules, HeldRequestIsAnsweredBeforeItsDeadline) {
+    Gateway g;
+    g.list({server("r", "reader")});
+    g.arrive(1);
+    const Time start = g.now;
+    while (g.all<Refuse>().empty() && g.now < start + 5s) {
+        g.pass(4ms);
+        g.step();
+    }
+    EXPECT_LT(g.now - start, 4s);
+    EXPECT_EQ(g.brain.tracked_requests(), 0U);
+}
+
+TEST(Rules, ColdServerGetsOneRequestAWindowWhileNothingIsKnown) {
+    Gateway g;
+    auto cold = server("w", "writer");
+    cold.born = g.now - 1s;
+    g.list({server("r", "reader"), cold});
+    for (std::uint64_t id = 1; id <= 4; ++id) {
+        g.arrive(id);
+        if (g.sent_to() == "r") g.end(id, 0, "r", Outcome::read);
+        EXPECT_EQ(g.sent_to(), id == 1 ? "w" : "") << id;
+    }
+}
+
+TEST(Hold, CountsReadsUnderWayAgainstTheRoom) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    int sent = 0;
+    for (std::uint64_t id = 1; id <= 200; ++id) {
+        g.arrive(id);
+        sent += static_cast<int>(g.all<Send>().size());
+    }
+    EXPECT_GT(sent, 50);
+    EXPECT_LE(sent, 100'000 / 1200 + 1);
+}
+
+TEST(Hold, FullLowersAWritersLimit) {
+    const auto admitted = [](int fulls) {
+        Gateway g;
+        g.list({server("r", "reader"), server("w", "writer")});
+        std::uint64_t id = 1;
+        for (; fulls > 0; --fulls, ++id) {
+            g.pass(1s);
+            g.arrive(id);
+            g.end(id, 0, "r", Outcome::read);
+            g.end(id, 1, "w", Outcome::full);
+            g.step({ClientGone{{id}}});
+        }
+        int sent = 0;
+        for (const auto last = id + 200; id < last; ++id) {
+            g.arrive(id);
+            sent += static_cast<int>(g.all<Send>().size());
+        }
+        return sent;
+    };
+    EXPECT_LT(admitted(3), admitted(0));
+}
+
+TEST(Health, ConnectFailureEjectsAndAProbeLeadsBack) {
+    Gateway g;
+    g.list({server("r", "reader"), server("q", "reader"), server("w", "writer")});
+    g.arrive(1);
+    const auto bad = g.sent_to();
+    g.end(1, 0, bad, Outcome::connect_failed);
+    const auto good = g.sent_to();
+    ASSERT_NE(good, bad);
+    g.arrive(2);
+    EXPECT_EQ(g.sent_to(), good);
+    g.pass(1100ms);
+    g.step();
+    ASSERT_EQ(g.all<Probe>().size(), 1U);
+    EXPECT_EQ(g.all<Probe>()[0].server.value, bad);
+    g.step({ProbeEnded{{bad}, Outcome::ok, 1ms, {}}});
+    g.arrive(3);
+    EXPECT_EQ(g.sent_to(), bad);
+}
+
+TEST(Robust, UnknownAndRepeatedEventsPassWithoutEffect) {
+    Gateway g;
+    g.list({});
+    g.end(9, 0, "x", Outcome::ok);
+    g.begin_stream(9, 0, "x");
+    g.step({ClientGone{{9}}, TimerFired{{77}}, ProbeEnded{{"x"}, Outcome::error, 1ms, {}}, PeerMessage{1, "00"}});
+    EXPECT_TRUE(g.last.empty());
+}
+
+}  // namespace
+}  // namespace chalksail::testing
--- /dev/null
+++ b/tests/fixture.hpp
@@ -0,0 +1,114 @@
+// Settings and a small hand-driven gateway for the tests.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <chalksail/chalksail.hpp>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace chalksail::testing {
+
+using namespace std::chrono_literals;
+
+inline Settings plain_settings() {
+    Settings s;
+    ClassSettings c;
+    c.name = "talk";
+    c.aim = 1s;
+    c.deadline = 4s;
+    c.token_aim = 50ms;
+    c.worth = 1;
+    c.late_worth = 0.2;
+    c.window = 2s;
+    s.classes = {c};
+    c.name = "order";
+    c.worth = 3;
+    c.effect = Effect::once;
+    s.classes.push_back(c);
+    c.name = "keyed";
+    c.effect = Effect::by_key;
+    c.group = Group::zone;
+    s.classes.push_back(c);
+    s.kinds = {{"reader", Role::prefill, 200'000}, {"writer", Role::decode, 100'000}, {"both", Role::mixed, 100'000}};
+    s.zone = "north";
+    s.tick = 4ms;
+    s.answer_slack = 16ms;
+    s.release_within = 400ms;
+    s.cold_for = 10s;
+    s.cold_from = 0.3;
+    s.fall_multiple = 3;
+    s.fall_window = 2s;
+    s.dial_timeout = 250ms;
+    s.max_retry_after = 500ms;
+    s.max_attempts = 4;
+    s.may_cancel = true;
+    s.may_probe = true;
+    s.worth_by_work = true;
+    return s;
+}
+
+inline ServerEntry server(const std::string& id, const std::string& kind, const std::string& zone = "north",
+                          std::int64_t cell = 0) {
+    ServerEntry e;
+    e.id = {id};
+    e.kind = kind;
+    e.zone = zone;
+    e.cell = cell;
+    return e;
+}
+
+class Gateway {
+public:
+    explicit Gateway(const Settings& settings = plain_settings(), std::uint64_t seed = 1) : brain(settings, seed) {}
+
+    std::vector<Action> step(std::vector<Event> events = {}) {
+        last = brain.step(now, events);
+        return last;
+    }
+    std::vector<Action> list(std::vector<ServerEntry> entries, ListScope scope = ListScope::complete) {
+        return step({ListChanged{scope, std::move(entries)}});
+    }
+    std::vector<Action> arrive(std::uint64_t id, const std::string& cls = "talk", double prompt = 1000) {
+        return step({request(id, cls, prompt)});
+    }
+    static Arrived request(std::uint64_t id, const std::string& cls = "talk", double prompt = 1000) {
+        Arrived a;
+        a.id = {id};
+        a.class_name = cls;
+        a.session = "s" + std::to_string(id);
+        a.prefix = "p";
+        a.time_left = 4s;
+        a.prompt_tokens = prompt;
+        a.max_output = 200;
+        return a;
+    }
+    std::vector<Action> end(std::uint64_t id, int attempt, const std::string& at, Outcome outcome,
+                            bool finished = false, double remark = 0, std::vector<double> report = {}) {
+        return step({AttemptEnded{{id}, {attempt}, {at}, outcome, 20ms, finished, remark, std::move(report)}});
+    }
+    std::vector<Action> begin_stream(std::uint64_t id, int attempt, const std::string& at) {
+        return step({StreamStarted{{id}, {attempt}, {at}, 20ms}});
+    }
+    void pass(Duration d) { now += d; }
+
+    template <class A>
+    [[nodiscard]] std::vector<A> all() const {
+        std::vector<A> out;
+        for (const auto& action : last)
+            if (const auto* a = std::get_if<A>(&action)) out.push_back(*a);
+        return out;
+    }
+    [[nodiscard]] std::string sent_to() const {
+        std::string out;
+        for (const auto& s : all<Send>()) out += (out.empty() ? "" : ",") + s.server.value;
+        return out;
+    }
+
+    Brain brain;
+    Time now{10s};
+    std::vector<Action> last;
+};
+
+}  // namespace chalksail::testing
