Call an attempt off only when its server is silent

Change: an attempt is called off when its server has said nothing since it was sent for longer than usual. Should cover hung and vanished servers; hurts where a server loses single requests.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -97,6 +97,7 @@
     bool started = false;   // its stream has begun
     Time started_at{};
     bool cancelled = false;
+    Duration patience{};    // without a word from the server; zero: until the client gives up
 };
 
 struct Request {
@@ -153,6 +154,7 @@
         refill_shares();
         for (const auto& event : events)
             std::visit([this](const auto& e) { on(e); }, event);
+        review_silent();
         review();
         set_wake();
         return std::move(actions_);
@@ -386,16 +388,13 @@
 
     // ================= sending =================
     void send(RequestId id, Request& r, Server& s, bool read) {
-        Attempt a{{r.sends}, s.entry.id, now_, read, s.prompt_tokens, false, {}, false};
-        Duration timeout{};
-        // A "once" request at a writer is not timed out: it could neither go again nor be refused.
+        Attempt a{{r.sends}, s.entry.id, now_, read, s.prompt_tokens, false, {}, false, {}};
         const bool spare = attempts_left(r) > (read ? 2 : 1);
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
-            const double usual = read ? read_pace_.or_else(0) * (r.in.prompt_tokens + a.ahead)
-                                      : first_token_.or_else(0);
-            timeout = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
-            timeout = std::min(timeout, r.deadline - now_);
+            const double usual = read ? read_pace_.or_else(0) * (r.in.prompt_tokens + a.ahead) : first_token_.or_else(0);
+            a.patience = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
         }
+        const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
         r.sends += 1;
         s.in_use += 1;
         if (read)
@@ -657,6 +656,23 @@
         return c.effect == Effect::by_key && c.group == Group::all;
     }
 
+    // A server that has said nothing since an attempt was sent, for longer than is usual, is taken for silent
+    // (hung, vanished, cut off): it is ejected and the attempt called off. One that answers others is alive and
+    // its queue only long: going elsewhere would read the prompt twice and feed the jam. A "once" request at a
+    // writer is never called off: it could neither go again nor be refused.
+    void review_silent() {
+        for (auto& [id, r] : requests_) {
+            if (r.ended || !r.out || r.out->started || r.out->cancelled || !s_.may_cancel) continue;
+            if (r.out->patience == Duration::zero()) continue;
+            Server* s = find(r.out->server);
+            const Time since = s == nullptr ? r.out->sent : std::max(r.out->sent, s->last_answer);
+            if (now_ < since + r.out->patience) continue;
+            r.out->cancelled = true;
+            actions_.emplace_back(CancelAttempt{id, r.out->id});
+            if (s != nullptr) eject(*s);
+        }
+    }
+
     // ================= the end =================
     void give_up(RequestId id) {
         auto& r = requests_.at(id);
@@ -743,7 +759,7 @@
         std::optional<Time> next;
         const auto want = [&](Time at) { next = next ? std::min(*next, at) : at; };
         for (const auto& [id, r] : requests_)
-            if (!r.ended && !r.out) want(now_ + 2 * s_.tick);
+            if (!r.ended && (!r.out || (!r.out->started && !r.out->cancelled))) want(now_ + 2 * s_.tick);
         for (const auto& [id, s] : servers_)
             if (s.ejection > Duration::zero() && !s.trial_open && !s.probing && s.in_use == 0)
                 want(std::max(s.ejected_until, now_ + 2 * s_.tick));
