Text kept at a reader costs no read time; sessions stay where they were read

Cause: prompts of many turns were counted whole, so readers passed epsilon early and sessions spilled to readers that had to read them anew. Change: the prompt sum counts tokens that must be read anew, by what this gateway had read there.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -31,6 +31,8 @@
 constexpr double kZoneTokens = 2;      // ... and leaving its zone as this many again
 constexpr double kOutputWork = 25;     // work of one output token in prompt tokens, for cold budgets only
 constexpr double kColdCaution = 0.6;   // part of the cold budget used; bursts of others take the rest
+constexpr double kReadOverhead = 500;  // a read's fixed cost, in prompt tokens: steps and way there
+constexpr std::size_t kKeptMost = 400; // texts remembered of a reader: some minutes of sessions
 constexpr double kSmooth = 0.2;        // weight of a new observation in a running mean
 constexpr double kErrorStep = 0.25;    // weight of an outcome in a server's error share ...
 constexpr double kErrorEject = 0.4;    // ... which ejects it here: two errors close together
@@ -68,7 +70,7 @@
     bool listed = true;
     // Work of ours there.
     double stream_tokens = 0;  // writer: prompts and predicted outputs of our attempts and streams
-    double prompt_tokens = 0;  // reader: prompts of our unfinished reads and waiting states
+    double prompt_tokens = 0;  // reader: new prompt tokens of our unfinished reads
     int in_use = 0;            // attempts out and states waiting
     // The adaptive limit, and the last report.
     double memory = 0;
@@ -86,6 +88,8 @@
     bool probing = false;
     RunningMean slowness;
     std::deque<std::pair<Time, double>> cold_sends;  // work sent within the rule's window
+    // Text that this gateway had it read: tokens by session and by prefix, and when.
+    std::map<std::string, std::pair<double, Time>> kept;
 };
 
 struct Attempt {
@@ -93,7 +97,8 @@
     ServerId server;
     Time sent{};
     bool read = false;      // at a prefill server: ends with a state, has no effect
-    double ahead = 0;       // prompt tokens of ours there when it was sent
+    double fresh = 0;       // prompt tokens that it has to read anew, by our guess
+    double ahead = 0;       // such tokens of ours there when it was sent
     bool started = false;   // its stream has begun
     Time started_at{};
     bool cancelled = false;
@@ -219,7 +224,7 @@
     }
     // How long from a read's start to the first token, as things are.
     [[nodiscard]] Duration service_time(const Request& r) const {
-        const double read = r.state_at ? 0 : read_pace_.or_else(0) * r.in.prompt_tokens;
+        const double read = r.state_at ? 0 : read_pace_.or_else(0) * (kReadOverhead + r.in.prompt_tokens - r.in.shared_tokens);
         return from_seconds(read + first_token_.or_else(0));
     }
 
@@ -279,7 +284,7 @@
     }
 
     [[nodiscard]] double read_score(const Server& s, const Request& r) const {
-        const double time = kPrefillSecondsPerToken * (r.in.prompt_tokens + s.prompt_tokens) * slow(s);
+        const double time = kPrefillSecondsPerToken * (fresh_tokens(s, r) + s.prompt_tokens) * slow(s);
         return time < kEpsilonSeconds ? 1 : 1 - time / kEpsilonSeconds;
     }
     [[nodiscard]] double decode_score(const Server& s, const Request& r) const {
@@ -297,13 +302,35 @@
                (reader->second.entry.zone == s.entry.zone ? kFarTokens : kFarTokens + kZoneTokens);
     }
 
+    // Exception to "new prompt": text that we had this reader read before is kept there and costs no time. Acts
+    // wherever sessions or prefixes come again; a guess that is wrong (text evicted) only makes a reader slower.
+    [[nodiscard]] static double kept_tokens(const Server& s, const std::string& key) {
+        const auto it = s.kept.find(key);
+        return it == s.kept.end() ? 0 : it->second.first;
+    }
+    [[nodiscard]] static double fresh_tokens(const Server& s, const Request& r) {
+        const double prefix = r.in.prefix.empty() ? 0 : kept_tokens(s, "p" + r.in.prefix);
+        const double kept = std::max(prefix, kept_tokens(s, "s" + r.in.session));
+        return std::max(0.0, r.in.prompt_tokens - kept);
+    }
+    void keep(Server& s, const Request& r) {
+        if (!r.in.prefix.empty()) s.kept["p" + r.in.prefix] = {r.in.shared_tokens, now_};
+        s.kept["s" + r.in.session] = {r.in.prompt_tokens, now_};
+        if (s.kept.size() > kKeptMost) {
+            const auto oldest = std::min_element(s.kept.begin(), s.kept.end(), [](const auto& a, const auto& b) {
+                return a.second.second < b.second.second;
+            });
+            s.kept.erase(oldest);
+        }
+    }
+
     Server* best_reader(const Request& r) {
         return pick(r, [&](const Server& s) { return s.role == Role::prefill; },
                     [&](const Server& s) {
-                        // Ties go to this zone, then by prefix-key hash, so that kept text is found again.
+                        // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found again.
                         const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
-                        return std::tuple(read_score(s, r), s.entry.zone == s_.zone ? 1 : 0,
-                                          hash(key, s.entry.id.value));
+                        return std::tuple(read_score(s, r), kept_tokens(s, "s" + r.in.session),
+                                          s.entry.zone == s_.zone ? 1 : 0, hash(key, s.entry.id.value));
                     });
     }
     Server* best_writer(const Request& r, bool need_room) {
@@ -355,7 +382,6 @@
     void drop_state(Request& r) {
         if (!r.state_at) return;
         if (auto it = servers_.find(*r.state_at); it != servers_.end()) {
-            it->second.prompt_tokens -= r.in.prompt_tokens;
             it->second.in_use -= 1;
         }
         r.state_at.reset();
@@ -388,19 +414,21 @@
 
     // ================= sending =================
     void send(RequestId id, Request& r, Server& s, bool read) {
-        Attempt a{{r.sends}, s.entry.id, now_, read, s.prompt_tokens, false, {}, false, {}};
+        Attempt a{{r.sends}, s.entry.id, now_, read, fresh_tokens(s, r), s.prompt_tokens, false, {}, false, {}};
         const bool spare = attempts_left(r) > (read ? 2 : 1);
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
-            const double usual = read ? read_pace_.or_else(0) * (r.in.prompt_tokens + a.ahead) : first_token_.or_else(0);
+            const double usual = read ? read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead) : first_token_.or_else(0);
             a.patience = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
         }
         const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
         r.sends += 1;
         s.in_use += 1;
-        if (read)
-            s.prompt_tokens += r.in.prompt_tokens;
-        else
+        if (read) {
+            s.prompt_tokens += a.fresh;
+            keep(s, r);
+        } else {
             s.stream_tokens += r.tokens();
+        }
         note_work(s, class_work_[r.cls].mean);
         if (s.ejection > Duration::zero()) s.trial_open = false;  // one request at a time while on trial
         r.out = a;
@@ -484,7 +512,6 @@
         }
         if (e.outcome == Outcome::read && s != nullptr) {
             r.state_at = e.server;
-            s->prompt_tokens += r.in.prompt_tokens;
             s->in_use += 1;
             return;
         }
@@ -501,7 +528,7 @@
     void settle(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         s.in_use -= 1;
         if (a.read)
-            s.prompt_tokens -= r.in.prompt_tokens;
+            s.prompt_tokens -= a.fresh;
         else
             s.stream_tokens -= r.tokens();
         switch (e.outcome) {
@@ -521,7 +548,7 @@
             case Outcome::read: {
                 answered(s);
                 passed(s);
-                const double pace = seconds(e.taken) / std::max(1.0, r.in.prompt_tokens + a.ahead);
+                const double pace = seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead);
                 if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
                 read_pace_.add(pace);
                 break;
@@ -538,7 +565,7 @@
             case Outcome::timeout:
                 // Usual times follow what is seen, so that a slow fleet is not timed out again and again.
                 if (a.read)
-                    read_pace_.add(seconds(e.taken) / std::max(1.0, r.in.prompt_tokens + a.ahead));
+                    read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
                 else if (!a.started)
                     first_token_.add(seconds(e.taken));
                 if (!a.started && s.last_answer <= a.sent) eject(s);  // silent ever since
@@ -723,6 +750,7 @@
             s.memory = kind == s_.kinds.end() || kind->memory_tokens <= 0 ? kUntoldMemory : kind->memory_tokens;
             s.limit = starting_limit(s);
             s.reported_tokens.reset();
+            s.kept.clear();
             s.slowness = {};
             reinstate(s);
         }
