Hold while every reader's queue takes more than a part of the aim

Change: a reader has room while our reads there end within 0.35 of the aim at the seen pace. Should cover slow readers, cold caches, a lost zone's readers; could hurt where pace is misjudged after a single long read.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -32,6 +32,7 @@
 constexpr double kOutputWork = 25;     // work of one output token in prompt tokens, for cold budgets only
 constexpr double kColdCaution = 0.6;   // part of the cold budget used; bursts of others take the rest
 constexpr double kReadOverhead = 500;  // a read's fixed cost, in prompt tokens: steps and way there
+constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400; // texts remembered of a reader: some minutes of sessions
 constexpr double kSmooth = 0.2;        // weight of a new observation in a running mean
 constexpr double kErrorStep = 0.25;    // weight of an outcome in a server's error share ...
@@ -270,6 +271,7 @@
             if (!o.ended && ((o.out && o.out->read) || (!o.out && o.state_at))) promised += o.tokens();
         if (room <= promised) return;  // hold: memory_aware
         Server* reader = best_reader(r);
+        if (reader == nullptr && any_usable(Role::prefill, r)) return;  // hold: the readers' queues are long
         Server* writer = best_writer(r, true);
         Server* mixed = best_mixed(r);
         if (mixed != nullptr &&
@@ -324,8 +326,15 @@
         }
     }
 
+    // A reader has room while ours there will be read within a part of the aim, at the pace that is seen; what
+    // other gateways send shows in that pace. So a jam waits here, in order of worth, and not at the readers.
+    [[nodiscard]] bool has_read_room(const Server& s, const Request& r) const {
+        const double time = read_pace_.or_else(0) * slow(s) * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
+        return s.prompt_tokens <= 0 || time < kReadShare * seconds(s_.classes[r.cls].aim);
+    }
+
     Server* best_reader(const Request& r) {
-        return pick(r, [&](const Server& s) { return s.role == Role::prefill; },
+        return pick(r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
                     [&](const Server& s) {
                         // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found again.
                         const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
