An old memory report counts as none; lowered limits come back with time

Change: reports older than three of the shortest aims make a writer 'unheard' (average); a limit below its start recovers by 5% of it a second. Should cover any signal that only work can refresh; could hurt where a writer stays full through others' traffic for long.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -23,7 +23,9 @@
 constexpr double kLimitStart = 1.5;        // our share of its memory; gateways are seldom equally busy
 constexpr double kLimitDown = 0.8;         // after a full outcome or a high memory report
 constexpr double kLimitUp = 0.05;          // share of an ok request's tokens added while the limit binds
-constexpr double kLimitFloor = 0.1;        // of the start: a writer is never closed by the limit alone
+constexpr double kLimitFloor = 0.3;        // of the start: a writer is never closed by the limit alone
+constexpr double kLimitBack = 0.05;        // of the start, each second: a closed writer has no ok to raise it
+constexpr int kReportAims = 3;             // shortest aims after which a report is too old to count
 constexpr double kHighMemory = 0.9;        // reported share of memory that counts as nearly full
 constexpr double kUntoldMemory = 100'000;  // tokens, where the settings tell none
 // ---- constants: ours, for what the design leaves open ----
@@ -79,6 +81,7 @@
     Time limit_lowered{};
     std::optional<double> reported_tokens;
     double ours_at_report = 0;
+    Time reported_at{};
     // Health, from our own outcomes.
     double error_share = 0;
     Time last_answer{};
@@ -208,6 +211,7 @@
     void refill_shares() {
         const double passed = seconds(now_ - last_refill_);
         last_refill_ = now_;
+        recover_limits(passed);
         for (const auto& t : s_.tenants) {
             const double rate = t.quota_per_s / s_.gateways;
             auto& left = share_left_[t.name];
@@ -399,9 +403,10 @@
     // The writer's sum: our tokens, raised by its reports; one that has not reported counts as average.
     [[nodiscard]] double load(const Server& s) const {
         if (memory_reports() == false) return s.stream_tokens;
-        const double reported = s.reported_tokens ? *s.reported_tokens : average_report_;
-        const double ours_then = s.reported_tokens ? s.ours_at_report : 0;
-        return std::max(s.stream_tokens, reported + std::max(0.0, s.stream_tokens - ours_then));
+        // An old report is none: a writer that once was full would get nothing and so never report again.
+        if (!s.reported_tokens || now_ - s.reported_at > kReportAims * shortest_aim_)
+            return std::max(s.stream_tokens, average_report_);
+        return std::max(s.stream_tokens, *s.reported_tokens + std::max(0.0, s.stream_tokens - s.ours_at_report));
     }
     [[nodiscard]] bool memory_reports() const {
         return std::find(s_.report_fields.begin(), s_.report_fields.end(), ReportField::memory_share) !=
@@ -417,6 +422,11 @@
         s.limit_lowered = now_;
         s.limit = std::max(kLimitFloor * starting_limit(s), kLimitDown * std::min(s.limit, load(s)));
     }
+    void recover_limits(double passed) {
+        for (auto& [id, s] : servers_)
+            if (const double start = starting_limit(s); s.limit < start)
+                s.limit = std::min(start, s.limit + kLimitBack * start * passed);
+    }
     void raise_limit(Server& s, double tokens) {
         if (load(s) > kLimitDown * s.limit) s.limit = std::min(s.memory, s.limit + kLimitUp * tokens);
     }
@@ -665,6 +675,7 @@
             if (s_.report_fields[i] != ReportField::memory_share || s.role == Role::prefill) continue;
             s.reported_tokens = report[i] * s.memory;
             s.ours_at_report = s.stream_tokens;
+            s.reported_at = now_;
             average_report_ += kSmooth * (*s.reported_tokens - average_report_);
             if (report[i] > kHighMemory) lower_limit(s);
         }
