A late first token after a near move lowers a writer's limit, where no report tells of memory

Told from slow links: moves inside the cell were as late as others. Change: such a first token counts as a full outcome; one step down for each jam. Should cover bursts, ageing writers, other gateways' surges; could hurt where an aim is very short.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -22,6 +22,7 @@
 // ---- constants: the adaptive limit of a writer, in tokens ----
 constexpr double kLimitStart = 1.5;        // our share of its memory; gateways are seldom equally busy
 constexpr double kLimitDown = 0.8;         // after a full outcome or a high memory report
+constexpr double kQueueShare = 0.3;        // of the aim: a first token later than this has queued at the writer
 constexpr double kLimitUp = 0.05;          // share of an ok request's tokens added while the limit binds
 constexpr double kLimitFloor = 0.3;        // of the start: a writer is never closed by the limit alone
 constexpr double kLimitBack = 0.05;        // of the start, each second: a closed writer has no ok to raise it
@@ -417,8 +418,9 @@
         return memory_reports() ? kHighMemory * s.memory
                                 : std::min(s.memory, kLimitStart * s.memory / s_.gateways);
     }
-    void lower_limit(Server& s) {
-        if (s.limit_lowered != Time{} && now_ - s.limit_lowered < shortest_aim_ / 4) return;  // one jam, one step
+    // Once for each jam: what was sent before the last step tells nothing of how that step works.
+    void lower_limit(Server& s, Time evidence_sent) {
+        if (s.limit_lowered != Time{} && evidence_sent < s.limit_lowered) return;
         s.limit_lowered = now_;
         s.limit = std::max(kLimitFloor * starting_limit(s), kLimitDown * std::min(s.limit, load(s)));
     }
@@ -502,9 +504,18 @@
         Request& r = it->second;
         r.out->started = true;
         r.out->started_at = now_;
-        drop_state(r);
         first_token_.add(seconds(e.taken));
-        if (Server* s = find(r.out->server)) answered(*s);
+        Server* s = find(r.out->server);
+        if (s == nullptr) return;
+        answered(*s);
+        // Beyond the design's "full": a first token that took a good part of the aim, its state having come from
+        // the same cell (no slow link to blame), has queued for a slot or memory. Acts only where no
+        // report tells of memory.
+        const Server* reader = r.state_at ? find(*r.state_at) : nullptr;
+        if (!memory_reports() && reader != nullptr && reader->entry.cell == s->entry.cell &&
+            seconds(e.taken) > kQueueShare * seconds(s_.classes[r.cls].aim))
+            lower_limit(*s, r.out->sent);
+        drop_state(r);
     }
 
     void on(const AttemptEnded& e) {
@@ -574,7 +585,7 @@
             }
             case Outcome::full:
                 answered(s);
-                if (e.remark != 1 && !a.read) lower_limit(s);
+                if (e.remark != 1 && !a.read) lower_limit(s, a.sent);
                 break;
             case Outcome::error:
                 answered(s);
@@ -677,7 +688,7 @@
             s.ours_at_report = s.stream_tokens;
             s.reported_at = now_;
             average_report_ += kSmooth * (*s.reported_tokens - average_report_);
-            if (report[i] > kHighMemory) lower_limit(s);
+            if (report[i] > kHighMemory) lower_limit(s, now_ - shortest_aim_ / 4);
         }
     }
 
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -164,6 +164,97 @@
     EXPECT_LT(admitted(3), admitted(0));
 }
 
+TEST(Hold, LateFirstTokenAfterANearMoveLowersTheLimit) {
+    const auto admitted = [](Duration first_token) {
+        Gateway g;
+        g.list({server("r", "reader"), server("w", "writer")});
+        std::uint64_t id = 1;
+        for (; id <= 3; ++id) {
+            g.pass(2s);
+            g.arrive(id);
+            g.end(id, 0, "r", Outcome::read);
+            g.pass(first_token);
+            g.step({StreamStarted{{id}, {1}, {"w"}, first_token}});
+            g.end(id, 1, "w", Outcome::ok, true);
+        }
+        int sent = 0;
+        for (const auto last = id + 200; id < last; ++id) {
+            g.arrive(id);
+            if (g.sent_to() != "r") continue;
+            ++sent;
+            g.end(id, 0, "r", Outcome::read);
+        }
+        return sent;
+    };
+    EXPECT_LT(admitted(900ms), admitted(50ms));
+}
+
+TEST(Hold, FullMemoryReportClosesAWriterButNotForGood) {
+    auto settings = plain_settings();
+    settings.report_fields = {ReportField::active, ReportField::memory_share};
+    Gateway g(settings);
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    g.end(1, 0, "r", Outcome::read);
+    g.end(1, 1, "w", Outcome::ok, true, 0, {40, 0.99});
+    g.arrive(2);
+    EXPECT_EQ(g.sent_to(), "");  // held before its read
+    g.pass(3500ms);
+    g.step();  // nothing has been sent there, so no newer report came
+    g.arrive(3);
+    EXPECT_EQ(g.sent_to(), "r");
+}
+
+TEST(Hold, ReadersQueueIsBoundedByTheSeenPace) {
+    Gateway g;
+    g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
+    g.arrive(1);
+    g.step({AttemptEnded{{1}, {0}, {"r"}, Outcome::read, 300ms, false, 0, {}}});  // 0.2 ms a token
+    int sent = 0;
+    for (std::uint64_t id = 10; id < 30; ++id) {
+        auto a = Gateway::request(id);
+        a.prefix.clear();
+        g.step({a});
+        sent += static_cast<int>(g.all<Send>().size());
+    }
+    EXPECT_GE(sent, 1);
+    EXPECT_LE(sent, 2);
+}
+
+TEST(Health, SilentReaderIsLeftButABusyOneIsWaitedFor) {
+    for (const bool busy : {false, true}) {
+        Gateway g;
+        g.list({server("r", "reader"), server("w", "writer")});
+        g.arrive(1);
+        g.arrive(2);
+        std::size_t cancelled = 0;
+        for (int i = 0; i < 10; ++i) {
+            g.pass(100ms);
+            if (busy) {
+                g.arrive(static_cast<std::uint64_t>(100 + i));
+                g.end(static_cast<std::uint64_t>(100 + i), 0, "r", Outcome::read);
+            } else {
+                g.step();
+            }
+            cancelled += g.all<CancelAttempt>().size();
+        }
+        EXPECT_EQ(cancelled, busy ? 0U : 2U);
+    }
+}
+
+TEST(Reader, SessionGoesBackToItsKeptText) {
+    Gateway g;
+    g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+    auto first = Gateway::request(1);
+    g.step({first});
+    const auto home = g.sent_to();
+    auto next = Gateway::request(2);
+    next.session = first.session;
+    next.prefix = "another";
+    g.step({next});
+    EXPECT_EQ(g.sent_to(), home);
+}
+
 TEST(Health, ConnectFailureEjectsAndAProbeLeadsBack) {
     Gateway g;
     g.list({server("r", "reader"), server("q", "reader"), server("w", "writer")});
