Once-only requests avoid a writer that has just erred

Change: until four answers have followed an error, the server comes last for requests that may not be repeated; a reinstated one starts on probation. Covers quick errors and flapping; could hurt where errors are even everywhere.

--- a/adapter/host.cpp
+++ b/adapter/host.cpp
@@ -54,7 +54,8 @@
     }
     void reply(const std::string& name, Instance& instance, std::ostream& out) const {
         if (instance.events.empty()) return;
-        for (const auto& action : instance.brain->step(now_, instance.events)) out << format(name, action) << '\n';
+        for (const auto& action : instance.brain->step(now_, instance.events))
+            out << format(name, action) << '\n';
         instance.events.clear();
     }
 
--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -112,9 +112,9 @@
 }
 Outcome outcome(const Json& line) {
     static const std::map<std::int64_t, Outcome> codes = {
-        {0, Outcome::ok},        {1, Outcome::error},   {2, Outcome::full},
-        {3, Outcome::timeout},   {5, Outcome::reset},   {4, Outcome::connect_failed},
-        {6, Outcome::cancelled}, {7, Outcome::moot},    {102, Outcome::read}};
+        {0, Outcome::ok},        {1, Outcome::error}, {2, Outcome::full},
+        {3, Outcome::timeout},   {5, Outcome::reset}, {4, Outcome::connect_failed},
+        {6, Outcome::cancelled}, {7, Outcome::moot},  {102, Outcome::read}};
     const auto it = codes.find(required<std::int64_t>(line, "how"));
     if (it == codes.end()) reject("how", "unknown outcome code");
     return it->second;
@@ -227,9 +227,10 @@
         if (!item.IsObject()) reject("nodes_list", "objects wanted");
         ServerEntry e;
         e.id = server(item);
-        e.state = word<ServerState>(
-            item, "state",
-            {{"up", ServerState::up}, {"draining", ServerState::draining}, {"removed", ServerState::removed}});
+        e.state = word<ServerState>(item, "state",
+                                    {{"up", ServerState::up},
+                                     {"draining", ServerState::draining},
+                                     {"removed", ServerState::removed}});
         e.zone = optional<std::string>(item, "zone");
         e.kind = optional<std::string>(item, "sku");
         e.cell = optional<std::int64_t>(item, "cell");
@@ -247,7 +248,8 @@
     if (const Json* tenant = find(line, "client_group"); tenant && tenant->IsString())
         a.tenant = tenant->GetString();
     a.session = optional<std::string>(line, "conversation");
-    if (const Json* prefix = find(line, "prefix"); prefix && prefix->IsString()) a.prefix = prefix->GetString();
+    if (const Json* prefix = find(line, "prefix"); prefix && prefix->IsString())
+        a.prefix = prefix->GetString();
     a.time_left = required<Duration>(line, "time_left_ns");
     a.length_hint = optional<Duration>(line, "estimate_ns");
     a.prompt_tokens = required<double>(line, "prompt_len");
@@ -297,7 +299,8 @@
         return Seen{who, ProbeEnded{server(line), outcome(line), optional<Duration>(line, "time_taken_ns"),
                                     row<double>(line, "report")}};
     if (verb == "heard")
-        return Seen{who, PeerMessage{required<std::int64_t>(line, "from"), required<std::string>(line, "bytes")}};
+        return Seen{who,
+                    PeerMessage{required<std::int64_t>(line, "from"), required<std::string>(line, "bytes")}};
     reject("verb", "unknown verb");
 }
 
--- a/include/chalksail/chalksail.hpp
+++ b/include/chalksail/chalksail.hpp
@@ -3,9 +3,9 @@
 // One Brain is one gateway. Feed it, batch by batch, what the gateway has seen; carry out the actions it
 // returns, in order. Ownership: a Brain owns all its state and copies what it needs from the events.
 // Threading: one instance, one thread; instances share nothing. Clock: the time given to step() is the only
-// clock and must not go backwards. Errors: the constructor throws std::invalid_argument when the settings make
-// no sense; step() never throws for any order of legal events. The embedder owes one AttemptEnded for each
-// Send, and calls step() again no later than the time of each Wake.
+// clock and must not go backwards. Errors: the constructor throws std::invalid_argument when the settings
+// make no sense; step() never throws for any order of legal events. The embedder owes one AttemptEnded for
+// each Send, and calls step() again no later than the time of each Wake.
 #pragma once
 
 #include <chrono>
@@ -168,8 +168,8 @@
     std::int64_t from = 0;
     std::string hex;
 };
-using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, SeatAnswer, ClientGone, TimerFired,
-                           ProbeEnded, PeerMessage>;
+using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, SeatAnswer, ClientGone,
+                           TimerFired, ProbeEnded, PeerMessage>;
 
 // ---- actions: what the gateway does ----
 
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -13,40 +13,40 @@
 namespace {
 
 // ---- constants: the design's own ----
-constexpr double kDecodePenaltyPerToken = 3.3e-5;    // harm of a token in a writer's batch (paper, 5.2)
-constexpr double kPrefillSecondsPerToken = 3.2e-4;   // time of a prompt token in the paper's units (paper, 5.2)
-constexpr double kEpsilonSeconds = 4.0;              // below it readers tie: some four usual prompts under way
-constexpr double kAlpha = 0.5;                       // weight of prompt against decode at a mixed server (paper)
-constexpr double kFirstBucketEdge = 250;             // output buckets: 250, 1000, 4000, ... tokens
+constexpr double kDecodePenaltyPerToken = 3.3e-5;  // harm of a token in a writer's batch (paper, 5.2)
+constexpr double kPrefillSecondsPerToken =
+    3.2e-4;                               // time of a prompt token in the paper's units (paper, 5.2)
+constexpr double kEpsilonSeconds = 4.0;   // below it readers tie: some four usual prompts under way
+constexpr double kAlpha = 0.5;            // weight of prompt against decode at a mixed server (paper)
+constexpr double kFirstBucketEdge = 250;  // output buckets: 250, 1000, 4000, ... tokens
 constexpr double kBucketGrowth = 4;
 // ---- constants: the adaptive limit of a writer, in tokens ----
-constexpr double kLimitStart = 1.5;        // our share of its memory; gateways are seldom equally busy
-constexpr double kLimitDown = 0.8;         // after a full outcome or a high memory report
-constexpr double kQueueShare = 0.3;        // of the aim: a first token later than this has queued at the writer
-constexpr double kLimitUp = 0.05;          // share of an ok request's tokens added while the limit binds
-constexpr double kLimitFloor = 0.3;        // of the start: a writer is never closed by the limit alone
-constexpr double kLimitBack = 0.05;        // of the start, each second: a closed writer has no ok to raise it
-constexpr int kReportAims = 3;             // shortest aims after which a report is too old to count
-constexpr double kHighMemory = 0.9;        // reported share of memory that counts as nearly full
+constexpr double kLimitStart = 1.5;  // our share of its memory; gateways are seldom equally busy
+constexpr double kLimitDown = 0.8;   // after a full outcome or a high memory report
+constexpr double kQueueShare = 0.3;  // of the aim: a first token later than this has queued at the writer
+constexpr double kLimitUp = 0.05;    // share of an ok request's tokens added while the limit binds
+constexpr double kLimitFloor = 0.3;  // of the start: a writer is never closed by the limit alone
+constexpr double kLimitBack = 0.05;  // of the start, each second: a closed writer has no ok to raise it
+constexpr int kReportAims = 3;       // shortest aims after which a report is too old to count
+constexpr double kHighMemory = 0.9;  // reported share of memory that counts as nearly full
 constexpr double kUntoldMemory = 100'000;  // tokens, where the settings tell none
 // ---- constants: ours, for what the design leaves open ----
-constexpr double kFarTokens = 2;       // a state leaving its cell weighs as this many times its prompt more ...
-constexpr double kZoneTokens = 2;      // ... and leaving its zone as this many again
-constexpr double kOutputWork = 25;     // work of one output token in prompt tokens, for cold budgets only
-constexpr double kColdCaution = 0.6;   // part of the cold budget used; bursts of others take the rest
-constexpr double kReadOverhead = 500;  // a read's fixed cost, in prompt tokens: steps and way there
+constexpr double kFarTokens = 2;    // a state leaving its cell weighs as this many times its prompt more ...
+constexpr double kZoneTokens = 2;   // ... and leaving its zone as this many again
+constexpr double kOutputWork = 25;  // work of one output token in prompt tokens, for cold budgets only
+constexpr double kColdCaution = 0.6;    // part of the cold budget used; bursts of others take the rest
+constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
-constexpr std::size_t kKeptMost = 400; // texts remembered of a reader: some minutes of sessions
-constexpr double kSmooth = 0.2;        // weight of a new observation in a running mean
-constexpr double kErrorStep = 0.25;    // weight of an outcome in a server's error share ...
-constexpr double kErrorEject = 0.4;    // ... which ejects it here: two errors close together
-constexpr double kTimeoutFactor = 4;   // an attempt may take this many times what is usual
-constexpr int kTrialPasses = 2;        // answers that end an ejected server's trial
+constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
+constexpr double kSmooth = 0.2;         // weight of a new observation in a running mean
+constexpr double kErrorStep = 0.25;     // weight of an outcome in a server's error share ...
+constexpr double kErrorEject = 0.4;     // ... which ejects it here: two errors close together
+constexpr double kErrorDoubt = 0.1;   // ... and above which it gets no "once" request: four answers after one
+constexpr double kTimeoutFactor = 4;  // an attempt may take this many times what is usual
+constexpr int kTrialPasses = 2;       // answers that end an ejected server's trial
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration from_seconds(double s) {
-    return Duration(static_cast<std::int64_t>(std::clamp(s, 0.0, 1e9) * 1e9));
-}
+Duration from_seconds(double s) { return Duration(static_cast<std::int64_t>(std::clamp(s, 0.0, 1e9) * 1e9)); }
 
 // FNV-1a, then a finaliser: the same on every machine, so that ties fall alike at every gateway.
 std::uint64_t hash(const std::string& a, const std::string& b) {
@@ -101,13 +101,13 @@
     AttemptId id;
     ServerId server;
     Time sent{};
-    bool read = false;      // at a prefill server: ends with a state, has no effect
-    double fresh = 0;       // prompt tokens that it has to read anew, by our guess
-    double ahead = 0;       // such tokens of ours there when it was sent
-    bool started = false;   // its stream has begun
+    bool read = false;     // at a prefill server: ends with a state, has no effect
+    double fresh = 0;      // prompt tokens that it has to read anew, by our guess
+    double ahead = 0;      // such tokens of ours there when it was sent
+    bool started = false;  // its stream has begun
     Time started_at{};
     bool cancelled = false;
-    Duration patience{};    // without a word from the server; zero: until the client gives up
+    Duration patience{};  // without a word from the server; zero: until the client gives up
 };
 
 struct Request {
@@ -134,7 +134,7 @@
 
 class Brain::Impl {
 public:
-    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), seed_(seed) {
+    explicit Impl(const Settings& settings) : s_(settings) {
         if (s_.classes.empty()) throw std::invalid_argument("no request classes");
         if (s_.kinds.empty()) throw std::invalid_argument("no kinds of server");
         if (s_.gateways < 1) throw std::invalid_argument("fewer than one gateway");
@@ -142,7 +142,8 @@
         if (s_.max_attempts < 1) throw std::invalid_argument("fewer than one attempt allowed");
         for (const auto& c : s_.classes)
             if (c.aim <= Duration::zero() || c.deadline < c.aim)
-                throw std::invalid_argument("class " + c.name + ": aim must be above 0 and within the deadline");
+                throw std::invalid_argument("class " + c.name +
+                                            ": aim must be above 0 and within the deadline");
         stream_length_.resize(s_.classes.size());
         stream_seconds_.resize(s_.classes.size());
         class_work_.resize(s_.classes.size());
@@ -152,18 +153,15 @@
     }
 
     std::vector<Action> step(Time now, std::span<const Event> events) {
+        now_ = now;
+        actions_.clear();
         if (!begun_) {
             begun_ = true;
-            begun_at_ = last_refill_ = now;
-            if (s_.must_ask_for_list) ask_for_list(now);
+            warm_since_ = last_refill_ = now;
+            if (s_.must_ask_for_list) actions_.emplace_back(FollowList{true});
         }
-        now_ = now;
-        actions_.clear();
-        if (list_asked_) actions_.emplace_back(FollowList{true});
-        list_asked_ = false;
         refill_shares();
-        for (const auto& event : events)
-            std::visit([this](const auto& e) { on(e); }, event);
+        for (const auto& event : events) std::visit([this](const auto& e) { on(e); }, event);
         review_silent();
         review();
         set_wake();
@@ -230,7 +228,9 @@
     }
     // How long from a read's start to the first token, as things are.
     [[nodiscard]] Duration service_time(const Request& r) const {
-        const double read = r.state_at ? 0 : read_pace_.or_else(0) * (kReadOverhead + r.in.prompt_tokens - r.in.shared_tokens);
+        const double read =
+            r.state_at ? 0
+                       : read_pace_.or_else(0) * (kReadOverhead + r.in.prompt_tokens - r.in.shared_tokens);
         return from_seconds(read + first_token_.or_else(0));
     }
 
@@ -279,9 +279,8 @@
         if (reader == nullptr && any_usable(Role::prefill, r)) return;  // hold: the readers' queues are long
         Server* writer = best_writer(r, true);
         Server* mixed = best_mixed(r);
-        if (mixed != nullptr &&
-            (reader == nullptr || writer == nullptr ||
-             blend(*mixed, *mixed, r) >= blend(*reader, *writer, r))) {
+        if (mixed != nullptr && (reader == nullptr || writer == nullptr ||
+                                 blend(*mixed, *mixed, r) >= blend(*reader, *writer, r))) {
             send(id, r, *mixed, false);
         } else if (reader != nullptr) {
             send(id, r, *reader, true);
@@ -309,8 +308,9 @@
                (reader->second.entry.zone == s.entry.zone ? kFarTokens : kFarTokens + kZoneTokens);
     }
 
-    // Exception to "new prompt": text that we had this reader read before is kept there and costs no time. Acts
-    // wherever sessions or prefixes come again; a guess that is wrong (text evicted) only makes a reader slower.
+    // Exception to "new prompt": text that we had this reader read before is kept there and costs no time.
+    // Acts wherever sessions or prefixes come again; a guess that is wrong (text evicted) only makes a reader
+    // slower.
     [[nodiscard]] static double kept_tokens(const Server& s, const std::string& key) {
         const auto it = s.kept.find(key);
         return it == s.kept.end() ? 0 : it->second.first;
@@ -324,40 +324,46 @@
         if (!r.in.prefix.empty()) s.kept["p" + r.in.prefix] = {r.in.shared_tokens, now_};
         s.kept["s" + r.in.session] = {r.in.prompt_tokens, now_};
         if (s.kept.size() > kKeptMost) {
-            const auto oldest = std::min_element(s.kept.begin(), s.kept.end(), [](const auto& a, const auto& b) {
-                return a.second.second < b.second.second;
-            });
+            const auto oldest = std::min_element(
+                s.kept.begin(), s.kept.end(),
+                [](const auto& a, const auto& b) { return a.second.second < b.second.second; });
             s.kept.erase(oldest);
         }
     }
 
-    // A reader has room while ours there will be read within a part of the aim, at the pace that is seen; what
-    // other gateways send shows in that pace. So a jam waits here, in order of worth, and not at the readers.
+    // A reader has room while ours there will be read within a part of the aim, at the pace that is seen;
+    // what other gateways send shows in that pace. So a jam waits here, in order of worth, and not at the
+    // readers.
     [[nodiscard]] bool has_read_room(const Server& s, const Request& r) const {
-        const double time = read_pace_.or_else(0) * slow(s) * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
+        const double time =
+            read_pace_.or_else(0) * slow(s) * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
         return s.prompt_tokens <= 0 || time < kReadShare * seconds(s_.classes[r.cls].aim);
     }
 
     Server* best_reader(const Request& r) {
-        return pick(r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
-                    [&](const Server& s) {
-                        // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found again.
-                        const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
-                        return std::tuple(read_score(s, r), kept_tokens(s, "s" + r.in.session),
-                                          s.entry.zone == s_.zone ? 1 : 0, hash(key, s.entry.id.value));
-                    });
+        return pick(
+            r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
+            [&](const Server& s) {
+                // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found
+                // again.
+                const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
+                return std::tuple(read_score(s, r), kept_tokens(s, "s" + r.in.session),
+                                  s.entry.zone == s_.zone ? 1 : 0, hash(key, s.entry.id.value));
+            });
     }
     Server* best_writer(const Request& r, bool need_room) {
-        return pick(r, [&](const Server& s) { return s.role != Role::prefill && (!need_room || has_room(s)); },
-                    [&](const Server& s) {
-                        return std::tuple(decode_score(s, r), 0, hash(r.in.session, s.entry.id.value));
-                    });
+        return pick(
+            r, [&](const Server& s) { return s.role != Role::prefill && (!need_room || has_room(s)); },
+            [&](const Server& s) {
+                return std::tuple(decode_score(s, r), 0, hash(r.in.session, s.entry.id.value));
+            });
     }
     Server* best_mixed(const Request& r) {
-        return pick(r, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
-                    [&](const Server& s) {
-                        return std::tuple(blend(s, s, r), 0, hash(r.in.session, s.entry.id.value));
-                    });
+        return pick(
+            r, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
+            [&](const Server& s) {
+                return std::tuple(blend(s, s, r), 0, hash(r.in.session, s.entry.id.value));
+            });
     }
     // The best of the usable servers that fit; those where this request has failed come last.
     template <class Fits, class Score>
@@ -367,7 +373,10 @@
         std::optional<Key> best_key;
         for (auto& [id, s] : servers_) {
             if (!fits(s) || !usable(s, r)) continue;
-            const Key key{r.failed_at.contains(id) ? 0 : 1, score(s)};
+            // One error may be the first of many: until it has served well again, a server gets only requests
+            // that may be repeated, since a "once" request would be lost to the next.
+            const bool doubt = s_.classes[r.cls].effect != Effect::repeatable && s.error_share > kErrorDoubt;
+            const Key key{r.failed_at.contains(id) ? 0 : doubt ? 1 : 2, score(s)};
             if (!best_key || key > *best_key) {
                 best = &s;
                 best_key = key;
@@ -403,11 +412,12 @@
 
     // The writer's sum: our tokens, raised by its reports; one that has not reported counts as average.
     [[nodiscard]] double load(const Server& s) const {
-        if (memory_reports() == false) return s.stream_tokens;
+        if (!memory_reports()) return s.stream_tokens;
         // An old report is none: a writer that once was full would get nothing and so never report again.
         if (!s.reported_tokens || now_ - s.reported_at > kReportAims * shortest_aim_)
             return std::max(s.stream_tokens, average_report_);
-        return std::max(s.stream_tokens, *s.reported_tokens + std::max(0.0, s.stream_tokens - s.ours_at_report));
+        return std::max(s.stream_tokens,
+                        *s.reported_tokens + std::max(0.0, s.stream_tokens - s.ours_at_report));
     }
     [[nodiscard]] bool memory_reports() const {
         return std::find(s_.report_fields.begin(), s_.report_fields.end(), ReportField::memory_share) !=
@@ -435,10 +445,12 @@
 
     // ================= sending =================
     void send(RequestId id, Request& r, Server& s, bool read) {
-        Attempt a{{r.sends}, s.entry.id, now_, read, fresh_tokens(s, r), s.prompt_tokens, false, {}, false, {}};
+        Attempt a{{r.sends},       s.entry.id, now_, read,  fresh_tokens(s, r),
+                  s.prompt_tokens, false,      {},   false, {}};
         const bool spare = attempts_left(r) > (read ? 2 : 1);
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
-            const double usual = read ? read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead) : first_token_.or_else(0);
+            const double usual =
+                read ? read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead) : first_token_.or_else(0);
             a.patience = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
         }
         const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
@@ -460,8 +472,8 @@
     [[nodiscard]] bool cold(const Server& s) const {
         return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for;
     }
-    // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets no
-    // more than our part of what the rule lets it bear, or one request a window where nothing is known.
+    // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets
+    // no more than our part of what the rule lets it bear, or one request a window where nothing is known.
     [[nodiscard]] bool cold_budget_allows(const Server& s, double work) const {
         if (!cold(s)) return true;
         double sent = 0;
@@ -508,8 +520,8 @@
         Server* s = find(r.out->server);
         if (s == nullptr) return;
         answered(*s);
-        // Beyond the design's "full": a first token that took a good part of the aim, its state having come from
-        // the same cell (no slow link to blame), has queued for a slot or memory. Acts only where no
+        // Beyond the design's "full": a first token that took a good part of the aim, its state having come
+        // from the same cell (no slow link to blame), has queued for a slot or memory. Acts only where no
         // report tells of memory.
         const Server* reader = r.state_at ? find(*r.state_at) : nullptr;
         if (!memory_reports() && reader != nullptr && reader->entry.cell == s->entry.cell &&
@@ -528,8 +540,8 @@
         r.out.reset();
         r.last_outcome = now_;
         if (s != nullptr) settle(*s, r, a, e);
-        const bool may_have_run = !a.read && e.outcome != Outcome::full && e.outcome != Outcome::connect_failed &&
-                                  e.outcome != Outcome::moot;
+        const bool may_have_run = !a.read && e.outcome != Outcome::full &&
+                                  e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot;
         if (may_have_run && !r.ran_at && s != nullptr) {
             r.ran_at = s->entry;
             r.ran_sent = a.sent;
@@ -611,7 +623,9 @@
     }
 
     // ================= health =================
-    [[nodiscard]] bool ejected(const Server& s) const { return s.ejection > Duration::zero() && !s.trial_open; }
+    [[nodiscard]] bool ejected(const Server& s) const {
+        return s.ejection > Duration::zero() && !s.trial_open;
+    }
     [[nodiscard]] bool any_usable(Role role, const Request& r) {
         return std::any_of(servers_.begin(), servers_.end(),
                            [&](const auto& p) { return p.second.role == role && usable(p.second, r); });
@@ -628,8 +642,8 @@
     [[nodiscard]] bool role_has_healthy(Role role) const {
         return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
             const Server& s = p.second;
-            return (s.role == role || s.role == Role::mixed) && s.listed && s.entry.state == ServerState::up &&
-                   s.ejection == Duration::zero();
+            return (s.role == role || s.role == Role::mixed) && s.listed &&
+                   s.entry.state == ServerState::up && s.ejection == Duration::zero();
         });
     }
     void answered(Server& s) { s.last_answer = now_; }
@@ -641,7 +655,7 @@
     }
     void reinstate(Server& s) {
         s.ejection = Duration::zero();
-        s.error_share = 0;
+        s.error_share = kErrorStep;  // on probation
         s.trial_passes = 0;
         s.trial_open = false;
     }
@@ -658,7 +672,8 @@
     // The way back: a probe where allowed, then one repeatable request at a time.
     void review_ejected() {
         for (auto& [id, s] : servers_) {
-            if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing) continue;
+            if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing)
+                continue;
             if (!s.listed || s.entry.state != ServerState::up || s.in_use > 0) continue;
             if (s_.may_probe) {
                 s.probing = true;
@@ -715,9 +730,9 @@
     }
 
     // A server that has said nothing since an attempt was sent, for longer than is usual, is taken for silent
-    // (hung, vanished, cut off): it is ejected and the attempt called off. One that answers others is alive and
-    // its queue only long: going elsewhere would read the prompt twice and feed the jam. A "once" request at a
-    // writer is never called off: it could neither go again nor be refused.
+    // (hung, vanished, cut off): it is ejected and the attempt called off. One that answers others is alive
+    // and its queue only long: going elsewhere would read the prompt twice and feed the jam. A "once" request
+    // at a writer is never called off: it could neither go again nor be refused.
     void review_silent() {
         for (auto& [id, r] : requests_) {
             if (r.ended || !r.out || r.out->started || r.out->cancelled || !s_.may_cancel) continue;
@@ -778,12 +793,14 @@
             const auto kind = std::find_if(s_.kinds.begin(), s_.kinds.end(),
                                            [&](const auto& k) { return k.name == entry.kind; });
             s.role = kind == s_.kinds.end() ? Role::mixed : kind->role;
-            s.memory = kind == s_.kinds.end() || kind->memory_tokens <= 0 ? kUntoldMemory : kind->memory_tokens;
+            s.memory =
+                kind == s_.kinds.end() || kind->memory_tokens <= 0 ? kUntoldMemory : kind->memory_tokens;
             s.limit = starting_limit(s);
             s.reported_tokens.reset();
             s.kept.clear();
             s.slowness = {};
             reinstate(s);
+            s.error_share = 0;
         }
         std::erase_if(servers_, [](const auto& p) { return !p.second.listed && p.second.in_use == 0; });
         std::map<Role, std::pair<double, int>> weights;
@@ -802,7 +819,6 @@
         const auto it = servers_.find(id);
         return it == servers_.end() ? nullptr : &it->second;
     }
-    void ask_for_list(Time) { list_asked_ = true; }
 
     // ================= timers, and what is not used =================
     void on(const TimerFired& e) {
@@ -829,11 +845,8 @@
     }
 
     Settings s_;
-    std::uint64_t seed_;
     Time now_{};
-    Time begun_at_{};
     bool begun_ = false;
-    bool list_asked_ = false;
     std::vector<Action> actions_;
     std::map<RequestId, Request> requests_;
     std::map<ServerId, Server> servers_;
@@ -854,7 +867,8 @@
     TimerId wake_id_{};
 };
 
-Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
+// No decision is drawn by chance: ties go by hash. The seed is kept in the interface for policies that do.
+Brain::Brain(const Settings& settings, std::uint64_t) : impl_(std::make_unique<Impl>(settings)) {}
 Brain::~Brain() = default;
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
--- a/tests/adapter_test.cpp
+++ b/tests/adapter_test.cpp
@@ -44,7 +44,8 @@
 }
 
 TEST(Adapter, KilledAndStartedInOneBatchKnowsNothing) {
-    const auto r = run({kBegin, kStart, kList, R"({"verb":"killed","who":"gateway_0"})", kStart, kIncoming, kEnd});
+    const auto r =
+        run({kBegin, kStart, kList, R"({"verb":"killed","who":"gateway_0"})", kStart, kIncoming, kEnd});
     EXPECT_EQ(r.code, 0) << r.errors;
     EXPECT_EQ(r.out.find("relay"), std::string::npos) << r.out;
 }
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -242,6 +242,19 @@
     }
 }
 
+TEST(Health, OneErrorKeepsOnceRequestsAway) {
+    Gateway g;
+    g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
+    g.arrive(1);
+    g.end(1, 0, "r", Outcome::read);
+    const auto erring = g.sent_to();
+    g.end(1, 1, erring, Outcome::error);
+    const auto other = g.sent_to();
+    g.arrive(2, "order");  // the other writer is the busier one now
+    g.end(2, 0, "r", Outcome::read);
+    EXPECT_EQ(g.sent_to(), other);
+}
+
 TEST(Reader, SessionGoesBackToItsKeptText) {
     Gateway g;
     g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
@@ -279,7 +292,8 @@
     g.list({});
     g.end(9, 0, "x", Outcome::ok);
     g.begin_stream(9, 0, "x");
-    g.step({ClientGone{{9}}, TimerFired{{77}}, ProbeEnded{{"x"}, Outcome::error, 1ms, {}}, PeerMessage{1, "00"}});
+    g.step({ClientGone{{9}}, TimerFired{{77}}, ProbeEnded{{"x"}, Outcome::error, 1ms, {}},
+            PeerMessage{1, "00"}});
     EXPECT_TRUE(g.last.empty());
 }
 
--- a/tests/fixture.hpp
+++ b/tests/fixture.hpp
@@ -31,7 +31,9 @@
     c.effect = Effect::by_key;
     c.group = Group::zone;
     s.classes.push_back(c);
-    s.kinds = {{"reader", Role::prefill, 200'000}, {"writer", Role::decode, 100'000}, {"both", Role::mixed, 100'000}};
+    s.kinds = {{"reader", Role::prefill, 200'000},
+               {"writer", Role::decode, 100'000},
+               {"both", Role::mixed, 100'000}};
     s.zone = "north";
     s.tick = 4ms;
     s.answer_slack = 16ms;
@@ -61,7 +63,8 @@
 
 class Gateway {
 public:
-    explicit Gateway(const Settings& settings = plain_settings(), std::uint64_t seed = 1) : brain(settings, seed) {}
+    explicit Gateway(const Settings& settings = plain_settings(), std::uint64_t seed = 1)
+        : brain(settings, seed) {}
 
     std::vector<Action> step(std::vector<Event> events = {}) {
         last = brain.step(now, events);
@@ -86,7 +89,8 @@
     }
     std::vector<Action> end(std::uint64_t id, int attempt, const std::string& at, Outcome outcome,
                             bool finished = false, double remark = 0, std::vector<double> report = {}) {
-        return step({AttemptEnded{{id}, {attempt}, {at}, outcome, 20ms, finished, remark, std::move(report)}});
+        return step(
+            {AttemptEnded{{id}, {attempt}, {at}, outcome, 20ms, finished, remark, std::move(report)}});
     }
     std::vector<Action> begin_stream(std::uint64_t id, int attempt, const std::string& at) {
         return step({StreamStarted{{id}, {attempt}, {at}, 20ms}});
