--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,7 +43,6 @@
 constexpr double kErrorEject = 0.4;     // ... which ejects it here: two errors close together
 constexpr double kErrorDoubt = 0.1;   // ... and above which it gets no "once" request: four answers after one
 constexpr double kTimeoutFactor = 4;  // an attempt may take this many times what is usual
-constexpr int kLateMargin = 2;         // times the usual service: what starts with less left will mostly be late
 constexpr int kTrialPasses = 2;       // answers that end an ejected server's trial
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -224,7 +223,7 @@
     [[nodiscard]] double urgency(const Request& r) const {
         const auto& c = s_.classes[r.cls];
         double worth = c.worth * (r.over_share ? s_.over_share_worth : 1);
-        if (now_ + kLateMargin * service_time(r) + c.aim / 10 > r.aim) worth *= c.late_worth;
+        if (now_ + service_time(r) > r.aim) worth *= c.late_worth;
         return s_.worth_by_work ? worth : worth / std::max(1.0, class_work_[r.cls].mean);
     }
     // How long from a read's start to the first token, as things are.
