Weigh a slow link as a full writer; read where a writer beside has room

Change: a cell's link is judged by the first tokens of states that left it; one that takes a whole aim weighs as a full writer. Among tied readers those come first whose cell has writers' room. The design's weakness 'pulls crowd one cell's link'; covers crowded, slow and cut links; could hurt when a late far token came from the writer's own queue.

--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -47,7 +47,7 @@
     play({StreamStarted{{1}, {1}, {writer}, 20ms}});
     play({AttemptEnded{{1}, {1}, {writer}, Outcome::ok, 40ms, true, 0, {}}});
 
-    std::cout << "read at " << reader << ", written at " << writer << ", still tracked: " << brain.tracked_requests()
-              << '\n';
+    std::cout << "read at " << reader << ", written at " << writer
+              << ", still tracked: " << brain.tracked_requests() << '\n';
     return reader == "reader-1" && writer == "writer-1" && brain.tracked_requests() == 0 ? 0 : 1;
 }
--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -121,7 +121,6 @@
     std::optional<Attempt> out;
     std::optional<ServerId> state_at;  // the reader that keeps the read state
     Time last_outcome{};
-    Time not_before{};
     int sends = 0;
     std::set<ServerId> failed_at;
     // Once an attempt may have run: where and when the first such was sent.
@@ -196,7 +195,7 @@
     }
 
     // The upper edge of the bucket that the guess falls in, capped by what the client allows.
-    [[nodiscard]] double predicted_output(const Request& r) const {
+    double predicted_output(const Request& r) const {
         const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
         const double guess = r.in.length_hint > Duration::zero()
                                  ? seconds(r.in.length_hint) / interval
@@ -220,14 +219,14 @@
 
     // ================= held at the router =================
     // What one unit of its work earns if it starts now: late work keeps only its late worth.
-    [[nodiscard]] double urgency(const Request& r) const {
+    double urgency(const Request& r) const {
         const auto& c = s_.classes[r.cls];
         double worth = c.worth * (r.over_share ? s_.over_share_worth : 1);
         if (now_ + service_time(r) > r.aim) worth *= c.late_worth;
         return s_.worth_by_work ? worth : worth / std::max(1.0, class_work_[r.cls].mean);
     }
     // How long from a read's start to the first token, as things are.
-    [[nodiscard]] Duration service_time(const Request& r) const {
+    Duration service_time(const Request& r) const {
         const double read =
             r.state_at ? 0
                        : read_pace_.or_else(0) * (kReadOverhead + r.in.prompt_tokens - r.in.shared_tokens);
@@ -235,17 +234,15 @@
     }
 
     void review() {
-        std::vector<RequestId> ids;
-        for (const auto& [id, r] : requests_) ids.push_back(id);
-        for (const auto id : ids) {
-            auto& r = requests_.at(id);
+        for (auto it = requests_.begin(); it != requests_.end();) {
+            const auto& [id, r] = *it++;  // giving up erases it
             if (r.ended || r.out) continue;
             if (now_ + service_time(r) + s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2))
                 give_up(id);  // it can't be served in time any more: answered at once
         }
         std::vector<std::pair<RequestId, double>> held;
         for (const auto& [id, r] : requests_)
-            if (!r.ended && !r.out && r.not_before <= now_) held.emplace_back(id, urgency(r));
+            if (!r.ended && !r.out) held.emplace_back(id, urgency(r));
         // Waiting states first: their time runs. Then the worthiest, then the one whose aim ends first.
         std::stable_sort(held.begin(), held.end(), [this](const auto& a, const auto& b) {
             const Request& x = requests_.at(a.first);
@@ -263,18 +260,25 @@
         }
     }
 
-    [[nodiscard]] int attempts_left(const Request& r) const { return s_.max_attempts - r.sends; }
+    int attempts_left(const Request& r) const { return s_.max_attempts - r.sends; }
 
     // ================= reading =================
     void start(RequestId id, Request& r) {
         // Reads under way and waiting states will want the same room: count them first.
         double room = 0;
-        double promised = 0;
-        for (auto& [sid, w] : servers_)
-            if (w.role != Role::prefill && usable(w, r) && has_room(w)) room += w.limit - load(w);
-        for (const auto& [other, o] : requests_)
-            if (!o.ended && ((o.out && o.out->read) || (!o.out && o.state_at))) promised += o.tokens();
-        if (room <= promised) return;  // hold: memory_aware
+        cell_room_.clear();
+        for (auto& [sid, w] : servers_) {
+            if (w.role == Role::prefill || !usable(w, r) || !has_room(w)) continue;
+            room += w.limit - load(w);
+            cell_room_[w.entry.cell] += w.limit - load(w);
+        }
+        for (const auto& [other, o] : requests_) {
+            if (o.ended || !((o.out && o.out->read) || (!o.out && o.state_at))) continue;
+            room -= o.tokens();
+            if (const Server* at = find(o.out ? o.out->server : *o.state_at))
+                cell_room_[at->entry.cell] -= o.tokens();
+        }
+        if (room <= 0) return;  // hold: memory_aware
         Server* reader = best_reader(r);
         if (reader == nullptr && any_usable(Role::prefill, r)) return;  // hold: the readers' queues are long
         Server* writer = best_writer(r, true);
@@ -289,33 +293,44 @@
         }
     }
 
-    [[nodiscard]] double read_score(const Server& s, const Request& r) const {
+    double read_score(const Server& s, const Request& r) const {
         const double time = kPrefillSecondsPerToken * (fresh_tokens(s, r) + s.prompt_tokens) * slow(s);
         return time < kEpsilonSeconds ? 1 : 1 - time / kEpsilonSeconds;
     }
-    [[nodiscard]] double decode_score(const Server& s, const Request& r) const {
+    double decode_score(const Server& s, const Request& r) const {
         return -kDecodePenaltyPerToken * (load(s) * slow(s) / weight(s) + r.tokens() + far_tokens(s, r));
     }
-    [[nodiscard]] double blend(const Server& reader, const Server& writer, const Request& r) const {
+    double blend(const Server& reader, const Server& writer, const Request& r) const {
         return kAlpha * read_score(reader, r) + (1 - kAlpha) * decode_score(writer, r);
     }
-    // Moving a state out of its cell takes link time and costs points: it weighs as so many tokens more.
-    [[nodiscard]] double far_tokens(const Server& s, const Request& r) const {
+    // A state leaving its cell weighs as more tokens, for the price and the link that all of the cell's
+    // readers share; one whose pulls have lately taken a whole aim weighs as a full writer. Covers crowded
+    // and slow links.
+    double far_tokens(const Server& s, const Request& r) const {
         if (!r.state_at) return s.entry.zone == s_.zone ? 0 : kZoneTokens * r.in.prompt_tokens;
         const auto reader = servers_.find(*r.state_at);
         if (reader == servers_.end() || reader->second.entry.cell == s.entry.cell) return 0;
-        return r.in.prompt_tokens *
-               (reader->second.entry.zone == s.entry.zone ? kFarTokens : kFarTokens + kZoneTokens);
+        const bool same_zone = reader->second.entry.zone == s.entry.zone;
+        double jam = 0;
+        const auto link = links_.find(reader->second.entry.cell);
+        if (link != links_.end() && now_ - link->second.second < kReportAims * shortest_aim_)
+            jam = s.limit * std::min(1.0, link->second.first.mean / seconds(s_.classes[r.cls].aim));
+        return r.in.prompt_tokens * (same_zone ? kFarTokens : kFarTokens + kZoneTokens) + jam;
+    }
+    // Will a writer beside this reader have room, once the reads under way in its cell are done?
+    bool cell_has_room(const Server& s, const Request& r) const {
+        const auto left = cell_room_.find(s.entry.cell);
+        return left != cell_room_.end() && left->second >= r.tokens();
     }
 
     // Exception to "new prompt": text that we had this reader read before is kept there and costs no time.
     // Acts wherever sessions or prefixes come again; a guess that is wrong (text evicted) only makes a reader
     // slower.
-    [[nodiscard]] static double kept_tokens(const Server& s, const std::string& key) {
+    static double kept_tokens(const Server& s, const std::string& key) {
         const auto it = s.kept.find(key);
         return it == s.kept.end() ? 0 : it->second.first;
     }
-    [[nodiscard]] static double fresh_tokens(const Server& s, const Request& r) {
+    static double fresh_tokens(const Server& s, const Request& r) {
         const double prefix = r.in.prefix.empty() ? 0 : kept_tokens(s, "p" + r.in.prefix);
         const double kept = std::max(prefix, kept_tokens(s, "s" + r.in.session));
         return std::max(0.0, r.in.prompt_tokens - kept);
@@ -334,7 +349,7 @@
     // A reader has room while ours there will be read within a part of the aim, at the pace that is seen;
     // what other gateways send shows in that pace. So a jam waits here, in order of worth, and not at the
     // readers.
-    [[nodiscard]] bool has_read_room(const Server& s, const Request& r) const {
+    bool has_read_room(const Server& s, const Request& r) const {
         const double time =
             read_pace_.or_else(0) * slow(s) * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
         return s.prompt_tokens <= 0 || time < kReadShare * seconds(s_.classes[r.cls].aim);
@@ -347,7 +362,7 @@
                 // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found
                 // again.
                 const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
-                return std::tuple(read_score(s, r), kept_tokens(s, "s" + r.in.session),
+                return std::tuple(read_score(s, r), cell_has_room(s, r), kept_tokens(s, "s" + r.in.session),
                                   s.entry.zone == s_.zone ? 1 : 0, hash(key, s.entry.id.value));
             });
     }
@@ -411,7 +426,7 @@
     }
 
     // The writer's sum: our tokens, raised by its reports; one that has not reported counts as average.
-    [[nodiscard]] double load(const Server& s) const {
+    double load(const Server& s) const {
         if (!memory_reports()) return s.stream_tokens;
         // An old report is none: a writer that once was full would get nothing and so never report again.
         if (!s.reported_tokens || now_ - s.reported_at > kReportAims * shortest_aim_)
@@ -419,12 +434,12 @@
         return std::max(s.stream_tokens,
                         *s.reported_tokens + std::max(0.0, s.stream_tokens - s.ours_at_report));
     }
-    [[nodiscard]] bool memory_reports() const {
+    bool memory_reports() const {
         return std::find(s_.report_fields.begin(), s_.report_fields.end(), ReportField::memory_share) !=
                s_.report_fields.end();
     }
-    [[nodiscard]] bool has_room(const Server& s) const { return load(s) < s.limit; }
-    [[nodiscard]] double starting_limit(const Server& s) const {
+    bool has_room(const Server& s) const { return load(s) < s.limit; }
+    double starting_limit(const Server& s) const {
         return memory_reports() ? kHighMemory * s.memory
                                 : std::min(s.memory, kLimitStart * s.memory / s_.gateways);
     }
@@ -469,12 +484,10 @@
     }
 
     // ================= cold starts =================
-    [[nodiscard]] bool cold(const Server& s) const {
-        return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for;
-    }
+    bool cold(const Server& s) const { return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for; }
     // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets
     // no more than our part of what the rule lets it bear, or one request a window where nothing is known.
-    [[nodiscard]] bool cold_budget_allows(const Server& s, double work) const {
+    bool cold_budget_allows(const Server& s, double work) const {
         if (!cold(s)) return true;
         double sent = 0;
         for (const auto& [at, amount] : s.cold_sends)
@@ -517,16 +530,21 @@
         r.out->started = true;
         r.out->started_at = now_;
         first_token_.add(seconds(e.taken));
-        Server* s = find(r.out->server);
-        if (s == nullptr) return;
-        answered(*s);
-        // Beyond the design's "full": a first token that took a good part of the aim, its state having come
-        // from the same cell (no slow link to blame), has queued for a slot or memory. Acts only where no
-        // report tells of memory.
         const Server* reader = r.state_at ? find(*r.state_at) : nullptr;
-        if (!memory_reports() && reader != nullptr && reader->entry.cell == s->entry.cell &&
-            seconds(e.taken) > kQueueShare * seconds(s_.classes[r.cls].aim))
-            lower_limit(*s, r.out->sent);
+        if (Server* s = find(r.out->server)) {
+            s->last_answer = now_;
+            // Beyond the design's "full": a first token that took a good part of the aim, its state having
+            // come from the same cell (no slow link to blame), has queued for a slot or memory. Acts only
+            // where no report tells of memory.
+            const bool near = reader != nullptr && reader->entry.cell == s->entry.cell;
+            if (near && !memory_reports() && seconds(e.taken) > kQueueShare * seconds(s_.classes[r.cls].aim))
+                lower_limit(*s, r.out->sent);
+            if (reader != nullptr && !near) {
+                auto& [mean, heard_at] = links_[reader->entry.cell];
+                mean.add(seconds(e.taken));
+                heard_at = now_;
+            }
+        }
         drop_state(r);
     }
 
@@ -557,13 +575,9 @@
             s->in_use += 1;
             return;
         }
-        if (e.outcome == Outcome::moot) {
-            give_up(e.id);
-            return;
-        }
         r.failed_at.insert(e.server);
         if (e.outcome == Outcome::full && e.remark == 1) drop_state(r);  // state gone: read anew
-        if (!may_go_again(r) || now_ >= r.deadline) give_up(e.id);
+        if (e.outcome == Outcome::moot || !may_go_again(r) || now_ >= r.deadline) give_up(e.id);
     }
 
     // What an outcome tells of the server.
@@ -575,7 +589,7 @@
             s.stream_tokens -= r.tokens();
         switch (e.outcome) {
             case Outcome::ok:
-                answered(s);
+                s.last_answer = now_;
                 passed(s);
                 raise_limit(s, r.tokens());
                 if (a.started) {
@@ -588,7 +602,7 @@
                 }
                 break;
             case Outcome::read: {
-                answered(s);
+                s.last_answer = now_;
                 passed(s);
                 const double pace = seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead);
                 if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
@@ -596,11 +610,11 @@
                 break;
             }
             case Outcome::full:
-                answered(s);
+                s.last_answer = now_;
                 if (e.remark != 1 && !a.read) lower_limit(s, a.sent);
                 break;
             case Outcome::error:
-                answered(s);
+                s.last_answer = now_;
                 s.error_share += kErrorStep * (1 - s.error_share);
                 if (s.error_share > kErrorEject || s.ejection > Duration::zero()) eject(s);
                 break;
@@ -616,22 +630,19 @@
             case Outcome::reset:
                 eject(s);
                 break;
-            case Outcome::cancelled:
-            case Outcome::moot:
+            default:
                 break;
         }
     }
 
     // ================= health =================
-    [[nodiscard]] bool ejected(const Server& s) const {
-        return s.ejection > Duration::zero() && !s.trial_open;
-    }
-    [[nodiscard]] bool any_usable(Role role, const Request& r) {
+    bool ejected(const Server& s) const { return s.ejection > Duration::zero() && !s.trial_open; }
+    bool any_usable(Role role, const Request& r) {
         return std::any_of(servers_.begin(), servers_.end(),
                            [&](const auto& p) { return p.second.role == role && usable(p.second, r); });
     }
     // May this request go there now?
-    [[nodiscard]] bool usable(const Server& s, const Request& r) const {
+    bool usable(const Server& s, const Request& r) const {
         if (!s.listed || s.entry.state != ServerState::up) return false;
         if (!cold_budget_allows(s, class_work_[r.cls].mean)) return false;
         if (s.role != Role::prefill && !group_allows(s, r)) return false;
@@ -639,14 +650,13 @@
         if (s.trial_open && s_.classes[r.cls].effect == Effect::repeatable) return true;
         return !role_has_healthy(s.role);  // all of them look bad: rather the least bad than none
     }
-    [[nodiscard]] bool role_has_healthy(Role role) const {
+    bool role_has_healthy(Role role) const {
         return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
             const Server& s = p.second;
             return (s.role == role || s.role == Role::mixed) && s.listed &&
                    s.entry.state == ServerState::up && s.ejection == Duration::zero();
         });
     }
-    void answered(Server& s) { s.last_answer = now_; }
     void passed(Server& s) {
         s.error_share *= 1 - kErrorStep;
         if (s.ejection == Duration::zero()) return;
@@ -694,7 +704,7 @@
             s->ejected_until = now_ + s->ejection;
         }
     }
-    [[nodiscard]] double slow(const Server& s) const { return std::clamp(s.slowness.or_else(1), 1.0, 10.0); }
+    double slow(const Server& s) const { return std::clamp(s.slowness.or_else(1), 1.0, 10.0); }
 
     void take_report(Server& s, const std::vector<double>& report) {
         for (std::size_t i = 0; i < report.size() && i < s_.report_fields.size(); ++i) {
@@ -710,12 +720,12 @@
     // ================= further attempts =================
     // No effect twice: "once" only while every writer attempt is proved not to have run; "by_key" only in its
     // group and window.
-    [[nodiscard]] bool may_go_again(const Request& r) const {
+    bool may_go_again(const Request& r) const {
         const auto& c = s_.classes[r.cls];
         if (!r.ran_at || c.effect == Effect::repeatable) return true;
         return c.effect == Effect::by_key && now_ + s_.tick < r.ran_sent + c.window;
     }
-    [[nodiscard]] bool group_allows(const Server& s, const Request& r) const {
+    bool group_allows(const Server& s, const Request& r) const {
         const auto& c = s_.classes[r.cls];
         if (!r.ran_at || c.effect == Effect::repeatable) return true;
         if (!may_go_again(r)) return false;
@@ -723,7 +733,7 @@
         if (c.group == Group::cell) return s.entry.cell == r.ran_at->cell;
         return true;
     }
-    [[nodiscard]] bool may_refuse(const Request& r) const {
+    bool may_refuse(const Request& r) const {
         const auto& c = s_.classes[r.cls];
         if (!r.ran_at || c.effect == Effect::repeatable) return true;
         return c.effect == Effect::by_key && c.group == Group::all;
@@ -769,10 +779,8 @@
         if (!r.out) forget(e.id);
     }
     void forget(RequestId id) {
-        const auto it = requests_.find(id);
-        if (it == requests_.end()) return;
-        drop_state(it->second);
-        requests_.erase(it);
+        drop_state(requests_.at(id));
+        requests_.erase(id);
     }
 
     // ================= the list of servers =================
@@ -810,7 +818,7 @@
         }
         for (const auto& [role, sum] : weights) mean_weight_[role] = sum.first / sum.second;
     }
-    [[nodiscard]] double weight(const Server& s) const {
+    double weight(const Server& s) const {
         const auto mean = mean_weight_.find(s.role);
         if (mean == mean_weight_.end() || mean->second <= 0 || s.entry.weight <= 0) return 1;
         return s.entry.weight / mean->second;
@@ -824,8 +832,8 @@
     void on(const TimerFired& e) {
         if (e.id == wake_id_) wake_at_.reset();
     }
-    void on(const SeatAnswer&) {}
-    void on(const PeerMessage&) {}
+    void on(const SeatAnswer&) {}   // no seat is booked
+    void on(const PeerMessage&) {}  // none is sent
 
     // One timer, for the earliest thing that time alone can change.
     void set_wake() {
@@ -863,6 +871,9 @@
     RunningMean read_pace_;                    // seconds for each prompt token asked for and ahead
     RunningMean first_token_;                  // seconds from a writer's send
     double average_report_ = 0;
+    std::map<std::int64_t, std::pair<RunningMean, Time>>
+        links_;                                 // by cell: first tokens of states leaving it
+    std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
     std::optional<Time> wake_at_;
     TimerId wake_id_{};
 };
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -255,6 +255,27 @@
     EXPECT_EQ(g.sent_to(), other);
 }
 
+TEST(Writer, AJammedLinkKeepsStatesInTheirCell) {
+    const auto chosen = [](Duration far_pull) {
+        Gateway g;
+        auto lone = server("r", "reader", "north", 0);
+        g.list({lone, server("far", "writer", "north", 1)});
+        g.arrive(1);
+        g.end(1, 0, "r", Outcome::read);
+        g.step({StreamStarted{{1}, {1}, {"far"}, far_pull}});
+        g.end(1, 1, "far", Outcome::ok, true);
+        g.list({server("near", "writer", "north", 0)}, ListScope::changes);
+        for (std::uint64_t id = 2; id < 8; ++id) {  // the near writer carries some streams already
+            g.arrive(id);
+            g.end(id, 0, "r", Outcome::read);
+            if (g.sent_to() != "near") return g.sent_to();
+        }
+        return std::string("near");
+    };
+    EXPECT_EQ(chosen(20ms), "far");
+    EXPECT_EQ(chosen(900ms), "near");
+}
+
 TEST(Reader, SessionGoesBackToItsKeptText) {
     Gateway g;
     g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
