Patience follows the usual read time, and what was called off counts as seen

Change: usual time is the greater of pace and mean read time; an attempt called off teaches its length.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -464,8 +464,8 @@
                   s.prompt_tokens, false,      {},   false, {}};
         const bool spare = attempts_left(r) > (read ? 2 : 1);
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
-            const double usual =
-                read ? read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead) : first_token_.or_else(0);
+            double usual = (read ? read_time_ : first_token_).or_else(0);
+            if (read) usual = std::max(usual, read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead));
             a.patience = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
         }
         const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
@@ -607,6 +607,7 @@
                 const double pace = seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead);
                 if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
                 read_pace_.add(pace);
+                read_time_.add(seconds(e.taken));
                 break;
             }
             case Outcome::full:
@@ -618,13 +619,13 @@
                 s.error_share += kErrorStep * (1 - s.error_share);
                 if (s.error_share > kErrorEject || s.ejection > Duration::zero()) eject(s);
                 break;
+            case Outcome::cancelled:
             case Outcome::timeout:
-                // Usual times follow what is seen, so that a slow fleet is not timed out again and again.
-                if (a.read)
-                    read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
-                else if (!a.started)
-                    first_token_.add(seconds(e.taken));
-                if (!a.started && s.last_answer <= a.sent) eject(s);  // silent ever since
+                if (a.started || (e.outcome == Outcome::cancelled && !a.cancelled)) break;
+                // Usual times follow what is seen, so that a slow fleet is not given up again and again.
+                if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
+                (a.read ? read_time_ : first_token_).add(seconds(e.taken));
+                if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
                 break;
             case Outcome::connect_failed:
             case Outcome::reset:
@@ -869,6 +870,7 @@
     std::vector<RunningMean> stream_seconds_;  // by class
     std::vector<RunningMean> class_work_;      // prompt tokens' worth of work, by class
     RunningMean read_pace_;                    // seconds for each prompt token asked for and ahead
+    RunningMean read_time_;                    // seconds of a read
     RunningMean first_token_;                  // seconds from a writer's send
     double average_report_ = 0;
     std::map<std::int64_t, std::pair<RunningMean, Time>>
