--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -105,9 +105,8 @@
     double fresh = 0;      // prompt tokens that it has to read anew, by our guess
     double ahead = 0;      // such tokens of ours there when it was sent
     bool started = false;  // its stream has begun
-    bool cancelled = false;
-    bool teaches = false;  // the first to be called off at its server
     Time started_at{};
+    bool cancelled = false;
     Duration patience{};  // without a word from the server; zero: until the client gives up
 };
 
@@ -461,7 +460,8 @@
 
     // ================= sending =================
     void send(RequestId id, Request& r, Server& s, bool read) {
-        Attempt a{{r.sends}, s.entry.id, now_, read, fresh_tokens(s, r), s.prompt_tokens};
+        Attempt a{{r.sends},       s.entry.id, now_, read,  fresh_tokens(s, r),
+                  s.prompt_tokens, false,      {},   false, {}};
         const bool spare = attempts_left(r) > (read ? 2 : 1);
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
             double usual = (read ? read_time_ : first_token_).or_else(0);
@@ -621,7 +621,7 @@
                 break;
             case Outcome::cancelled:
             case Outcome::timeout:
-                if (a.started || (e.outcome == Outcome::cancelled && !a.teaches)) break;
+                if (a.started || (e.outcome == Outcome::cancelled && !a.cancelled)) break;
                 // Usual times follow what is seen, so that a slow fleet is not given up again and again.
                 if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
                 (a.read ? read_time_ : first_token_).add(seconds(e.taken));
@@ -750,14 +750,10 @@
             if (r.out->patience == Duration::zero()) continue;
             Server* s = find(r.out->server);
             const Time since = s == nullptr ? r.out->sent : std::max(r.out->sent, s->last_answer);
-            // What is stuck beside it goes at once, and only the first teaches: one silent server is one
-            // fact.
-            const bool known = s == nullptr || (now_ < s->ejected_until && r.out->sent >= s->last_answer);
-            if (!known && now_ < since + r.out->patience) continue;
+            if (now_ < since + r.out->patience) continue;
             r.out->cancelled = true;
-            r.out->teaches = !known;
             actions_.emplace_back(CancelAttempt{id, r.out->id});
-            if (!known) eject(*s);
+            if (s != nullptr) eject(*s);
         }
     }
 
