--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -466,9 +466,7 @@
         if (spare && (read || s_.classes[r.cls].effect != Effect::once)) {
             double usual = (read ? read_time_ : first_token_).or_else(0);
             if (read) usual = std::max(usual, read_pace_.or_else(0) * (kReadOverhead + a.fresh + a.ahead));
-            // Never past half of the time left, so that a second attempt can still be in time.
-            a.patience = std::max(s_.classes[r.cls].aim / 2,
-                                  std::min((r.deadline - now_) / 2, from_seconds(kTimeoutFactor * usual)));
+            a.patience = std::max(s_.classes[r.cls].aim / 2, from_seconds(kTimeoutFactor * usual));
         }
         const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
         r.sends += 1;
