--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -39,10 +39,8 @@
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
 constexpr double kSmooth = 0.2;         // weight of a new observation in a running mean
-constexpr double kSlowFrom = 2;   // times the fleet's mean: less is the chance of short and long answers ...
-constexpr double kSlowMost = 10;  // ... and more tells no more
-constexpr double kErrorStep = 0.25;   // weight of an outcome in a server's error share ...
-constexpr double kErrorEject = 0.4;   // ... which ejects it here: two errors close together
+constexpr double kErrorStep = 0.25;     // weight of an outcome in a server's error share ...
+constexpr double kErrorEject = 0.4;     // ... which ejects it here: two errors close together
 constexpr double kErrorDoubt = 0.1;   // ... and above which it gets no "once" request: four answers after one
 constexpr double kTimeoutFactor = 4;  // an attempt may take this many times what is usual
 constexpr int kTrialPasses = 2;       // answers that end an ejected server's trial
@@ -624,7 +622,7 @@
             case Outcome::cancelled:
             case Outcome::timeout:
                 if (a.started || (e.outcome == Outcome::cancelled && !a.cancelled)) break;
-                // What is usual follows what is seen: a slow fleet is not given up again and again.
+                // Usual times follow what is seen, so that a slow fleet is not given up again and again.
                 if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
                 (a.read ? read_time_ : first_token_).add(seconds(e.taken));
                 if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
@@ -707,9 +705,7 @@
             s->ejected_until = now_ + s->ejection;
         }
     }
-    double slow(const Server& s) const {
-        return s.slowness.mean < kSlowFrom ? 1 : std::min(s.slowness.mean, kSlowMost);
-    }
+    double slow(const Server& s) const { return std::clamp(s.slowness.or_else(1), 1.0, 10.0); }
 
     void take_report(Server& s, const std::vector<double>& report) {
         for (std::size_t i = 0; i < report.size() && i < s_.report_fields.size(); ++i) {
