--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -1,3 +1,7 @@
+#include <map>
+#include <random>
+#include <set>
+
 #include "fixture.hpp"
 
 namespace chalksail::testing {
@@ -308,6 +312,205 @@
     EXPECT_EQ(g.sent_to(), bad);
 }
 
+// Random but legal sequences from fixed seeds, with a check of the rules that knows nothing of the module.
+class World {
+public:
+    World(const Settings& settings, unsigned seed)
+        : settings_(settings), random_(seed), gateway_(settings, seed) {
+        for (const char* id : {"r1", "r2", "w1", "w2", "m1"}) {
+            auto entry = server(id,
+                                id[0] == 'r'   ? "reader"
+                                : id[0] == 'w' ? "writer"
+                                               : "both",
+                                id[1] == '1' ? "north" : "south", id[1] == '1' ? 0 : 1);
+            entries_[id] = entry;
+        }
+        publish();
+    }
+    void run() {
+        for (int tick = 0; tick < 3000; ++tick) one_tick(tick < 2000);
+        EXPECT_EQ(gateway_.brain.tracked_requests(), 0U);
+        EXPECT_TRUE(open_.empty());
+        EXPECT_GT(last_id_, 500U);
+    }
+
+private:
+    struct Open {
+        Effect effect{};
+        Time deadline{};
+        std::string out;  // where an attempt is out
+        Time sent{};
+        bool streaming = false;
+        bool answered = false;
+        bool may_have_run = false;
+        std::string ran_zone;
+        Time ran_sent{};
+        bool state = false;
+        Time pinned_since{};
+        int sends = 0;
+    };
+    int roll(int n) { return std::uniform_int_distribution<int>(0, n - 1)(random_); }
+    void publish() {
+        std::vector<ServerEntry> list;
+        for (const auto& [id, e] : entries_) list.push_back(e);
+        check(gateway_.list(list));
+    }
+    void one_tick(bool arrivals) {
+        gateway_.pass(settings_.tick);
+        std::vector<Event> events;
+        if (arrivals && roll(3) == 0) {
+            const auto cls = static_cast<std::size_t>(roll(3));
+            auto a = Gateway::request(++last_id_, settings_.classes[cls].name, 100 + roll(5000));
+            a.time_left = std::chrono::milliseconds(200 + roll(3800));
+            if (roll(4) == 0) a.prefix.clear();
+            open_[last_id_].effect = settings_.classes[cls].effect;
+            open_[last_id_].deadline = gateway_.now + a.time_left;
+            events.emplace_back(a);
+        }
+        for (auto& [id, o] : open_) {
+            if (o.out.empty()) {
+                if (!o.answered && roll(400) == 0) hang_up(id, o, events);
+                continue;
+            }
+            if (!o.streaming && gateway_.now >= o.deadline)
+                end(id, o, Outcome::timeout, events);
+            else if (o.streaming ? roll(20) == 0 : roll(15) == 0)
+                progress(id, o, events);
+        }
+        if (roll(100) == 0) {
+            auto it = entries_.begin();
+            std::advance(it, roll(static_cast<int>(entries_.size())));
+            it->second.state = roll(2) == 0 ? ServerState::up : ServerState::draining;
+            if (roll(3) == 0) it->second.born = gateway_.now;
+            events.emplace_back(ListChanged{ListScope::changes, {it->second}});
+        }
+        check(gateway_.step(events));
+        std::erase_if(open_, [](const auto& p) {
+            return p.second.answered && p.second.out.empty() && !p.second.state;
+        });
+    }
+    void hang_up(std::uint64_t id, Open& o, std::vector<Event>& events) {
+        o.answered = true;
+        events.emplace_back(ClientGone{{id}});
+    }
+    void progress(std::uint64_t id, Open& o, std::vector<Event>& events) {
+        const bool reader = o.out[0] == 'r';
+        static constexpr Outcome kBad[] = {Outcome::error, Outcome::full, Outcome::connect_failed,
+                                           Outcome::reset};
+        if (!o.streaming && roll(4) == 0) return end(id, o, kBad[roll(4)], events);
+        if (reader) return end(id, o, Outcome::read, events);
+        if (o.streaming) return end(id, o, Outcome::ok, events);
+        if (o.out[0] == 'w' && !o.state) return end(id, o, Outcome::full, events, 1);
+        o.streaming = true;
+        o.state = false;
+        events.emplace_back(StreamStarted{{id}, {o.sends - 1}, {o.out}, gateway_.now - o.sent});
+    }
+    void end(std::uint64_t id, Open& o, Outcome outcome, std::vector<Event>& events, double remark = 0) {
+        const bool writer = o.out[0] != 'r';
+        if (writer && outcome != Outcome::full && outcome != Outcome::connect_failed && !o.may_have_run) {
+            o.may_have_run = true;
+            o.ran_zone = entries_[o.out].zone;
+            o.ran_sent = o.sent;
+        }
+        if (outcome == Outcome::read) o.state = true;
+        if (remark == 1) o.state = false;
+        if (o.streaming) o.answered = true;
+        events.emplace_back(AttemptEnded{
+            {id}, {o.sends - 1}, {o.out}, outcome, gateway_.now - o.sent, o.answered, remark, {}});
+        o.out.clear();
+        o.streaming = false;
+        o.pinned_since = gateway_.now;
+    }
+    void check(const std::vector<Action>& actions) {
+        std::vector<std::uint64_t> cancelled;
+        for (const auto& action : actions) {
+            if (const auto* send = std::get_if<Send>(&action)) {
+                auto& o = open_.at(send->id.value);
+                EXPECT_FALSE(o.answered) << "sent after its answer";
+                EXPECT_TRUE(o.out.empty()) << "two attempts out";
+                EXPECT_EQ(entries_.at(send->server.value).state, ServerState::up) << "drain broken";
+                EXPECT_LT(o.sends, settings_.max_attempts);
+                if (send->server.value[0] != 'r' && o.may_have_run) {
+                    EXPECT_NE(o.effect, Effect::once);
+                    if (o.effect == Effect::by_key) {
+                        EXPECT_EQ(entries_.at(send->server.value).zone, o.ran_zone);
+                        EXPECT_LE(gateway_.now, o.ran_sent + settings_.classes[2].window);
+                    }
+                }
+                o.out = send->server.value;
+                o.sent = gateway_.now;
+                ++o.sends;
+            } else if (const auto* refuse = std::get_if<Refuse>(&action)) {
+                const auto& o = open_.at(refuse->id.value);
+                EXPECT_TRUE(!o.may_have_run || o.effect == Effect::repeatable)
+                    << "refused after it may have run";
+                answer(refuse->id.value);
+            } else if (const auto* fail = std::get_if<Fail>(&action)) {
+                answer(fail->id.value);
+            } else if (const auto* release = std::get_if<Release>(&action)) {
+                if (auto it = open_.find(release->id.value); it != open_.end()) it->second.state = false;
+            } else if (const auto* cancel = std::get_if<CancelAttempt>(&action)) {
+                cancelled.push_back(cancel->id.value);
+            }
+        }
+        for (const auto& [id, o] : open_) {
+            const bool waits = !o.answered && !o.streaming;  // a stream has no deadline
+            EXPECT_TRUE(!waits || gateway_.now <= o.deadline + settings_.answer_slack) << "answered too late";
+            const bool pinned = o.state && o.out.empty();
+            EXPECT_TRUE(!pinned || gateway_.now <= o.pinned_since + settings_.release_within)
+                << "left pinned";
+        }
+        for (const auto id : cancelled) {
+            auto& o = open_.at(id);
+            std::vector<Event> events;
+            if (!o.out.empty()) end(id, o, Outcome::cancelled, events);
+            check(gateway_.step(events));
+        }
+    }
+    void answer(std::uint64_t id) {
+        auto& o = open_.at(id);
+        EXPECT_FALSE(o.answered) << "two answers";
+        EXPECT_TRUE(o.out.empty()) << "answered with an attempt out";
+        o.answered = true;
+    }
+
+    Settings settings_;
+    std::mt19937 random_;
+    Gateway gateway_;
+    std::map<std::string, ServerEntry> entries_;
+    std::map<std::uint64_t, Open> open_;
+    std::uint64_t last_id_ = 0;
+};
+
+TEST(Property, RulesHoldOnRandomLegalSequences) {
+    for (unsigned seed = 1; seed <= 12; ++seed) {
+        auto settings = plain_settings();
+        if (seed % 2 == 0) settings.may_probe = false;
+        if (seed % 3 == 0) settings.may_cancel = false;
+        if (seed % 4 == 0) settings.must_ask_for_list = true;
+        if (seed % 5 == 0) settings.max_attempts = 2;
+        if (seed % 6 == 0) settings.read_in_place = true;
+        SCOPED_TRACE(seed);
+        World(settings, seed).run();
+    }
+}
+
+TEST(Property, TheSameEventsGiveTheSameActions) {
+    const auto play = [] {
+        std::string trace;
+        Gateway g;
+        g.list({server("r", "reader"), server("q", "reader"), server("v", "writer"), server("w", "writer")});
+        for (std::uint64_t id = 1; id < 40; ++id) {
+            g.arrive(id);
+            const auto at = g.sent_to();
+            g.end(id, 0, at, Outcome::read);
+            trace += at + g.sent_to();
+        }
+        return trace;
+    };
+    EXPECT_EQ(play(), play());
+}
+
 TEST(Robust, UnknownAndRepeatedEventsPassWithoutEffect) {
     Gateway g;
     g.list({});
