Pace the tries while a whole role looks bad

Change: with every server of a role ejected, each is tried four times in the shortest aim at most; the rest is held. Covers a cut network and a fleet that restarts at once; could hurt where errors are spread evenly and are all there is.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -43,6 +43,7 @@
 constexpr double kErrorEject = 0.4;     // ... which ejects it here: two errors close together
 constexpr double kErrorDoubt = 0.1;   // ... and above which it gets no "once" request: four answers after one
 constexpr double kTimeoutFactor = 4;  // an attempt may take this many times what is usual
+constexpr int kTriesEachAim = 4;      // sends to a server in the shortest aim while its whole role looks bad
 constexpr int kTrialPasses = 2;       // answers that end an ejected server's trial
 
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
@@ -72,7 +73,6 @@
     ServerEntry entry;
     Role role = Role::mixed;
     bool listed = true;
-    // Work of ours there.
     double stream_tokens = 0;  // writer: prompts and predicted outputs of our attempts and streams
     double prompt_tokens = 0;  // reader: new prompt tokens of our unfinished reads
     int in_use = 0;            // attempts out and states waiting
@@ -83,9 +83,9 @@
     std::optional<double> reported_tokens;
     double ours_at_report = 0;
     Time reported_at{};
-    // Health, from our own outcomes.
     double error_share = 0;
     Time last_answer{};
+    Time last_sent{};
     Time ejected_until{};
     Duration ejection{};  // length of the last one; zero: in good standing
     int trial_passes = 0;
@@ -392,10 +392,9 @@
             // that may be repeated, since a "once" request would be lost to the next.
             const bool doubt = s_.classes[r.cls].effect != Effect::repeatable && s.error_share > kErrorDoubt;
             const Key key{r.failed_at.contains(id) ? 0 : doubt ? 1 : 2, score(s)};
-            if (!best_key || key > *best_key) {
-                best = &s;
-                best_key = key;
-            }
+            if (best_key && key <= *best_key) continue;
+            best = &s;
+            best_key = key;
         }
         return best;
     }
@@ -471,6 +470,7 @@
         const Duration timeout = s_.may_cancel ? Duration::zero() : std::min(a.patience, r.deadline - now_);
         r.sends += 1;
         s.in_use += 1;
+        s.last_sent = now_;
         if (read) {
             s.prompt_tokens += a.fresh;
             keep(s, r);
@@ -649,7 +649,9 @@
         if (s.role != Role::prefill && !group_allows(s, r)) return false;
         if (s.ejection == Duration::zero()) return true;
         if (s.trial_open && s_.classes[r.cls].effect == Effect::repeatable) return true;
-        return !role_has_healthy(s.role);  // all of them look bad: rather the least bad than none
+        // All of them look bad: rather the least bad than none, but at a pace, or quick failures use up every
+        // request's attempts within a few ticks (all writers restarting, a cut network).
+        return !role_has_healthy(s.role) && now_ >= s.last_sent + shortest_aim_ / kTriesEachAim;
     }
     bool role_has_healthy(Role role) const {
         return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
@@ -686,12 +688,9 @@
             if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing)
                 continue;
             if (!s.listed || s.entry.state != ServerState::up || s.in_use > 0) continue;
-            if (s_.may_probe) {
-                s.probing = true;
-                actions_.emplace_back(Probe{id});
-            } else {
-                s.trial_open = true;
-            }
+            s.probing = s_.may_probe;
+            s.trial_open = !s_.may_probe;
+            if (s.probing) actions_.emplace_back(Probe{id});
         }
     }
     void on(const ProbeEnded& e) {
--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -246,6 +246,21 @@
     }
 }
 
+TEST(Health, WhenAllWritersFailAttemptsAreNotUsedUpAtOnce) {
+    Gateway g;
+    g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
+    g.arrive(1);
+    g.end(1, 0, "r", Outcome::read);
+    for (int attempt = 1; attempt <= 3 && !g.sent_to().empty(); ++attempt) {
+        g.end(1, attempt, g.sent_to(), Outcome::connect_failed);
+        g.pass(4ms);
+    }
+    EXPECT_TRUE(g.all<Refuse>().empty());  // an attempt is left, and waits for its time
+    g.pass(250ms);
+    g.step();
+    EXPECT_FALSE(g.sent_to().empty());
+}
+
 TEST(Health, OneErrorKeepsOnceRequestsAway) {
     Gateway g;
     g.list({server("r", "reader"), server("v", "writer"), server("w", "writer")});
