--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -92,7 +92,6 @@
     bool trial_open = false;  // a probe or time has let it back on trial
     bool probing = false;
     RunningMean slowness;
-    RunningMean pace;  // reader: seconds for each new prompt token, there and ahead
     std::deque<std::pair<Time, double>> cold_sends;  // work sent within the rule's window
     // Text that this gateway had it read: tokens by session and by prefix, and when.
     std::map<std::string, std::pair<double, Time>> kept;
@@ -351,9 +350,8 @@
     // what other gateways send shows in that pace. So a jam waits here, in order of worth, and not at the
     // readers.
     bool has_read_room(const Server& s, const Request& r) const {
-        const double pace =
-            s.pace.or_else(read_pace_.mean);  // its own: a slow reader must not close the others
-        const double time = pace * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
+        const double time =
+            read_pace_.or_else(0) * slow(s) * (kReadOverhead + s.prompt_tokens + fresh_tokens(s, r));
         return s.prompt_tokens <= 0 || time < kReadShare * seconds(s_.classes[r.cls].aim);
     }
 
@@ -609,7 +607,6 @@
                 const double pace = seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead);
                 if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
                 read_pace_.add(pace);
-                s.pace.add(pace);
                 read_time_.add(seconds(e.taken));
                 break;
             }
@@ -809,7 +806,7 @@
             s.limit = starting_limit(s);
             s.reported_tokens.reset();
             s.kept.clear();
-            s.slowness = s.pace = {};
+            s.slowness = {};
             reinstate(s);
             s.error_share = 0;
         }
