--- a/tests/brain_test.cpp
+++ b/tests/brain_test.cpp
@@ -308,6 +308,53 @@
     EXPECT_EQ(g.sent_to(), home);
 }
 
+TEST(Hold, OutputGuessesAreBucketsCappedByTheClient) {
+    const auto admitted = [](Duration hint, double cap) {
+        Gateway g;
+        g.list({server("r", "reader"), server("w", "writer")});
+        int sent = 0;
+        for (std::uint64_t id = 1; id <= 400; ++id) {
+            auto a = Gateway::request(id, "talk", 100);
+            a.length_hint = hint;  // at 50 ms a token
+            a.max_output = cap;
+            g.step({a});
+            sent += static_cast<int>(g.all<Send>().size());
+        }
+        return sent;
+    };
+    EXPECT_EQ(admitted(50ms * 100, 9000), admitted(50ms * 240, 9000));   // one bucket: up to 250
+    EXPECT_GT(admitted(50ms * 240, 9000), admitted(50ms * 260, 9000));   // the next: up to 1000
+    EXPECT_GT(admitted(50ms * 900, 9000), admitted(50ms * 1100, 9000));  // and up to 4000
+    EXPECT_EQ(admitted(50ms * 1100, 200), admitted(50ms * 260, 200));    // capped
+}
+
+TEST(Reader, TiesGoByPrefixHashAndStayThere) {
+    std::set<std::string> homes;
+    for (int prefix = 0; prefix < 20; ++prefix) {
+        std::string home;
+        for (std::uint64_t id = 1; id <= 3; ++id) {
+            Gateway g;
+            g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+            auto a = Gateway::request(id);
+            a.prefix = "prefix-" + std::to_string(prefix);
+            g.step({a});
+            EXPECT_TRUE(home.empty() || home == g.sent_to());
+            home = g.sent_to();
+        }
+        homes.insert(home);
+    }
+    EXPECT_EQ(homes.size(), 2U);
+}
+
+TEST(Writer, FullForWantOfAStateIsReadAnew) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    g.end(1, 0, "r", Outcome::read);
+    g.end(1, 1, "w", Outcome::full, false, 1);
+    EXPECT_EQ(g.sent_to(), "r");
+}
+
 TEST(Health, ConnectFailureEjectsAndAProbeLeadsBack) {
     Gateway g;
     g.list({server("r", "reader"), server("q", "reader"), server("w", "writer")});
