--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -3,7 +3,6 @@
 #include <algorithm>
 #include <chalksail/chalksail.hpp>
 #include <cmath>
-#include <deque>
 #include <map>
 #include <optional>
 #include <set>
@@ -92,7 +91,8 @@
     bool trial_open = false;  // a probe or time has let it back on trial
     bool probing = false;
     RunningMean slowness;
-    std::deque<std::pair<Time, double>> cold_sends;  // work sent within the rule's window
+    std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold
+    Time told_at{};                                   // that it started
     // Text that this gateway had it read: tokens by session and by prefix, and when.
     std::map<std::string, std::pair<double, Time>> kept;
 };
@@ -133,7 +133,7 @@
 
 class Brain::Impl {
 public:
-    explicit Impl(const Settings& settings) : s_(settings) {
+    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), own_seed_(std::to_string(seed)) {
         if (s_.classes.empty()) throw std::invalid_argument("no request classes");
         if (s_.kinds.empty()) throw std::invalid_argument("no kinds of server");
         if (s_.gateways < 1) throw std::invalid_argument("fewer than one gateway");
@@ -486,21 +486,26 @@
     // ================= cold starts =================
     bool cold(const Server& s) const { return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for; }
     // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets
-    // no more than our part of what the rule lets it bear, or one request a window where nothing is known.
+    // no more than our part of what the rule lets it bear. Where that part is under one request in a window
+    // (many gateways), one goes in a window as many times longer, and the first waits for a part of that drawn
+    // by this gateway: else all that are told at once would send one each and push the server over.
     bool cold_budget_allows(const Server& s, double work) const {
         if (!cold(s)) return true;
-        double sent = 0;
-        for (const auto& [at, amount] : s.cold_sends)
-            if (at + s_.fall_window + s_.tick > now_) sent += amount;
         const auto rate = warm_rate_.find(s.role);
         const double budget = kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) *
                               (rate == warm_rate_.end() ? 0 : rate->second);
+        const double stretch = std::clamp(work / std::max(budget, 1e-9), 1.0, 1.0 * s_.gateways);
+        const Duration window = from_seconds(seconds(s_.fall_window) * stretch) + s_.tick;
+        const double part = static_cast<double>(hash(own_seed_, s.entry.id.value) >> 11U) * 0x1p-53;
+        if (now_ < s.told_at + from_seconds(seconds(s_.fall_window) * (stretch - 1) * part)) return false;
+        double sent = 0;
+        for (const auto& [at, amount] : s.cold_sends)
+            if (at + window > now_) sent += amount;
         return sent == 0 || sent + work <= budget;
     }
     void note_work(Server& s, double work) {
         if (cold(s)) {
             s.cold_sends.emplace_back(now_, work);
-            while (s.cold_sends.front().first + 2 * s_.fall_window < now_) s.cold_sends.pop_front();
         } else {
             s.cold_sends.clear();
             warm_work_[s.role] += work;
@@ -806,6 +811,8 @@
             s.limit = starting_limit(s);
             s.reported_tokens.reset();
             s.kept.clear();
+            s.cold_sends.clear();
+            s.told_at = now_;
             s.slowness = {};
             reinstate(s);
             s.error_share = 0;
@@ -853,6 +860,7 @@
     }
 
     Settings s_;
+    std::string own_seed_;
     Time now_{};
     bool begun_ = false;
     std::vector<Action> actions_;
@@ -879,8 +887,7 @@
     TimerId wake_id_{};
 };
 
-// No decision is drawn by chance: ties go by hash. The seed is kept in the interface for policies that do.
-Brain::Brain(const Settings& settings, std::uint64_t) : impl_(std::make_unique<Impl>(settings)) {}
+Brain::Brain(const Settings& settings, std::uint64_t seed) : impl_(std::make_unique<Impl>(settings, seed)) {}
 Brain::~Brain() = default;
 Brain::Brain(Brain&&) noexcept = default;
 Brain& Brain::operator=(Brain&&) noexcept = default;
