Spread by what the list tells where own sums tell nothing; cold budgets of many gateways; types to a state file

Change, only where our part of a writer's memory is under four requests: a prefix at as many readers as its traffic needs, the hash weighted by zone, pace and writers in the cell, states leave a cell short of writers, far moves weighed against what one stream of ours stands for.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -1,5 +1,6 @@
 // chalksail: every decision of one gateway, in the order of a request's life. Its types, events, actions and
-// settings are in include/chalksail/chalksail.hpp; the reasons are in docs/design.md.
+// settings are in include/chalksail/chalksail.hpp, what it keeps is in state.hpp; the reasons are in
+// docs/design.md.
 #include <algorithm>
 #include <chalksail/chalksail.hpp>
 #include <cmath>
@@ -8,14 +9,15 @@
 #include <set>
 #include <stdexcept>
 
+#include "state.hpp"
+
 namespace chalksail {
 namespace {
 
 // ---- constants: the design's own ----
-constexpr double kDecodePenaltyPerToken = 3.3e-5;  // harm of a token in a writer's batch (paper, 5.2)
-constexpr double kPrefillSecondsPerToken =
-    3.2e-4;                               // time of a prompt token in the paper's units (paper, 5.2)
-constexpr double kEpsilonSeconds = 4.0;   // below it readers tie: some four usual prompts under way
+constexpr double kDecodePenaltyPerToken = 3.3e-5;   // harm of a token in a writer's batch (paper, 5.2)
+constexpr double kPrefillSecondsPerToken = 3.2e-4;  // time of a prompt token, paper's units (paper, 5.2)
+constexpr double kEpsilonSeconds = 4.0;             // below it readers tie: some four usual prompts under way
 constexpr double kAlpha = 0.5;            // weight of prompt against decode at a mixed server (paper)
 constexpr double kFirstBucketEdge = 250;  // output buckets: 250, 1000, 4000, ... tokens
 constexpr double kBucketGrowth = 4;
@@ -34,101 +36,23 @@
 constexpr double kZoneTokens = 2;   // ... and leaving its zone as this many again
 constexpr double kOutputWork = 25;  // work of one output token in prompt tokens, for cold budgets only
 constexpr double kColdCaution = 0.6;    // part of the cold budget used; bursts of others take the rest
+constexpr double kWarmWindows = 4;      // windows over which the work sent to warm servers is averaged
 constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
-constexpr double kSmooth = 0.2;         // weight of a new observation in a running mean
-constexpr double kErrorStep = 0.25;     // weight of an outcome in a server's error share ...
-constexpr double kErrorEject = 0.4;     // ... which ejects it here: two errors close together
+constexpr double kFewRequests = 4;  // our part of a writer holds fewer: our sums tell next to nothing of it
+constexpr double kFarGateways =
+    4;  // seeing little, moves weigh this over the gateways: a stream of ours stands for more
+constexpr double kCopies = 2;         // readers that keep a prefix, for each reader's worth of its traffic
+constexpr double kLeastMix = 0.7;     // readers beside few writers get at least this part of the mean ...
+constexpr double kMostMix = 1.3;      // ... and those beside many at most this
+constexpr double kSmooth = 0.2;       // weight of a new observation in a running mean
+constexpr double kErrorStep = 0.25;   // weight of an outcome in a server's error share ...
+constexpr double kErrorEject = 0.4;   // ... which ejects it here: two errors close together
 constexpr double kErrorDoubt = 0.1;   // ... and above which it gets no "once" request: four answers after one
 constexpr double kTimeoutFactor = 4;  // an attempt may take this many times what is usual
 constexpr int kTriesEachAim = 4;      // sends to a server in the shortest aim while its whole role looks bad
 constexpr int kTrialPasses = 2;       // answers that end an ejected server's trial
-
-double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
-Duration from_seconds(double s) { return Duration(static_cast<std::int64_t>(std::clamp(s, 0.0, 1e9) * 1e9)); }
-
-// FNV-1a, then a finaliser: the same on every machine, so that ties fall alike at every gateway.
-std::uint64_t hash(const std::string& a, const std::string& b) {
-    std::uint64_t h = 1469598103934665603ULL;
-    for (const std::string* text : {&a, &b})
-        for (const char c : *text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
-    h ^= h >> 33U;
-    h *= 0xff51afd7ed558ccdULL;
-    return h ^ (h >> 33U);
-}
-
-struct RunningMean {
-    double mean = 0;
-    bool heard = false;
-    void add(double value) {
-        mean = heard ? mean + kSmooth * (value - mean) : value;
-        heard = true;
-    }
-    [[nodiscard]] double or_else(double value) const { return heard ? mean : value; }
-};
-
-struct Server {
-    ServerEntry entry;
-    Role role = Role::mixed;
-    bool listed = true;
-    double stream_tokens = 0;  // writer: prompts and predicted outputs of our attempts and streams
-    double prompt_tokens = 0;  // reader: new prompt tokens of our unfinished reads
-    int in_use = 0;            // attempts out and states waiting
-    // The adaptive limit, and the last report.
-    double memory = 0;
-    double limit = 0;
-    Time limit_lowered{};
-    std::optional<double> reported_tokens;
-    double ours_at_report = 0;
-    Time reported_at{};
-    double error_share = 0;
-    Time last_answer{};
-    Time last_sent{};
-    Time ejected_until{};
-    Duration ejection{};  // length of the last one; zero: in good standing
-    int trial_passes = 0;
-    bool trial_open = false;  // a probe or time has let it back on trial
-    bool probing = false;
-    RunningMean slowness;
-    std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold
-    Time told_at{};                                   // that it started
-    // Text that this gateway had it read: tokens by session and by prefix, and when.
-    std::map<std::string, std::pair<double, Time>> kept;
-};
-
-struct Attempt {
-    AttemptId id;
-    ServerId server;
-    Time sent{};
-    bool read = false;     // at a prefill server: ends with a state, has no effect
-    double fresh = 0;      // prompt tokens that it has to read anew, by our guess
-    double ahead = 0;      // such tokens of ours there when it was sent
-    bool started = false;  // its stream has begun
-    Time started_at{};
-    bool cancelled = false;
-    Duration patience{};  // without a word from the server; zero: until the client gives up
-};
-
-struct Request {
-    Arrived in;
-    std::size_t cls = 0;
-    Time deadline{};
-    Time aim{};
-    double output = 0;  // predicted
-    bool over_share = false;
-    bool ended = false;  // final answer given; kept for an attempt that is still out
-    std::optional<Attempt> out;
-    std::optional<ServerId> state_at;  // the reader that keeps the read state
-    Time last_outcome{};
-    int sends = 0;
-    std::set<ServerId> failed_at;
-    // Once an attempt may have run: where and when the first such was sent.
-    std::optional<ServerEntry> ran_at;
-    Time ran_sent{};
-    [[nodiscard]] double tokens() const { return in.prompt_tokens + output; }
-};
-
 }  // namespace
 
 class Brain::Impl {
@@ -156,7 +80,7 @@
         actions_.clear();
         if (!begun_) {
             begun_ = true;
-            warm_since_ = last_refill_ = now;
+            last_refill_ = now;
             if (s_.must_ask_for_list) actions_.emplace_back(FollowList{true});
         }
         refill_shares();
@@ -186,11 +110,20 @@
         r.aim = now_ + std::min(in.time_left, cls->aim + from_seconds(seconds(cls->aim_per_1000_tokens) *
                                                                       in.prompt_tokens / 1000));
         r.output = predicted_output(r);
-        class_work_[r.cls].add(std::max(0.0, in.prompt_tokens - in.shared_tokens) + kOutputWork * r.output);
+        request_tokens_.add(r.tokens(), kSmooth);
+        class_work_[r.cls].add(std::max(0.0, in.prompt_tokens - in.shared_tokens) + kOutputWork * r.output,
+                               kSmooth);
         if (auto left = share_left_.find(in.tenant); left != share_left_.end()) {
             r.over_share = left->second < 1;
             if (!r.over_share) left->second -= 1;
         }
+        if (!in.prefix.empty()) prefix_share_[in.prefix] += 1;
+        seen_ += 1;
+        if (seen_ > kKeptMost) {
+            seen_ /= 2;
+            for (auto& [prefix, share] : prefix_share_) share /= 2;
+            std::erase_if(prefix_share_, [](const auto& p) { return p.second < 0.5; });
+        }
         requests_.emplace(in.id, std::move(r));
     }
 
@@ -234,15 +167,15 @@
     }
 
     void review() {
+        std::vector<std::pair<RequestId, double>> held;
         for (auto it = requests_.begin(); it != requests_.end();) {
             const auto& [id, r] = *it++;  // giving up erases it
             if (r.ended || r.out) continue;
             if (now_ + service_time(r) + s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2))
                 give_up(id);  // it can't be served in time any more: answered at once
+            else
+                held.emplace_back(id, urgency(r));
         }
-        std::vector<std::pair<RequestId, double>> held;
-        for (const auto& [id, r] : requests_)
-            if (!r.ended && !r.out) held.emplace_back(id, urgency(r));
         // Waiting states first: their time runs. Then the worthiest, then the one whose aim ends first.
         std::stable_sort(held.begin(), held.end(), [this](const auto& a, const auto& b) {
             const Request& x = requests_.at(a.first);
@@ -307,21 +240,29 @@
     // readers share; one whose pulls have lately taken a whole aim weighs as a full writer. Covers crowded
     // and slow links.
     double far_tokens(const Server& s, const Request& r) const {
-        if (!r.state_at) return s.entry.zone == s_.zone ? 0 : kZoneTokens * r.in.prompt_tokens;
+        const double prompt = r.in.prompt_tokens * (blind() ? kFarGateways / s_.gateways : 1);
+        if (!r.state_at) return s.entry.zone == s_.zone ? 0 : kZoneTokens * prompt;
         const auto reader = servers_.find(*r.state_at);
-        if (reader == servers_.end() || reader->second.entry.cell == s.entry.cell) return 0;
+        if (reader == servers_.end()) return 0;
+        // A cell short of writers keeps only so many of its states as they can take: which, is drawn by hash.
+        const bool leaves = blind() && unit(r.in.session, "leaves") > mix(reader->second);
+        if (reader->second.entry.cell == s.entry.cell) return leaves ? kFarTokens * prompt : 0;
         const bool same_zone = reader->second.entry.zone == s.entry.zone;
+        if (leaves && mix(s) > 1) return same_zone ? 0 : kZoneTokens * prompt;
         double jam = 0;
         const auto link = links_.find(reader->second.entry.cell);
         if (link != links_.end() && now_ - link->second.second < kReportAims * shortest_aim_)
             jam = s.limit * std::min(1.0, link->second.first.mean / seconds(s_.classes[r.cls].aim));
-        return r.in.prompt_tokens * (same_zone ? kFarTokens : kFarTokens + kZoneTokens) + jam;
+        return prompt * (same_zone ? kFarTokens : kFarTokens + kZoneTokens) + jam;
     }
     // Will a writer beside this reader have room, once the reads under way in its cell are done?
     bool cell_has_room(const Server& s, const Request& r) const {
         const auto left = cell_room_.find(s.entry.cell);
         return left != cell_room_.end() && left->second >= r.tokens();
     }
+    // Many gateways: our part of a writer's memory is a few requests, so that our own sums tell next to
+    // nothing of what a server bears. Then traffic is spread by what the list tells of the fleet.
+    bool blind() const { return writer_memory_ < kFewRequests * s_.gateways * request_tokens_.mean; }
 
     // Exception to "new prompt": text that we had this reader read before is kept there and costs no time.
     // Acts wherever sessions or prefixes come again; a guess that is wrong (text evicted) only makes a reader
@@ -355,30 +296,59 @@
         return s.prompt_tokens <= 0 || time < kReadShare * seconds(s_.classes[r.cls].aim);
     }
 
+    // Weight of a reader in the hash: the writers in its cell for each reader there, so that each writer gets
+    // its part although states stay in their cell and cells are unevenly made up.
+    double tie_weight(const Server& s) const {
+        const double weight = (s.entry.zone == s_.zone ? home_weight() : 1) / slow(s);
+        return weight * std::clamp(mix(s), kLeastMix, kMostMix);
+    }
+    // Writers for each reader in this server's cell, against the whole fleet's.
+    double mix(const Server& s) const {
+        const auto at = cells_.find(s.entry.cell);
+        return at == cells_.end() ? 1 : at->second.mix() / std::max(0.01, fleet_.mix());
+    }
+    // Reads stay in this zone as far as its part of the readers goes, taking the zones to be equally busy,
+    // and less while reads here are slower than elsewhere.
+    double home_weight() const {
+        const auto home = zone_readers_.find(s_.zone);
+        if (home == zone_readers_.end() || zone_readers_.size() < 2) return 1;
+        const double all = fleet_.of(fleet_.count, Role::prefill);
+        const double others = all - home->second;
+        const double crowded = std::clamp(
+            home_pace_.or_else(1) / std::max(1e-9, away_pace_.or_else(home_pace_.or_else(1))), 1.0, 4.0);
+        const double part = std::min(0.95, zone_readers_.size() * home->second / all / crowded);
+        return part / (1 - part) * others / home->second;
+    }
     Server* best_reader(const Request& r) {
+        // A prefix that many ask for is kept at as many readers as its part of the traffic needs; a session
+        // stays at one.
+        const bool few = blind();
+        std::string key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
+        if (const auto share = prefix_share_.find(r.in.prefix); few && share != prefix_share_.end()) {
+            const auto copies = static_cast<std::uint64_t>(std::ceil(
+                kCopies * share->second / std::max(1.0, seen_) * fleet_.of(fleet_.count, Role::prefill)));
+            key += "/" + std::to_string(hash(r.in.session, "") % std::max<std::uint64_t>(1, copies));
+        }
         return pick(
             r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
             [&](const Server& s) {
-                // Ties go to the session's own text, this zone, then by prefix-key hash, so that it is found
-                // again.
-                const auto& key = r.in.prefix.empty() ? r.in.session : r.in.prefix;
-                return std::tuple(read_score(s, r), cell_has_room(s, r), kept_tokens(s, "s" + r.in.session),
-                                  s.entry.zone == s_.zone ? 1 : 0, hash(key, s.entry.id.value));
+                // Ties go to the session's own text, then by prefix-key hash, so that it is found again.
+                return std::tuple(read_score(s, r), !few && cell_has_room(s, r),
+                                  kept_tokens(s, "s" + r.in.session), !few && s.entry.zone == s_.zone,
+                                  (few ? tie_weight(s) : 1) / -std::log(unit(key, s.entry.id.value)));
             });
     }
     Server* best_writer(const Request& r, bool need_room) {
         return pick(
             r, [&](const Server& s) { return s.role != Role::prefill && (!need_room || has_room(s)); },
             [&](const Server& s) {
-                return std::tuple(decode_score(s, r), 0, hash(r.in.session, s.entry.id.value));
+                return std::pair(decode_score(s, r), hash(r.in.session, s.entry.id.value));
             });
     }
     Server* best_mixed(const Request& r) {
         return pick(
             r, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
-            [&](const Server& s) {
-                return std::tuple(blend(s, s, r), 0, hash(r.in.session, s.entry.id.value));
-            });
+            [&](const Server& s) { return std::pair(blend(s, s, r), hash(r.in.session, s.entry.id.value)); });
     }
     // The best of the usable servers that fit; those where this request has failed come last.
     template <class Fits, class Score>
@@ -418,9 +388,7 @@
     }
     void drop_state(Request& r) {
         if (!r.state_at) return;
-        if (auto it = servers_.find(*r.state_at); it != servers_.end()) {
-            it->second.in_use -= 1;
-        }
+        if (Server* s = find(*r.state_at)) s->in_use -= 1;
         r.state_at.reset();
     }
 
@@ -487,44 +455,37 @@
     bool cold(const Server& s) const { return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for; }
     // Work sent lately to a warm server of this role is what a warm one bears at the least. A cold one gets
     // no more than our part of what the rule lets it bear. Where that part is under one request in a window
-    // (many gateways), one goes in a window as many times longer, and the first waits for a part of that drawn
-    // by this gateway: else all that are told at once would send one each and push the server over.
+    // (many gateways), one goes in a window as many times longer, and the first waits for a part of that
+    // drawn by this gateway: else all that are told at once would send one each and push the server over.
     bool cold_budget_allows(const Server& s, double work) const {
         if (!cold(s)) return true;
-        const auto rate = warm_rate_.find(s.role);
-        const double budget = kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) *
-                              (rate == warm_rate_.end() ? 0 : rate->second);
+        const double budget =
+            kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) * warm_rate(s.role);
         const double stretch = std::clamp(work / std::max(budget, 1e-9), 1.0, 1.0 * s_.gateways);
         const Duration window = from_seconds(seconds(s_.fall_window) * stretch) + s_.tick;
-        const double part = static_cast<double>(hash(own_seed_, s.entry.id.value) >> 11U) * 0x1p-53;
-        if (now_ < s.told_at + from_seconds(seconds(s_.fall_window) * (stretch - 1) * part)) return false;
+        const double wait = seconds(s_.fall_window) * (stretch - 1) * unit(own_seed_, s.entry.id.value);
+        if (now_ < s.told_at + from_seconds(wait)) return false;
         double sent = 0;
         for (const auto& [at, amount] : s.cold_sends)
             if (at + window > now_) sent += amount;
         return sent == 0 || sent + work <= budget;
     }
+    // The work that we send to warm servers of each role, fading over a few windows.
     void note_work(Server& s, double work) {
-        if (cold(s)) {
-            s.cold_sends.emplace_back(now_, work);
-        } else {
-            s.cold_sends.clear();
-            warm_work_[s.role] += work;
-        }
-    }
-    // Mean work a second that we send to a warm server of each role, over a few windows.
-    void update_warm_rates() {
-        const double span = seconds(now_ - warm_since_);
-        if (span < seconds(s_.fall_window) / 2) return;
-        std::map<Role, int> warm;
-        for (const auto& [id, s] : servers_)
-            if (s.listed && s.entry.state == ServerState::up && !cold(s) && !ejected(s)) warm[s.role] += 1;
-        for (const auto& [role, count] : warm) {
-            const double rate = warm_work_[role] / span / count;
-            auto [it, fresh] = warm_rate_.try_emplace(role, rate);
-            if (!fresh) it->second += kSmooth * (rate - it->second);
-        }
-        warm_work_.clear();
-        warm_since_ = now_;
+        if (cold(s)) return void(s.cold_sends.emplace_back(now_, work));
+        auto& [sum, at] = warm_work_[s.role];
+        sum = sum * std::exp(-seconds(now_ - at) / warm_span()) + work;
+        at = now_;
+    }
+    double warm_span() const { return kWarmWindows * std::max(1.0, seconds(s_.fall_window)); }
+    double warm_rate(Role role) const {  // a second, at one of them
+        const auto at = warm_work_.find(role);
+        const auto warm = std::count_if(servers_.begin(), servers_.end(), [&](const auto& p) {
+            return p.second.role == role && in_service(p.second) && !cold(p.second) && !ejected(p.second);
+        });
+        if (at == warm_work_.end() || warm == 0) return 0;
+        return at->second.first * std::exp(-seconds(now_ - at->second.second) / warm_span()) / warm_span() /
+               warm;
     }
 
     // ================= outcomes =================
@@ -534,7 +495,7 @@
         Request& r = it->second;
         r.out->started = true;
         r.out->started_at = now_;
-        first_token_.add(seconds(e.taken));
+        first_token_.add(seconds(e.taken), kSmooth);
         const Server* reader = r.state_at ? find(*r.state_at) : nullptr;
         if (Server* s = find(r.out->server)) {
             s->last_answer = now_;
@@ -546,7 +507,7 @@
                 lower_limit(*s, r.out->sent);
             if (reader != nullptr && !near) {
                 auto& [mean, heard_at] = links_[reader->entry.cell];
-                mean.add(seconds(e.taken));
+                mean.add(seconds(e.taken), kSmooth);
                 heard_at = now_;
             }
         }
@@ -601,18 +562,19 @@
                     const double length = seconds(now_ - a.started_at);
                     const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
                     if (stream_seconds_[r.cls].heard)
-                        s.slowness.add(length / std::max(1e-3, stream_seconds_[r.cls].mean));
-                    stream_seconds_[r.cls].add(length);
-                    stream_length_[r.cls].add(length / interval);
+                        s.slowness.add(length / std::max(1e-3, stream_seconds_[r.cls].mean), kSmooth);
+                    stream_seconds_[r.cls].add(length, kSmooth);
+                    stream_length_[r.cls].add(length / interval, kSmooth);
                 }
                 break;
             case Outcome::read: {
                 s.last_answer = now_;
                 passed(s);
                 const double pace = seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead);
-                if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean));
-                read_pace_.add(pace);
-                read_time_.add(seconds(e.taken));
+                if (read_pace_.heard) s.slowness.add(pace / std::max(1e-9, read_pace_.mean), kSmooth);
+                read_pace_.add(pace, kSmooth);
+                (s.entry.zone == s_.zone ? home_pace_ : away_pace_).add(pace, kSmooth);
+                read_time_.add(seconds(e.taken), kSmooth);
                 break;
             }
             case Outcome::full:
@@ -628,8 +590,8 @@
             case Outcome::timeout:
                 if (a.started || (e.outcome == Outcome::cancelled && !a.cancelled)) break;
                 // Usual times follow what is seen, so that a slow fleet is not given up again and again.
-                if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead));
-                (a.read ? read_time_ : first_token_).add(seconds(e.taken));
+                if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead), kSmooth);
+                (a.read ? read_time_ : first_token_).add(seconds(e.taken), kSmooth);
                 if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
                 break;
             case Outcome::connect_failed:
@@ -642,6 +604,7 @@
     }
 
     // ================= health =================
+    static bool in_service(const Server& s) { return s.listed && s.entry.state == ServerState::up; }
     bool ejected(const Server& s) const { return s.ejection > Duration::zero() && !s.trial_open; }
     bool any_usable(Role role, const Request& r) {
         return std::any_of(servers_.begin(), servers_.end(),
@@ -649,7 +612,7 @@
     }
     // May this request go there now?
     bool usable(const Server& s, const Request& r) const {
-        if (!s.listed || s.entry.state != ServerState::up) return false;
+        if (!in_service(s)) return false;
         if (!cold_budget_allows(s, class_work_[r.cls].mean)) return false;
         if (s.role != Role::prefill && !group_allows(s, r)) return false;
         if (s.ejection == Duration::zero()) return true;
@@ -660,9 +623,8 @@
     }
     bool role_has_healthy(Role role) const {
         return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
-            const Server& s = p.second;
-            return (s.role == role || s.role == Role::mixed) && s.listed &&
-                   s.entry.state == ServerState::up && s.ejection == Duration::zero();
+            return (p.second.role == role || p.second.role == Role::mixed) && in_service(p.second) &&
+                   p.second.ejection == Duration::zero();
         });
     }
     void passed(Server& s) {
@@ -692,7 +654,7 @@
         for (auto& [id, s] : servers_) {
             if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing)
                 continue;
-            if (!s.listed || s.entry.state != ServerState::up || s.in_use > 0) continue;
+            if (!in_service(s) || s.in_use > 0) continue;
             s.probing = s_.may_probe;
             s.trial_open = !s_.may_probe;
             if (s.probing) actions_.emplace_back(Probe{id});
@@ -809,6 +771,7 @@
             s.memory =
                 kind == s_.kinds.end() || kind->memory_tokens <= 0 ? kUntoldMemory : kind->memory_tokens;
             s.limit = starting_limit(s);
+            if (s.role != Role::prefill) writer_memory_ = std::max(writer_memory_, s.memory);
             s.reported_tokens.reset();
             s.kept.clear();
             s.cold_sends.clear();
@@ -818,17 +781,21 @@
             s.error_share = 0;
         }
         std::erase_if(servers_, [](const auto& p) { return !p.second.listed && p.second.in_use == 0; });
-        std::map<Role, std::pair<double, int>> weights;
+        fleet_ = {};
+        cells_.clear();
+        zone_readers_.clear();
         for (const auto& [id, s] : servers_) {
-            weights[s.role].first += std::max(0.0, s.entry.weight);
-            weights[s.role].second += 1;
+            if (!in_service(s)) continue;
+            for (Census* c : {&fleet_, &cells_[s.entry.cell]}) {
+                c->count[s.role] += 1;
+                c->weight[s.role] += std::max(0.0, s.entry.weight);
+            }
+            if (s.role == Role::prefill) zone_readers_[s.entry.zone] += 1;
         }
-        for (const auto& [role, sum] : weights) mean_weight_[role] = sum.first / sum.second;
     }
     double weight(const Server& s) const {
-        const auto mean = mean_weight_.find(s.role);
-        if (mean == mean_weight_.end() || mean->second <= 0 || s.entry.weight <= 0) return 1;
-        return s.entry.weight / mean->second;
+        const double mean = fleet_.of(fleet_.weight, s.role) / std::max(1.0, fleet_.of(fleet_.count, s.role));
+        return mean > 0 && s.entry.weight > 0 ? s.entry.weight / mean : 1;
     }
     Server* find(const ServerId& id) {
         const auto it = servers_.find(id);
@@ -844,7 +811,6 @@
 
     // One timer, for the earliest thing that time alone can change.
     void set_wake() {
-        update_warm_rates();
         review_ejected();
         std::optional<Time> next;
         const auto want = [&](Time at) { next = next ? std::min(*next, at) : at; };
@@ -866,10 +832,14 @@
     std::vector<Action> actions_;
     std::map<RequestId, Request> requests_;
     std::map<ServerId, Server> servers_;
-    std::map<Role, double> mean_weight_;
-    std::map<Role, double> warm_work_;
-    std::map<Role, double> warm_rate_;
-    Time warm_since_{};
+    Census fleet_;
+    std::map<std::int64_t, Census> cells_;
+    std::map<std::string, double> zone_readers_;
+    RunningMean home_pace_;
+    RunningMean away_pace_;
+    std::map<std::string, double> prefix_share_;  // arrivals by prefix, and all
+    double seen_ = 0;
+    std::map<Role, std::pair<double, Time>> warm_work_;
     std::map<std::string, double> share_left_;
     Time last_refill_{};
     Duration shortest_aim_{};
@@ -883,6 +853,8 @@
     std::map<std::int64_t, std::pair<RunningMean, Time>>
         links_;                                 // by cell: first tokens of states leaving it
     std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
+    double writer_memory_ = 0;
+    RunningMean request_tokens_;
     std::optional<Time> wake_at_;
     TimerId wake_id_{};
 };
--- /dev/null
+++ b/src/state.hpp
@@ -0,0 +1,117 @@
+// What a gateway keeps of its servers and requests, and small helpers. It decides nothing: see brain.cpp.
+#pragma once
+
+#include <algorithm>
+#include <chalksail/chalksail.hpp>
+#include <cmath>
+#include <map>
+#include <optional>
+#include <set>
+#include <utility>
+
+namespace chalksail {
+
+inline double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+inline Duration from_seconds(double s) {
+    return Duration(static_cast<std::int64_t>(std::clamp(s, 0.0, 1e9) * 1e9));
+}
+
+// FNV-1a, then a finaliser: the same on every machine, so that ties fall alike at every gateway.
+inline std::uint64_t hash(const std::string& a, const std::string& b) {
+    std::uint64_t h = 1469598103934665603ULL;
+    for (const std::string* text : {&a, &b})
+        for (const char c : *text) h = (h ^ static_cast<unsigned char>(c)) * 1099511628211ULL;
+    h ^= h >> 33U;
+    h *= 0xff51afd7ed558ccdULL;
+    return h ^ (h >> 33U);
+}
+
+// The same as a part of 1, never 0 or 1.
+inline double unit(const std::string& a, const std::string& b) {
+    return (static_cast<double>(hash(a, b) >> 11U) + 0.5) * 0x1p-53;
+}
+
+struct RunningMean {
+    double mean = 0;
+    bool heard = false;
+    void add(double value, double weight) {
+        mean = heard ? mean + weight * (value - mean) : value;
+        heard = true;
+    }
+    [[nodiscard]] double or_else(double value) const { return heard ? mean : value; }
+};
+
+struct Server {
+    ServerEntry entry;
+    Role role = Role::mixed;
+    bool listed = true;
+    double stream_tokens = 0;  // writer: prompts and predicted outputs of our attempts and streams
+    double prompt_tokens = 0;  // reader: new prompt tokens of our unfinished reads
+    int in_use = 0;            // attempts out and states waiting
+    // The adaptive limit, and the last report.
+    double memory = 0;
+    double limit = 0;
+    Time limit_lowered{};
+    std::optional<double> reported_tokens;
+    double ours_at_report = 0;
+    Time reported_at{};
+    double error_share = 0;
+    Time last_answer{};
+    Time last_sent{};
+    Time ejected_until{};
+    Duration ejection{};  // length of the last one; zero: in good standing
+    int trial_passes = 0;
+    bool trial_open = false;  // a probe or time has let it back on trial
+    bool probing = false;
+    RunningMean slowness;
+    std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold
+    Time told_at{};                                   // that it started
+    // Text that this gateway had it read: tokens by session and by prefix, and when.
+    std::map<std::string, std::pair<double, Time>> kept;
+};
+
+// What the list tells of the servers in service, in all or in one cell.
+struct Census {
+    std::map<Role, double> count, weight;
+    static double of(const std::map<Role, double>& sums, Role role) {
+        const auto at = sums.find(role);
+        return at == sums.end() ? 0 : at->second;
+    }
+    [[nodiscard]] double mix() const {  // writers for each reader
+        return of(count, Role::decode) / std::max(0.01, of(count, Role::prefill));
+    }
+};
+
+struct Attempt {
+    AttemptId id;
+    ServerId server;
+    Time sent{};
+    bool read = false;     // at a prefill server: ends with a state, has no effect
+    double fresh = 0;      // prompt tokens that it has to read anew, by our guess
+    double ahead = 0;      // such tokens of ours there when it was sent
+    bool started = false;  // its stream has begun
+    Time started_at{};
+    bool cancelled = false;
+    Duration patience{};  // without a word from the server; zero: until the client gives up
+};
+
+struct Request {
+    Arrived in;
+    std::size_t cls = 0;
+    Time deadline{};
+    Time aim{};
+    double output = 0;  // predicted
+    bool over_share = false;
+    bool ended = false;  // final answer given; kept for an attempt that is still out
+    std::optional<Attempt> out;
+    std::optional<ServerId> state_at;  // the reader that keeps the read state
+    Time last_outcome{};
+    int sends = 0;
+    std::set<ServerId> failed_at;
+    // Once an attempt may have run: where and when the first such was sent.
+    std::optional<ServerEntry> ran_at;
+    Time ran_sent{};
+    [[nodiscard]] double tokens() const { return in.prompt_tokens + output; }
+};
+
+}  // namespace chalksail
