States leave a cell short of writers only while its link is quick; sums judged by a slow mean

Fewer leave now, none once its pulls take 0.3 of the aim. The mean stream length is derived from its seconds (one table less).

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -37,7 +37,7 @@
 constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
-constexpr double kFewRequests = 4;   // our part of a writer holds fewer: our sums tell next to nothing of it
+constexpr double kFewRequests = 3;   // our part of a writer holds fewer: our sums tell next to nothing of it
 constexpr double kFarGateways = 4;   // seeing little, moves weigh this over the gateways
 constexpr double kCopies = 2;        // readers that keep a prefix, for each reader's worth of its traffic
 constexpr double kLeastMix = 0.7;    // readers beside few writers get at least this part of the mean ...
@@ -59,7 +59,6 @@
 public:
     Impl(const Settings& settings, std::uint64_t seed) : s_(settings), own_seed_(std::to_string(seed)) {
         check(s_);
-        stream_length_.resize(s_.classes.size());
         stream_seconds_.resize(s_.classes.size());
         class_work_.resize(s_.classes.size());
         shortest_aim_ = s_.classes.front().aim;
@@ -103,7 +102,7 @@
         r.aim = now_ + std::min(in.time_left, cls->aim + from_seconds(seconds(cls->aim_per_1000_tokens) *
                                                                       in.prompt_tokens / 1000));
         r.output = predicted_output(r);
-        request_tokens_.add(r.tokens(), kSmooth);
+        request_tokens_.add(r.tokens(), kSmooth / 10);
         r.arrived = now_;
         mean_urgency_.add(urgency(r), kSmooth);
         class_work_[r.cls].add(std::max(0.0, in.prompt_tokens - in.shared_tokens) + kOutputWork * r.output,
@@ -127,7 +126,7 @@
         const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
         const double guess = r.in.length_hint > Duration::zero()
                                  ? seconds(r.in.length_hint) / interval
-                                 : stream_length_[r.cls].or_else(kFirstBucketEdge);
+                                 : stream_seconds_[r.cls].or_else(kFirstBucketEdge * interval) / interval;
         double edge = kFirstBucketEdge;
         while (edge < guess && edge < 1e9) edge *= kBucketGrowth;
         return r.in.max_output > 0 ? std::min(edge, r.in.max_output) : edge;
@@ -197,6 +196,10 @@
                admitted * urgency(r) / std::max(1e-9, mean_urgency_.mean);
     }
 
+    static double part_of_aim(const Request& r, Duration taken) {
+        return seconds(taken) / std::max(1e-3, seconds(r.aim - r.arrived));
+    }
+
     int attempts_left(const Request& r) const { return s_.max_attempts - r.sends; }
 
     // ================= reading =================
@@ -248,16 +251,19 @@
         if (!r.state_at) return s.entry.zone == s_.zone ? 0 : kFarTokens * prompt;
         const auto reader = servers_.find(*r.state_at);
         if (reader == servers_.end()) return 0;
-        // A cell short of writers keeps only so many of its states as they can take: which, is drawn by hash.
-        const bool leaves = blind() && unit(r.in.session, "leaves") > mix(reader->second);
+        const auto link = links_.find(reader->second.entry.cell);
+        const Duration fresh = blind() ? s_.cold_for : kReportAims * shortest_aim_;
+        const bool heard = link != links_.end() && now_ - link->second.second < fresh;
+        const double late =
+            heard ? std::min(1.0, link->second.first.mean / seconds(s_.classes[r.cls].aim)) : 0;
+        // A cell short of writers keeps only as many states as they can take, by hash; more if its link is
+        // slow.
+        const bool leaves =
+            blind() && unit(r.in.session, "") * (1 - late / kQueueShare) > mix(reader->second);
         if (reader->second.entry.cell == s.entry.cell) return leaves ? kFarTokens * prompt : 0;
         const bool same_zone = reader->second.entry.zone == s.entry.zone;
         if (leaves && mix(s) > 1) return same_zone ? 0 : kFarTokens * prompt;
-        double jam = 0;
-        const auto link = links_.find(reader->second.entry.cell);
-        if (link != links_.end() && now_ - link->second.second < kReportAims * shortest_aim_)
-            jam = s.limit * std::min(1.0, link->second.first.mean / seconds(s_.classes[r.cls].aim));
-        return prompt * (same_zone ? kFarTokens : 2 * kFarTokens) + jam;
+        return prompt * (same_zone ? kFarTokens : 2 * kFarTokens) + s.limit * late;
     }
     // Will a writer beside this reader have room, once the reads under way in its cell are done?
     bool cell_has_room(const Server& s, const Request& r) const {
@@ -566,11 +572,9 @@
                 raise_limit(limited(s), r.tokens());
                 if (a.started) {
                     const double length = seconds(now_ - a.started_at);
-                    const double interval = std::max(1e-3, seconds(s_.classes[r.cls].token_aim));
                     if (stream_seconds_[r.cls].heard)
                         s.slowness.add(length / std::max(1e-3, stream_seconds_[r.cls].mean), kSmooth);
                     stream_seconds_[r.cls].add(length, kSmooth);
-                    stream_length_[r.cls].add(length / interval, kSmooth);
                 }
                 break;
             case Outcome::read: {
@@ -581,7 +585,7 @@
                 read_pace_.add(pace, kSmooth);
                 (s.entry.zone == s_.zone ? home_pace_ : away_pace_).add(pace, kSmooth);
                 read_time_.add(seconds(e.taken), kSmooth);
-                read_part_.add(seconds(e.taken) / seconds(r.aim - r.arrived), kSmooth);
+                read_part_.add(part_of_aim(r, e.taken), kSmooth);
                 break;
             }
             case Outcome::full:
@@ -597,7 +601,7 @@
             case Outcome::timeout:
                 if (a.started || (e.outcome == Outcome::cancelled && !a.cancelled)) break;
                 // Usual times follow what is seen, so that a slow fleet is not given up again and again.
-                if (a.read) read_part_.add(seconds(e.taken) / seconds(r.aim - r.arrived), kSmooth);
+                if (a.read) read_part_.add(part_of_aim(r, e.taken), kSmooth);
                 if (a.read) read_pace_.add(seconds(e.taken) / (kReadOverhead + a.fresh + a.ahead), kSmooth);
                 (a.read ? read_time_ : first_token_).add(seconds(e.taken), kSmooth);
                 if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
@@ -856,7 +860,6 @@
     std::map<std::string, double> share_left_;
     Time last_refill_{};
     Duration shortest_aim_{};
-    std::vector<RunningMean> stream_length_;   // tokens, by class
     std::vector<RunningMean> stream_seconds_;  // by class
     std::vector<RunningMean> class_work_;      // prompt tokens' worth of work, by class
     RunningMean read_pace_;                    // seconds for each prompt token asked for and ahead
