--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -30,10 +30,10 @@
 constexpr double kHighMemory = 0.9;  // reported share of memory that counts as nearly full
 constexpr double kUntoldMemory = 100'000;  // tokens, where the settings tell none
 // ---- constants: ours, for what the design leaves open ----
-constexpr double kFarTokens = 2;    // prompts more that a state leaving its cell weighs as; its zone, again
-constexpr double kOutputWork = 25;  // work of one output token in prompt tokens, for cold budgets only
-constexpr double kColdCaution = 1;  // part of the cold budget used; we send a warm server less than it can
-constexpr double kWarmWindows = 4;  // windows over which the work sent to warm servers is averaged
+constexpr double kFarTokens = 2;      // prompts more that a state leaving its cell weighs as; its zone, again
+constexpr double kOutputWork = 25;    // work of one output token in prompt tokens, for cold budgets only
+constexpr double kColdCaution = 0.6;  // part of the cold budget used; bursts of others take the rest
+constexpr double kWarmWindows = 4;    // windows over which the work sent to warm servers is averaged
 constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
