In a jam a read past its aim is called off and its request refused at once

Change: while reads take more than their share of the aim, a read whose aim has passed is called off and refused (an attempt at a reader has no effect). A test fails on the old text.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -168,7 +168,6 @@
             if (now_ + service_time(r) + s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2) ||
                 (blind() && sheds(id, r)))
                 give_up(id);  // it can't be served in time any more: answered at once
-            else if (blind() && sheds(id, r)) give_up(id);
             else held.emplace_back(id, urgency(r));
         }
         // Waiting states first: their time runs. Then the worthiest, then the one whose aim ends first.
@@ -188,9 +187,10 @@
 
     // Slow reads have waited behind those of gateways that we don't see, and in a jam everyone's are late:
     // each takes a part of what comes, by worth, and refuses the rest at once, and what has waited too long.
+    bool jammed() const { return blind() && read_part_.mean > kReadShare; }
     bool sheds(RequestId id, const Request& r) const {
         const double admitted = kReadShare / std::max(kReadShare, read_part_.mean);
-        if (admitted >= 1 || r.state_at || r.sends > 0 || !may_refuse(r)) return false;
+        if (admitted >= 1 || r.state_at || !may_refuse(r)) return false;
         if (r.arrived < now_) return now_ + service_time(r) > r.aim;
         return unit(own_seed_, std::to_string(id.value)) >
                admitted * urgency(r) / std::max(1e-9, mean_urgency_.mean);
@@ -741,10 +741,18 @@
     // A server silent since an attempt was sent, for longer than is usual, is ejected and the attempt called
     // off. One that answers others is busy: leaving it would read twice and feed the jam. A "once" request at
     // a writer is never called off: it could neither go again nor be refused.
+    // In a jam, a read whose aim has passed is called off and its request refused: readers full of late work
+    // serve nothing in time, however much they do (Lfcc8ee). Covers lost, slow and cold readers, bursts and
+    // repeats. Hurts where late answers are worth much, or where readers go on with what was called off.
     void review_silent() {
         for (auto& [id, r] : requests_) {
             if (r.ended || !r.out || r.out->started || r.out->cancelled || !s_.may_cancel) continue;
             if (r.out->patience == Duration::zero()) continue;
+            if (jammed() && r.out->read && now_ > r.aim && may_refuse(r)) {
+                r.out->cancelled = true;
+                actions_.emplace_back(CancelAttempt{id, r.out->id});
+                continue;
+            }
             Server* s = find(r.out->server);
             const Time since = s == nullptr ? r.out->sent : std::max(r.out->sent, s->last_answer);
             // Seeing little, we have seldom another answer to go by: a probe asks. One that it answers is
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -176,6 +176,34 @@
     EXPECT_GT(taken, 2U);
 }
 
+// Lfcc8ee: readers full of reads that could be in time no more, so that all others were late as well.
+TEST(Fleet, InAJamAReadPastItsAimIsCalledOffAndRefused) {
+    for (const Duration usual : {Duration{1500ms}, Duration{20ms}}) {
+        Gateway g(one_of_many());
+        g.list(fleet(1, 1));
+        std::uint64_t id = 1;
+        for (int i = 0; i < 40; ++i, ++id) {
+            g.pass(1s);
+            g.arrive(id);
+            const auto reader = g.sent_to();
+            if (reader.empty()) continue;
+            g.step({AttemptEnded{{id}, {0}, {reader}, Outcome::read, usual, false, 0, {}}});
+            g.end(id, 1, g.sent_to(), Outcome::full, true);
+        }
+        for (; g.sent_to().empty(); g.arrive(++id)) g.pass(1s);
+        g.pass(200ms);
+        g.step();
+        g.step({ProbeEnded{{"rnorth00"}, Outcome::ok, 2ms, {}}});
+        g.pass(850ms);
+        g.step();
+        ASSERT_EQ(g.all<CancelAttempt>().empty(), usual == Duration{20ms});
+        if (usual == Duration{20ms}) continue;
+        g.end(id, 0, "rnorth00", Outcome::cancelled);
+        EXPECT_EQ(g.all<Refuse>().size(), 1U);
+        EXPECT_TRUE(g.all<Send>().empty());
+    }
+}
+
 TEST(Fleet, FullWritersLowerOneLimitForAll) {
     const auto admitted = [](int fulls) {
         Gateway g(one_of_many());
