Whether a gateway sees little goes by the usual size of requests, not by a few long prompts

Change: the geometric mean. A test crosses the boundary in both directions and fails on the old text.

--- a/src/brain.cpp
+++ b/src/brain.cpp
@@ -38,6 +38,7 @@
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
 constexpr double kFewRequests = 3;   // our part of a writer holds fewer: our sums tell next to nothing of it
+constexpr double kSizeStep = 0.02;   // weight of an arrival in the usual size: slow, so that it does not flap
 constexpr double kFarGateways = 4;   // seeing little, moves weigh this over the gateways
 constexpr double kCopies = 8;        // readers that keep a prefix, for each reader's worth of its traffic
 constexpr double kFewArrivals = 20;  // as many of other text count as seen: a share of a few means little
@@ -102,7 +103,7 @@
         r.aim = now_ + std::min(in.time_left, cls->aim + from_seconds(seconds(cls->aim_per_1000_tokens) *
                                                                       in.prompt_tokens / 1000));
         r.output = predicted_output(r);
-        request_tokens_.add(r.tokens(), kSmooth / 10);
+        log_tokens_.add(std::log(std::max(1.0, r.tokens())), kSizeStep);
         r.arrived = now_;
         mean_urgency_.add(urgency(r), kSmooth);
         class_work_[r.cls].add(std::max(0.0, in.prompt_tokens - in.shared_tokens) + kOutputWork * r.output,
@@ -271,7 +272,9 @@
         return left != cell_room_.end() && left->second >= r.tokens();
     }
     // Our part of a writer's memory is a few requests: own sums tell next to nothing, the list tells more.
-    bool blind() const { return writer_memory_ < kFewRequests * s_.gateways * request_tokens_.mean; }
+    // By the geometric mean: a few very long prompts must not switch a gateway that sees enough.
+    bool blind() const { return writer_memory_ < kFewRequests * s_.gateways * usual_tokens(); }
+    double usual_tokens() const { return log_tokens_.heard ? std::exp(log_tokens_.mean) : 0; }
 
     // Exception to "new prompt": text that we had this reader read before is kept there and costs no time. A
     // wrong guess (text evicted) only makes a reader slower.
@@ -897,7 +900,7 @@
     std::map<std::int64_t, std::pair<RunningMean, Time>> links_;  // by cell: first tokens of states leaving
     std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
     double writer_memory_ = 0;
-    RunningMean request_tokens_;
+    RunningMean log_tokens_;    // of arrivals: logarithm of prompt and predicted output
     RunningMean read_part_;     // of the aim that a read takes
     RunningMean mean_urgency_;  // of arrivals
     std::optional<Time> wake_at_;
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -59,6 +59,29 @@
     EXPECT_GE(readers.size(), 5U);
 }
 
+// A few very long prompts switched gateways that see enough to the ways of those that see little.
+TEST(Fleet, WhetherItSeesLittleFollowsTheUsualSizeNotAFewLongPrompts) {
+    auto settings = plain_settings();
+    settings.gateways = 8;
+    Gateway g(settings);
+    g.list(fleet(8, 4));
+    std::uint64_t id = 0;
+    const auto readers_of_usual_ones = [&](double usual, double each_tenth) {
+        std::set<std::string> readers;
+        for (int i = 0; i < 300; ++i) {
+            g.pass(2s);
+            g.arrive(++id, "talk", i % 10 == 9 ? each_tenth : usual);
+            const auto reader = g.sent_to();
+            g.end(id, 0, reader, Outcome::read, true);
+            if (i >= 200 && i % 10 != 9) readers.insert(reader);
+        }
+        return readers.size();
+    };
+    EXPECT_EQ(readers_of_usual_ones(1000, 60'000), 1U);  // by prefix: sees enough
+    EXPECT_GE(readers_of_usual_ones(8000, 8000), 4U);    // by session: sees little
+    EXPECT_EQ(readers_of_usual_ones(1000, 1000), 1U);    // and back
+}
+
 TEST(Fleet, AZoneWithFewReadersSharesItsReads) {
     Gateway g(one_of_many());
     g.list(fleet(1, 2) + fleet(7, 2, "south", 1));
