--- /dev/null
+++ b/apps/edge/main.cpp
@@ -0,0 +1,107 @@
+// chalksail-edge: takes OpenAI-style chat requests and streams the answers of a fleet of prefill and decode engines.
+#include <uv.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <random>
+
+#include "base/json.hpp"
+#include "config/settings.hpp"
+#include "net/edge_shell.hpp"
+#include "observe/log.hpp"
+
+namespace {
+
+using chalksail::config::EdgeSettings;
+
+// The settings, or nothing after the problems have been written to standard error.
+std::optional<EdgeSettings> read_settings(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        std::cerr << file << ": can't be read\n";
+        return std::nullopt;
+    }
+    const std::string text{std::istreambuf_iterator<char>(in), {}};
+    auto settings = chalksail::config::parse_settings(text, file);
+    if (!settings) {
+        for (const auto& problem : settings.error()) std::cerr << format(problem) << '\n';
+        return std::nullopt;
+    }
+    return std::move(*settings);
+}
+
+int check(const std::string& file) {
+    const auto settings = read_settings(file);
+    if (!settings) return 1;
+    std::cout << file << ": good: " << settings->classes.size() << " classes, " << settings->kinds.size() << " kinds, "
+              << settings->servers.size() << " servers, " << settings->tenants.size() << " tenants\n";
+    return 0;
+}
+
+struct Signals {
+    chalksail::net::EdgeShell* shell = nullptr;
+    uv_signal_t term{};
+    uv_signal_t interrupt{};
+
+    void start(uv_loop_t& loop) {
+        for (auto [handle, number] : {std::pair{&term, SIGTERM}, std::pair{&interrupt, SIGINT}}) {
+            uv_signal_init(&loop, handle);
+            handle->data = this;
+            uv_signal_start(handle, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell->drain(); }, number);
+            uv_unref(reinterpret_cast<uv_handle_t*>(handle));
+        }
+    }
+    void stop() {
+        uv_close(reinterpret_cast<uv_handle_t*>(&term), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&interrupt), nullptr);
+    }
+};
+
+int serve(const std::string& file) {
+    auto settings = read_settings(file);
+    if (!settings) return 1;
+    if (settings->seed == 0) settings->seed = std::random_device()() | 1U;
+    std::signal(SIGPIPE, SIG_IGN);
+    chalksail::observe::Log log(settings->name, settings->log_level);
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    int status = 0;
+    try {
+        chalksail::net::EdgeShell shell(loop, *settings, log);
+        Signals signals;
+        signals.shell = &shell;
+        signals.start(loop);
+        std::cout << chalksail::json::ObjectWriter()
+                         .text("event", "listening")
+                         .text("address", format_address(shell.address()))
+                         .text("admin", format_address(shell.admin_address()))
+                         .done()
+                  << std::endl;
+        uv_run(&loop, UV_RUN_DEFAULT);
+        signals.stop();
+    } catch (const std::exception& error) {
+        std::cerr << "chalksail-edge: " << error.what() << '\n';
+        status = 1;
+    }
+    while (uv_run(&loop, UV_RUN_NOWAIT) != 0) {
+    }
+    uv_loop_close(&loop);
+    return status;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    CLI::App app{"chalksail-edge: a router for language-model serving with separate prefill and decode engines"};
+    app.require_subcommand(1);
+    std::string file;
+    auto* serve_command = app.add_subcommand("serve", "Serve until SIGTERM or SIGINT; then finish what is open and exit 0");
+    serve_command->add_option("settings", file, "The settings, a KDL file")->required();
+    auto* check_command = app.add_subcommand("check", "Check a settings file: exit 0 if it is good, 1 with each problem's place");
+    check_command->add_option("settings", file, "The settings, a KDL file")->required();
+    CLI11_PARSE(app, argc, argv);
+    return check_command->parsed() ? check(file) : serve(file);
+}
--- /dev/null
+++ b/apps/lab/main.cpp
@@ -0,0 +1,126 @@
+// chalksail-lab: stand-in engines, load and troubles around real edges, on loopback.
+#include <uv.h>
+
+#include <CLI/CLI.hpp>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <iostream>
+#include <iterator>
+#include <optional>
+
+#include "base/json.hpp"
+#include "record/checker.hpp"
+#include "scenario/scenario.hpp"
+#include "shell/rehearsal.hpp"
+
+namespace {
+
+using namespace chalksail;
+using namespace chalksail::lab;
+
+std::optional<Scenario> read_scenario(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        std::cerr << file << ": can't be read\n";
+        return std::nullopt;
+    }
+    auto scenario = parse_scenario(std::string{std::istreambuf_iterator<char>(in), {}}, file);
+    if (!scenario) {
+        for (const auto& problem : scenario.error()) std::cerr << format(problem) << '\n';
+        return std::nullopt;
+    }
+    return std::move(*scenario);
+}
+
+std::string beside_this(const std::string& program) {
+    return (std::filesystem::read_symlink("/proc/self/exe").parent_path() / program).string();
+}
+
+int up(const std::string& file, const std::string& folder) {
+    auto scenario = read_scenario(file);
+    if (!scenario) return 2;
+    scenario->troubles.clear();
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    {
+        Rehearsal rehearsal(loop, std::move(*scenario), {beside_this("chalksail-edge"), folder});
+        rehearsal.start();
+        for (const auto& [name, address] : rehearsal.gateways())
+            std::cout << name << " serves at http://" << format_address(address) << "/v1" << std::endl;
+        std::cout << "records and logs: " << folder << "; end with SIGINT" << std::endl;
+        rehearsal.serve();
+    }
+    uv_loop_close(&loop);
+    return 0;
+}
+
+int run(const std::string& file, const std::string& folder) {
+    auto scenario = read_scenario(file);
+    if (!scenario) return 2;
+    std::cout << "rehearsal '" << scenario->name << "': " << scenario->engines.size() << " engines, " << scenario->edges << " edges, "
+              << scenario->clients << " clients, " << format_duration(scenario->length) << ", " << scenario->troubles.size()
+              << " troubles; records in " << folder << std::endl;
+    uv_loop_t loop;
+    uv_loop_init(&loop);
+    std::optional<RehearsalResult> result;
+    {
+        Rehearsal rehearsal(loop, std::move(*scenario), {beside_this("chalksail-edge"), folder});
+        rehearsal.start();
+        result = rehearsal.run();
+    }
+    uv_loop_close(&loop);
+    for (const auto& breach : result->verdict.breaches) std::cout << format(breach) << '\n';
+    std::cout << result->format() << std::endl;
+    return result->verdict.breaches.empty() && result->verdict.garbled == 0 && result->edges_well ? 0 : 1;
+}
+
+int check_records(const std::string& file) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) {
+        std::cerr << file << ": can't be read\n";
+        return 2;
+    }
+    std::vector<Record> records;
+    std::string line;
+    for (std::size_t number = 1; std::getline(in, line); ++number) {
+        auto record = parse(line);
+        if (!record) {
+            std::cerr << file << ":" << number << ": " << record.error() << '\n';
+            return 2;
+        }
+        records.push_back(std::move(*record));
+    }
+    RehearsalResult result;
+    result.verdict = check(std::move(records), {});
+    for (const auto& breach : result.verdict.breaches) std::cout << format(breach) << '\n';
+    std::cout << result.format() << std::endl;
+    return result.verdict.breaches.empty() ? 0 : 1;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+    std::signal(SIGPIPE, SIG_IGN);
+    CLI::App app{"chalksail-lab: rehearsals of real edges against stand-in engines, on loopback"};
+    app.require_subcommand(1);
+    std::string file;
+    std::string folder = "found/lab";
+    auto* up_command = app.add_subcommand("up", "Start engines and edges and serve until SIGINT");
+    auto* run_command = app.add_subcommand("run", "Play a scenario; the last line is one JSON object; exit 1 if a rule broke");
+    auto* check_command = app.add_subcommand("check", "Check recorded wires against the five rules");
+    for (auto* command : {up_command, run_command}) {
+        command->add_option("scenario", file, "A scenario, in KDL")->required();
+        command->add_option("--records", folder, "Folder for records, settings and logs")->capture_default_str();
+    }
+    check_command->add_option("records", file, "A wire.jsonl")->required();
+    CLI11_PARSE(app, argc, argv);
+    try {
+        if (up_command->parsed()) return up(file, folder);
+        if (run_command->parsed()) return run(file, folder);
+        return check_records(file);
+    } catch (const std::exception& error) {
+        std::cerr << "chalksail-lab: " << error.what() << '\n';
+        return 2;
+    }
+}
--- /dev/null
+++ b/lab/model/engine.cpp
@@ -0,0 +1,300 @@
+#include "model/engine.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+namespace chalksail::lab {
+namespace {
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+Duration from_seconds(double s) { return Duration(static_cast<std::int64_t>(std::llround(s * 1e9))); }
+
+constexpr double kReadOverhead = 200;  // tokens' worth of time that a read takes beside its prompt
+constexpr double kFirstToken = 2;      // intervals from the arrival of a state to the first token
+constexpr double kFallSlack = 4;       // requests' worth of work beyond the budget, for chance
+
+}  // namespace
+
+double EngineModel::warmth(Time now) const {
+    if (!born_ || now - *born_ >= spec_.cold_for) return 1;
+    const double part = seconds(now - *born_) / std::max(1e-9, seconds(spec_.cold_for));
+    return spec_.cold_from + (1 - spec_.cold_from) * std::max(0.0, part);
+}
+
+double EngineModel::capacity() const {
+    return spec_.role == Role::prefill ? spec_.read_pace
+                                       : spec_.slots / (seconds(spec_.token_interval) * (1 + spec_.crowding));
+}
+
+double EngineModel::work_of(const Job& job, double kept) {
+    return job.read ? kReadOverhead + job.prompt_tokens - kept : static_cast<double>(job.output_tokens);
+}
+
+double EngineModel::memory_share() const {
+    const double used = spec_.role == Role::prefill ? state_tokens_ : write_memory();
+    return std::min(1.0, used / std::max(1.0, spec_.memory_tokens));
+}
+
+double EngineModel::write_memory() const {
+    double used = 0;
+    for (const auto& [id, r] : writes_) used += r.job.prompt_tokens + static_cast<double>(r.done);
+    return used;
+}
+
+// A cold engine that is sent more than a multiple of what it can do, for a whole window, falls over and stays down.
+// Work that it turns away counts too.
+void EngineModel::press(Time now, const Job& job) {
+    const double warm = warmth(now);
+    if (warm >= 1) return;
+    pressure_.push_back({now, work_of(job, kept_of(job)), job.told_cold});
+    while (!pressure_.empty() && pressure_.front().at + spec_.fall_window < now) pressure_.pop_front();
+    double all = 0, told = 0;
+    for (const auto& p : pressure_) {
+        all += p.work;
+        if (p.told) told += p.work;
+    }
+    const double budget = spec_.fall_multiple * warm * capacity() * seconds(spec_.fall_window);
+    const double slack = kFallSlack * all / static_cast<double>(pressure_.size());
+    if (all <= budget + slack) return;
+    fell_ = told / all;
+    stop();
+}
+
+Verdict EngineModel::submit(Time now, Job job, double draw) {
+    press(now, job);
+    if (!alive_) return Verdict::lost;
+    if (draw < error_share_) return Verdict::error;
+    if (draw < error_share_ + lost_share_) return Verdict::lost;
+    if (draining_) return Verdict::draining;
+    if (!job.read && !job.has_state && spec_.role == Role::decode && !spec_.read_in_place) return Verdict::no_state;
+    if (static_cast<int>(running()) >= spec_.slots && static_cast<int>(queue_.size()) >= spec_.queue) return Verdict::full;
+    settle_reads(now);
+    queue_.push_back({std::move(job), 0, 0, 0, {}, false});
+    fill(now);
+    return Verdict::taken;
+}
+
+double EngineModel::kept_of(const Job& job) const {
+    double out = 0;
+    for (const auto& b : job.blocks) {
+        if (!kept_.contains(b.hash)) break;
+        out = b.tokens;
+    }
+    return std::min(out, job.prompt_tokens);
+}
+
+void EngineModel::keep(const Job& job) {
+    double before = 0;
+    for (const auto& b : job.blocks) {
+        const double own = std::max(0.0, b.tokens - before);
+        before = b.tokens;
+        if (const auto it = kept_.find(b.hash); it != kept_.end()) {
+            kept_order_.splice(kept_order_.end(), kept_order_, it->second);
+            continue;
+        }
+        kept_order_.push_back({b.hash, own});
+        kept_[b.hash] = std::prev(kept_order_.end());
+        kept_total_ += own;
+    }
+    while (kept_total_ > spec_.kept_tokens && !kept_order_.empty()) {
+        kept_total_ -= kept_order_.front().tokens;
+        kept_.erase(kept_order_.front().hash);
+        kept_order_.pop_front();
+    }
+}
+
+Duration EngineModel::interval(Time now) const {
+    const double crowd = 1 + spec_.crowding * (static_cast<double>(writes_.size()) - 1) / std::max(1, spec_.slots);
+    return from_seconds(seconds(spec_.token_interval) * crowd * slow_ / warmth(now));
+}
+
+void EngineModel::begin(Time now, Running r) {
+    const JobId id = r.job.id;
+    if (r.job.read) {
+        r.kept = kept_of(r.job);
+        r.left = kReadOverhead + r.job.prompt_tokens - r.kept;
+        reads_.emplace(id, std::move(r));
+        return;
+    }
+    // Without a state, or with one that was lost when it was put back, the prompt is read here first.
+    Duration wait = r.job.transfer;
+    if (!r.job.has_state || r.preempted)
+        wait = from_seconds((kReadOverhead + r.job.prompt_tokens + static_cast<double>(r.done)) / spec_.read_pace * slow_ / warmth(now));
+    auto& placed = writes_.emplace(id, std::move(r)).first->second;
+    placed.next = now + wait + Duration(static_cast<std::int64_t>(kFirstToken * static_cast<double>(interval(now).count())));
+    due_.emplace(placed.next, id);
+}
+
+void EngineModel::fill(Time now) {
+    while (!queue_.empty() && static_cast<int>(running()) < spec_.slots) {
+        const Job& job = queue_.front().job;
+        if (job.read && state_tokens_ + job.prompt_tokens > spec_.memory_tokens && state_tokens_ > 0) return;
+        if (!job.read && !writes_.empty() && write_memory() + job.prompt_tokens > spec_.memory_tokens) return;
+        Running r = std::move(queue_.front());
+        queue_.pop_front();
+        begin(now, std::move(r));
+    }
+}
+
+// Moves the reads on to `now`: they share the pace, so each step lasts until the first of them is done.
+void EngineModel::settle_reads(Time now) {
+    if (paused_ || !alive_) {
+        at_ = now;
+        return;
+    }
+    while (!reads_.empty() && at_ < now) {
+        const double rate = spec_.read_pace * warmth(at_) / slow_ / static_cast<double>(reads_.size());
+        auto least = reads_.begin();
+        for (auto it = reads_.begin(); it != reads_.end(); ++it)
+            if (it->second.left < least->second.left) least = it;
+        const Time done_at = at_ + from_seconds(std::max(0.0, least->second.left) / rate) + Duration(1);
+        const Time until = std::min(now, done_at);
+        const double read = seconds(until - at_) * rate;
+        for (auto& [id, r] : reads_) r.left -= read;
+        at_ = until;
+        if (done_at > now) continue;
+        Running r = std::move(least->second);
+        reads_.erase(least);
+        keep(r.job);
+        states_[r.job.request] = {r.job.request, r.job.prompt_tokens, done_at};
+        state_tokens_ += r.job.prompt_tokens;
+        pending_.push_back({Progress::What::read_done, r.job.id, 0, 0, r.kept});
+        fill(at_);
+    }
+    at_ = now;
+}
+
+std::vector<Progress> EngineModel::advance(Time now) {
+    settle_reads(now);
+    while (!paused_ && alive_ && !due_.empty() && due_.begin()->first <= now) {
+        const auto [when, id] = *due_.begin();
+        due_.erase(due_.begin());
+        Running& r = writes_.at(id);
+        pending_.push_back({Progress::What::tokens, id, r.done, 1, 0});
+        r.done += 1;
+        if (r.done >= r.job.output_tokens) {
+            pending_.push_back({Progress::What::finished, id, 0, 0, 0});
+            writes_.erase(id);
+            fill(when);
+            continue;
+        }
+        r.next = when + interval(when);
+        due_.emplace(r.next, id);
+        if (write_memory() > spec_.memory_tokens && writes_.size() > 1) {
+            auto newest = std::prev(writes_.end());
+            due_.erase({newest->second.next, newest->first});
+            Running back = std::move(newest->second);
+            back.preempted = true;
+            writes_.erase(newest);
+            queue_.push_front(std::move(back));
+        }
+    }
+    return std::exchange(pending_, {});
+}
+
+std::optional<Time> EngineModel::next() const {
+    if (paused_ || !alive_) return std::nullopt;
+    std::optional<Time> out;
+    if (!due_.empty()) out = due_.begin()->first;
+    if (!reads_.empty()) {
+        double least = reads_.begin()->second.left;
+        for (const auto& [id, r] : reads_) least = std::min(least, r.left);
+        const double rate = spec_.read_pace * warmth(at_) / slow_ / static_cast<double>(reads_.size());
+        const Time done = at_ + from_seconds(std::max(0.0, least) / rate) + Duration(1);
+        out = out ? std::min(*out, done) : done;
+    }
+    return out;
+}
+
+void EngineModel::cancel(Time now, JobId job) {
+    settle_reads(now);
+    std::erase_if(queue_, [&](const Running& r) { return r.job.id == job; });
+    reads_.erase(job);
+    if (const auto it = writes_.find(job); it != writes_.end()) {
+        due_.erase({it->second.next, job});
+        writes_.erase(it);
+    }
+    if (alive_ && !paused_) fill(now);
+}
+
+const EngineModel::State* EngineModel::state(const std::string& request) const {
+    const auto it = states_.find(request);
+    return it == states_.end() ? nullptr : &it->second;
+}
+
+bool EngineModel::drop_state(const std::string& request) {
+    const auto it = states_.find(request);
+    if (it == states_.end()) return false;
+    state_tokens_ -= it->second.tokens;
+    states_.erase(it);
+    if (alive_ && !paused_) fill(at_);
+    return true;
+}
+
+std::vector<EngineModel::State> EngineModel::expire_states(Time now) {
+    std::vector<State> out;
+    for (const auto& [request, s] : states_)
+        if (s.ready + spec_.state_ttl <= now) out.push_back(s);
+    for (const auto& s : out) drop_state(s.request);
+    return out;
+}
+
+void EngineModel::stop() {
+    alive_ = false;
+    paused_ = false;
+    queue_.clear();
+    reads_.clear();
+    writes_.clear();
+    due_.clear();
+    states_.clear();
+    state_tokens_ = 0;
+    kept_order_.clear();
+    kept_.clear();
+    kept_total_ = 0;
+    pressure_.clear();
+    pending_.clear();
+}
+
+void EngineModel::start_cold(Time now) {
+    stop();
+    alive_ = true;
+    draining_ = false;
+    slow_ = 1;
+    error_share_ = lost_share_ = 0;
+    born_ = now;
+    at_ = now;
+}
+
+void EngineModel::set_paused(Time now, bool paused) {
+    settle_reads(now);
+    if (paused_ == paused) return;
+    paused_ = paused;
+    if (paused) return;
+    // Streams go on from where they stood.
+    std::set<std::pair<Time, JobId>> moved;
+    for (auto& [id, r] : writes_) {
+        r.next = std::max(r.next, now + interval(now));
+        moved.emplace(r.next, id);
+    }
+    due_ = std::move(moved);
+    if (alive_) fill(now);
+}
+
+void EngineModel::set_slow(Time now, double factor) {
+    settle_reads(now);
+    slow_ = std::max(0.01, factor);
+}
+
+std::optional<double> EngineModel::take_fall() { return std::exchange(fell_, std::nullopt); }
+
+Duration Links::transfer(Time now, const EngineSpec& from, const EngineSpec& to, double tokens) {
+    if (from.cell == to.cell && from.zone == to.zone) return from_seconds(tokens / rates_.in_cell * slow_);
+    double length = tokens / rates_.rack * slow_;
+    if (from.zone != to.zone) length *= rates_.zone_factor;
+    Time& busy = busy_until_[from.cell];
+    busy = std::max(busy, now) + from_seconds(length);
+    return busy - now;
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/model/engine.hpp
@@ -0,0 +1,180 @@
+// One stand-in engine as a model in its own right: slots, a queue, memory, paces, kept prefixes, warming after a
+// start, falling over, and the troubles that befall engines. No I/O and no clock: whoever owns it tells the time.
+// The same model runs behind sockets and in virtual time. Deterministic: no randomness but what the caller passes in.
+//
+// Reads share the engine's pace equally. Writes give a token an interval, which grows with the streams in hand. A
+// decode engine whose memory runs out puts its newest stream back into the queue, to be read anew.
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <cstdint>
+#include <deque>
+#include <list>
+#include <map>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "model/text.hpp"
+
+namespace chalksail::lab {
+
+struct EngineSpec {
+    std::string name;
+    std::string kind;
+    Role role = Role::mixed;
+    std::string zone;
+    std::int64_t cell = 0;
+    int slots = 8;
+    int queue = 32;
+    double memory_tokens = 200'000;
+    double read_pace = 15'000;         // prompt tokens a second
+    Duration token_interval = std::chrono::milliseconds(20);  // of a stream that is alone
+    double crowding = 1;               // the interval grows by this part when all slots are in use
+    double kept_tokens = 400'000;      // room for kept prefixes
+    Duration cold_for = std::chrono::seconds(12);
+    double cold_from = 0.33;
+    double fall_multiple = 3;
+    Duration fall_window = std::chrono::seconds(2);
+    Duration state_ttl = std::chrono::seconds(30);  // a state that nobody fetches is dropped then
+    bool read_in_place = true;         // decode: a request without a state is read here
+};
+
+using JobId = std::uint64_t;
+
+struct Job {
+    JobId id = 0;
+    bool read = false;
+    std::string request;   // X-Request-Id
+    std::string gateway;   // who sent it
+    bool told_cold = false;  // that gateway had been told that this engine had started
+    double prompt_tokens = 0;
+    std::vector<PrefixBlock> blocks;
+    std::size_t output_tokens = 0;
+    bool has_state = false;   // a state comes with it ...
+    Duration transfer{};      // ... and takes so long to arrive once the job has its slot
+};
+
+enum class Verdict { taken, full, draining, no_state, error, lost };
+
+struct Progress {
+    enum class What { read_done, tokens, finished, dropped } what = What::tokens;
+    JobId job = 0;
+    std::size_t first = 0;  // tokens: from this one ...
+    std::size_t count = 0;  // ... so many
+    double kept = 0;        // read_done: prompt tokens that were kept
+};
+
+class EngineModel {
+public:
+    explicit EngineModel(EngineSpec spec) : spec_(std::move(spec)) {}
+
+    [[nodiscard]] const EngineSpec& spec() const { return spec_; }
+    // `draw`: uniform in [0, 1), for the troubles that strike a part of the requests.
+    [[nodiscard]] Verdict submit(Time now, Job job, double draw);
+    void cancel(Time now, JobId job);
+    // What has happened up to `now`, in order.
+    [[nodiscard]] std::vector<Progress> advance(Time now);
+    // When next something happens by itself; nothing while idle or paused.
+    [[nodiscard]] std::optional<Time> next() const;
+
+    // ---- states that wait here ----
+    struct State {
+        std::string request;
+        double tokens = 0;
+        Time ready{};
+    };
+    [[nodiscard]] const State* state(const std::string& request) const;
+    bool drop_state(const std::string& request);  // fetched or let go
+    [[nodiscard]] std::vector<State> expire_states(Time now);
+
+    // ---- life and troubles ----
+    void start_cold(Time now);  // empty, and cold
+    void stop();                // crash: all is gone
+    void set_paused(Time now, bool paused);  // hang, vanish: nothing moves
+    void set_slow(Time now, double factor);  // times as long; 1: well
+    void set_error_share(double share) { error_share_ = share; }
+    void set_lost_share(double share) { lost_share_ = share; }
+    void set_draining(bool draining) { draining_ = draining; }
+    [[nodiscard]] bool alive() const { return alive_; }
+    [[nodiscard]] bool paused() const { return paused_; }
+    // Fell over since it was last asked; the part of the pressure that came from gateways that had been told.
+    [[nodiscard]] std::optional<double> take_fall();
+
+    [[nodiscard]] double warmth(Time now) const;  // the part of its capacity that it has
+    [[nodiscard]] std::size_t running() const { return reads_.size() + writes_.size(); }
+    [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
+    [[nodiscard]] double memory_share() const;
+
+private:
+    struct Running {
+        Job job;
+        double left = 0;        // read: tokens still to read
+        double kept = 0;
+        std::size_t done = 0;   // write: tokens given
+        Time next{};            // write: when the next one comes
+        bool preempted = false;
+    };
+    void settle_reads(Time now);
+    void fill(Time now);
+    void begin(Time now, Running r);
+    [[nodiscard]] double kept_of(const Job& job) const;
+    void keep(const Job& job);
+    [[nodiscard]] Duration interval(Time now) const;
+    [[nodiscard]] double write_memory() const;
+    void press(Time now, const Job& job);
+    [[nodiscard]] double capacity() const;  // work a second when warm
+    static double work_of(const Job& job, double kept);
+
+    EngineSpec spec_;
+    bool alive_ = true;
+    bool paused_ = false;
+    bool draining_ = false;
+    double slow_ = 1;
+    double error_share_ = 0;
+    double lost_share_ = 0;
+    std::optional<Time> born_;  // cold start; nothing: long ago
+    Time at_{};                 // reads are settled up to here
+    std::deque<Running> queue_;
+    std::map<JobId, Running> reads_;
+    std::map<JobId, Running> writes_;
+    std::set<std::pair<Time, JobId>> due_;
+    std::map<std::string, State> states_;
+    double state_tokens_ = 0;
+    // Kept prefixes, least recently used first.
+    std::list<PrefixBlock> kept_order_;
+    std::unordered_map<std::uint64_t, std::list<PrefixBlock>::iterator> kept_;
+    double kept_total_ = 0;
+    struct Press {
+        Time at{};
+        double work = 0;
+        bool told = false;
+    };
+    std::deque<Press> pressure_;
+    std::optional<double> fell_;
+    std::vector<Progress> pending_;
+};
+
+// The links between racks: a state inside its cell flows at one rate; else it crosses the one link of its reader's
+// rack, which is shared, first come first served, and is slower still into another zone.
+class Links {
+public:
+    struct Rates {
+        double in_cell = 280'000;   // tokens a second
+        double rack = 120'000;
+        double zone_factor = 2;     // into another zone a token takes so many times as long
+    };
+    explicit Links(Rates rates) : rates_(rates) {}
+    // How long from `now` until the state has arrived.
+    [[nodiscard]] Duration transfer(Time now, const EngineSpec& from, const EngineSpec& to, double tokens);
+    void set_slow(double factor) { slow_ = factor; }
+
+private:
+    Rates rates_;
+    double slow_ = 1;
+    std::map<std::int64_t, Time> busy_until_;  // by cell
+};
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/model/text.hpp
@@ -0,0 +1,31 @@
+// What the stand-in engines write: a pure function of the prompt, so that every transcript can be checked by whoever
+// knows the request. Also their way of counting tokens. No I/O, no state.
+#pragma once
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace chalksail::lab {
+
+// Of the bytes of the "messages" member as they stand in the body: a gateway that alters them changes the answer.
+[[nodiscard]] std::uint64_t prompt_key(std::string_view messages_json);
+// The tokens of the answer to that prompt, at most `max_tokens`; between a quarter of it and all of it.
+[[nodiscard]] std::size_t answer_length(std::uint64_t key, std::size_t max_tokens);
+// The i-th token, as text; some hold quotes, line breaks and letters beyond ASCII.
+[[nodiscard]] std::string answer_token(std::uint64_t key, std::size_t i);
+[[nodiscard]] std::string answer_text(std::uint64_t key, std::size_t tokens);
+
+// The engines' tokenizer: one token for so many bytes of the messages.
+inline constexpr double kBytesPerToken = 4.5;
+[[nodiscard]] double count_tokens(std::size_t bytes);
+
+// Hashes of a prompt's beginnings, one for each message, with the tokens up to its end: what an engine keeps.
+struct PrefixBlock {
+    std::uint64_t hash = 0;
+    double tokens = 0;
+};
+[[nodiscard]] std::vector<PrefixBlock> prefix_blocks(const std::vector<std::string>& messages);
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/scenario/scenario.cpp
@@ -0,0 +1,189 @@
+#include "scenario/scenario.hpp"
+
+#include <algorithm>
+#include <array>
+#include <set>
+
+namespace chalksail::lab {
+namespace {
+
+using config::Block;
+using config::Need;
+using config::Problems;
+using config::Properties;
+
+constexpr std::array<const char*, 14> kTroubles = {"crash", "vanish", "hang", "slow", "ageing", "fast_errors", "answer_lost",
+                                                   "origin_slow", "discovery_stale", "zone_loss", "preempt", "burst",
+                                                   "heavy_tail", "give_up"};
+
+int small(std::int64_t n) { return static_cast<int>(n); }
+
+class Reader {
+public:
+    Reader(const kdl::Document& document, std::string_view text, const std::string& file, Problems& problems)
+        : document_(document), text_(text), file_(file), problems_(problems) {}
+
+    Scenario read() {
+        Block top(document_.nodes, {}, "the scenario", problems_);
+        top.text("name", out_.name);
+        std::int64_t n = 0;
+        if (top.whole("seed", n, 0, INT64_MAX)) out_.seed = static_cast<std::uint64_t>(n);
+        top.duration("length", out_.length);
+        if (top.whole("edges", n, 1, 64)) out_.edges = small(n);
+        if (top.whole("clients", n, 1, 20'000)) out_.clients = small(n);
+        if (top.whole("client-retries", n, 0, 10)) out_.client_retries = small(n);
+        top.duration("list-lag", out_.list_lag);
+        top.duration("measuring", out_.measuring);
+        bool zones = false;
+        top.each("zone", 1, [&](const kdl::Node& z) {
+            if (!zones) out_.zones.clear();
+            zones = true;
+            Properties(z, {}, 1, problems_);
+            out_.zones.push_back(std::get<std::string>(z.arguments.front().scalar));
+        });
+        top.each("links", 0, [&](const kdl::Node& node) {
+            Block b(node.children, node.place, "'links'", problems_);
+            b.real("in-cell", out_.links.in_cell, 1, 1e12);
+            b.real("rack", out_.links.rack, 1, 1e12);
+            b.real("zone-factor", out_.links.zone_factor, 1, 1000);
+            b.done();
+        });
+        bool edge = false;
+        top.each("edge", 0, [&](const kdl::Node& node) {
+            edge = true;
+            read_edge(node);
+        });
+        if (!edge) problems_.add({}, "the scenario needs 'edge' with the edges' settings");
+        top.each("engines", 1, [&](const kdl::Node& node) { engines(node); });
+        top.each("traffic", 1, [&](const kdl::Node& node) { traffic(node); });
+        top.each("troubles", 0, [&](const kdl::Node& node) { troubles(node); });
+        top.done();
+        if (out_.engines.empty()) problems_.add({}, "the scenario needs 'engines'");
+        return std::move(out_);
+    }
+
+private:
+    void read_edge(const kdl::Node& node) {
+        // Kept as written, for the edges' own files; read here too, so that its errors show now.
+        out_.edge_text = std::string(text_.substr(node.children_begin, node.children_end - node.children_begin));
+        const std::string before(std::max<std::size_t>(1, node.place.line) - 1, '\n');
+        auto settings = config::parse_settings(before + out_.edge_text, file_);
+        if (settings) out_.edge = std::move(*settings);
+        else
+            for (const auto& p : settings.error()) problems_.add(p.place, "in 'edge': " + p.text);
+    }
+
+    void engines(const kdl::Node& node) {
+        const Properties p(node, {"kind", "count"}, 1, problems_);
+        EngineSpec spec;
+        spec.kind = p.text("kind");
+        std::int64_t count = 1;
+        p.whole("count", count, 1, 1000);
+        const auto& kinds = out_.edge.module.kinds;
+        const auto kind = std::find_if(kinds.begin(), kinds.end(), [&](const auto& k) { return k.name == spec.kind; });
+        if (kind == kinds.end()) problems_.add(node.place, "kind '" + spec.kind + "' is none of the edge's kinds");
+        else {
+            spec.role = kind->role;
+            if (kind->memory_tokens > 0) spec.memory_tokens = kind->memory_tokens;
+        }
+        spec.cold_for = out_.edge.module.cold_for;
+        spec.cold_from = out_.edge.module.cold_from;
+        spec.fall_multiple = out_.edge.module.fall_multiple;
+        spec.fall_window = out_.edge.module.fall_window;
+        spec.read_in_place = out_.edge.module.read_in_place;
+        Block b(node.children, node.place, "'engines'", problems_);
+        std::int64_t n = 0;
+        if (b.whole("slots", n, 1, 100'000)) spec.slots = small(n);
+        if (b.whole("queue", n, 0, 100'000)) spec.queue = small(n);
+        b.real("memory-tokens", spec.memory_tokens, 1, 1e12);
+        b.real("read-pace", spec.read_pace, 1, 1e12);
+        b.duration("token-interval", spec.token_interval);
+        b.real("crowding", spec.crowding, 0, 100);
+        b.real("kept-tokens", spec.kept_tokens, 0, 1e12);
+        b.duration("state-ttl", spec.state_ttl);
+        b.done();
+        const auto name = std::get<std::string>(node.arguments.front().scalar);
+        for (std::int64_t i = 0; i < count; ++i) {
+            EngineSpec one = spec;
+            one.name = name + "-" + std::to_string(i + 1);
+            const auto zone = static_cast<std::size_t>(i) % out_.zones.size();
+            one.zone = out_.zones[zone];
+            one.cell = static_cast<std::int64_t>(zone) + 1;
+            out_.engines.push_back(std::move(one));
+        }
+    }
+
+    void traffic(const kdl::Node& node) {
+        Properties(node, {}, 1, problems_);
+        TrafficClass c;
+        c.name = std::get<std::string>(node.arguments.front().scalar);
+        const auto& classes = out_.edge.module.classes;
+        if (std::none_of(classes.begin(), classes.end(), [&](const auto& k) { return k.name == c.name; }))
+            problems_.add(node.place, "class '" + c.name + "' is none of the edge's classes");
+        Block b(node.children, node.place, "'traffic'", problems_);
+        std::int64_t n = 0;
+        b.text("model", c.model, Need::required);
+        b.real("share", c.share, 0, 1e6);
+        b.real("streamed", c.stream_part, 0, 1);
+        if (b.whole("turns", n, 1, 1000)) c.turns = small(n);
+        if (b.whole("system-bytes", n, 0, 10'000'000)) c.system_bytes = small(n);
+        if (b.whole("prefixes", n, 1, 100'000)) c.prefixes = small(n);
+        if (b.whole("turn-bytes", n, 1, 10'000'000)) c.turn_bytes = small(n);
+        if (b.whole("max-tokens", n, 1, 1'000'000)) c.max_tokens = small(n);
+        b.duration("think", c.think);
+        b.done();
+        out_.traffic.push_back(std::move(c));
+    }
+
+    void troubles(const kdl::Node& node) {
+        for (const auto& t : node.children) {
+            const auto it = std::find(kTroubles.begin(), kTroubles.end(), t.name);
+            if (it == kTroubles.end()) {
+                const auto near = config::nearest(t.name, {kTroubles.begin(), kTroubles.end()});
+                problems_.add(t.place, "unknown trouble '" + t.name + "'" + (near.empty() ? "" : "; did you mean '" + near + "'?"));
+                continue;
+            }
+            const Properties p(t, {"at", "for", "server", "engines", "zone", "share", "factor", "part", "lag", "notice"}, 0, problems_);
+            Trouble out;
+            out.kind = static_cast<TroubleKind>(it - kTroubles.begin());
+            if (!p.duration("at", out.at) || !p.duration("for", out.lasts)) problems_.add(t.place, "'" + t.name + "' needs at= and for=");
+            out.server = p.text("server");
+            out.engines = p.text("engines");
+            out.zone = p.text("zone");
+            p.real("share", out.share, 0, 1);
+            p.real("factor", out.factor, 0.01, 1000);
+            p.real("part", out.part, 0, 1);
+            p.duration("lag", out.lag);
+            p.duration("notice", out.notice);
+            const auto named = [&](const EngineSpec& e) { return e.name == out.server; };
+            if (!out.server.empty() && std::none_of(out_.engines.begin(), out_.engines.end(), named))
+                problems_.add(t.place, "no engine is called '" + out.server + "'");
+            if (!out.zone.empty() && std::find(out_.zones.begin(), out_.zones.end(), out.zone) == out_.zones.end())
+                problems_.add(t.place, "no zone is called '" + out.zone + "'");
+            if (out.kind == TroubleKind::zone_loss && out.zone.empty()) problems_.add(t.place, "'zone_loss' needs zone=");
+            out_.troubles.push_back(std::move(out));
+        }
+    }
+
+    const kdl::Document& document_;
+    std::string_view text_;
+    const std::string& file_;
+    Problems& problems_;
+    Scenario out_;
+};
+
+}  // namespace
+
+tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text, const std::string& file) {
+    Problems problems(file);
+    const auto document = kdl::parse(text);
+    if (!document) {
+        problems.add(document.error().place, document.error().text);
+        return tl::unexpected(problems.all());
+    }
+    auto scenario = Reader(*document, text, file, problems).read();
+    if (!problems.all().empty()) return tl::unexpected(problems.all());
+    return scenario;
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/scenario/scenario.hpp
@@ -0,0 +1,79 @@
+// A rehearsal's script, in KDL: the fleet, the traffic, the troubles on a timeline. Reading it decides nothing.
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "config/settings.hpp"
+#include "model/engine.hpp"
+
+namespace chalksail::lab {
+
+// By the names of the bench's kinds.
+enum class TroubleKind {
+    crash,            // a share of the engines dies at once, and comes back cold after "for"
+    vanish,           // they go silent: no reset, no answer; and come back cold
+    hang,             // they stand still, and go on where they stood
+    slow,             // they take "factor" times as long
+    ageing,           // the same, growing all the while
+    fast_errors,      // they quickly fail "part" of their requests
+    answer_lost,      // they never answer "part" of their requests
+    origin_slow,      // the links of the racks run "factor" times slower
+    discovery_stale,  // the list runs "lag" behind
+    zone_loss,        // a whole zone dies, and comes back cold
+    preempt,          // engines are told to go: they drain, and are gone after "notice"
+    burst,            // traffic is "factor" times the usual
+    heavy_tail,       // "part" of the prompts are "factor" times as long
+    give_up,          // "part" of the clients hang up early
+};
+struct Trouble {
+    TroubleKind kind = TroubleKind::crash;
+    Duration at{};
+    Duration lasts{};
+    std::string server;  // one engine; else ...
+    std::string engines; // ... a share of the engines of this kind; empty: of all
+    std::string zone;
+    double share = 0.2;
+    double factor = 3;
+    double part = 0.3;
+    Duration lag = std::chrono::seconds(5);
+    Duration notice = std::chrono::seconds(2);
+};
+
+struct TrafficClass {
+    std::string name;    // a class of the edge's settings
+    std::string model;
+    double share = 1;
+    double stream_part = 0.9;
+    int turns = 3;
+    int system_bytes = 4000;
+    int prefixes = 4;    // different leading texts
+    int turn_bytes = 1200;
+    int max_tokens = 120;
+    Duration think = std::chrono::milliseconds(500);
+};
+
+struct Scenario {
+    std::string name = "unnamed";
+    std::uint64_t seed = 1;
+    Duration length = std::chrono::seconds(20);
+    int edges = 1;
+    int clients = 20;
+    int client_retries = 2;
+    Duration list_lag = std::chrono::milliseconds(500);
+    Duration measuring = std::chrono::milliseconds(100);
+    std::vector<std::string> zones = {"here"};
+    std::vector<EngineSpec> engines;
+    Links::Rates links;
+    std::vector<TrafficClass> traffic;
+    std::vector<Trouble> troubles;
+    std::string edge_text;            // the edges' settings as written, without servers
+    config::EdgeSettings edge;        // the same, read
+};
+
+[[nodiscard]] tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text, const std::string& file);
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/shell/engine_host.hpp
@@ -0,0 +1,101 @@
+// Stand-in engines on sockets: each an EngineModel behind an HTTP server on a port of its own, speaking the convention
+// of src/engine/protocol.hpp. They record what crosses their sockets. One libuv loop, one thread; tick() moves time.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "model/engine.hpp"
+#include "net/http_server.hpp"
+#include "record/record.hpp"
+
+namespace chalksail::lab {
+
+class EngineFleet;
+
+class EngineHost : net::HttpServer::Handler {
+public:
+    EngineHost(uv_loop_t& loop, EngineFleet& fleet, EngineSpec spec);
+    ~EngineHost() override;
+
+    void start();            // listens; the port stays the same over restarts
+    void crash();            // resets all connections and stops listening
+    void restart(Time now);  // comes back cold
+    void vanish(bool on);    // hears and sees all, and says nothing
+    void tick(Time now);
+    [[nodiscard]] EngineModel& model() { return model_; }
+    [[nodiscard]] const EngineSpec& spec() const { return model_.spec(); }
+    [[nodiscard]] const Address& address() const { return address_; }
+    [[nodiscard]] bool up() const { return server_ != nullptr; }
+
+private:
+    struct Exchange {
+        net::HttpServer::Peer peer = 0;
+        JobId job = 0;
+        std::string request;  // the client's number for it
+        std::string edge_request;
+        std::string gateway;
+        std::int64_t attempt = 0;
+        bool read = false;
+        bool streaming = false;
+        std::uint64_t key = 0;
+        double prompt_tokens = 0;
+        std::size_t output = 0;
+        std::string model;
+        bool usage = false;
+    };
+    void on_request(net::HttpServer::Peer peer, http::Request request) override;
+    void on_closed(net::HttpServer::Peer peer) override;
+    void chat(net::HttpServer::Peer peer, const http::Request& request);
+    void release(net::HttpServer::Peer peer, const http::Request& request);
+    void answer_read(Exchange& e, double kept);
+    void write_tokens(Exchange& e, std::size_t first, std::size_t count);
+    void end_stream(Exchange& e);
+    void error(net::HttpServer::Peer peer, int status, const std::string& text, const std::string& not_run = "");
+    void note(What what, const Exchange& e, const std::string& fate);
+    void add_load(http::Headers& headers) const;
+    void flush();
+
+    uv_loop_t& loop_;
+    EngineFleet& fleet_;
+    EngineModel model_;
+    std::unique_ptr<net::HttpServer> server_;
+    Address address_{"127.0.0.1", 0};
+    bool vanished_ = false;
+    std::map<net::HttpServer::Peer, Exchange> exchanges_;
+    std::map<JobId, net::HttpServer::Peer> by_job_;
+};
+
+class EngineFleet {
+public:
+    EngineFleet(uv_loop_t& loop, const std::vector<EngineSpec>& specs, Links::Rates rates, std::uint64_t seed, Recorder& recorder);
+    void tick(Time now);
+    [[nodiscard]] EngineHost* find(const std::string& name);
+    [[nodiscard]] std::vector<std::unique_ptr<EngineHost>>& all() { return hosts_; }
+    [[nodiscard]] Links& links() { return links_; }
+    [[nodiscard]] Recorder& recorder() { return recorder_; }
+    [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
+    [[nodiscard]] JobId next_job() { return ++last_job_; }
+    // Has this gateway been told that this engine has started?
+    std::set<std::pair<std::string, std::string>> told_cold;
+    // An engine fell over.
+    std::function<void(EngineHost&)> on_fall;
+    // Request numbers of clients by those of gateways, for let-go calls and states.
+    std::map<std::string, std::string> client_number;
+
+private:
+    Recorder& recorder_;
+    Links links_;
+    std::mt19937_64 random_;
+    std::vector<std::unique_ptr<EngineHost>> hosts_;
+    JobId last_job_ = 0;
+};
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/shell/rehearsal.cpp
@@ -0,0 +1,455 @@
+#include "shell/rehearsal.hpp"
+
+#include <sys/stat.h>
+
+#include <algorithm>
+#include <cmath>
+#include <csignal>
+#include <filesystem>
+#include <iostream>
+#include <stdexcept>
+#include <utility>
+
+#include "base/json.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+constexpr std::uint64_t kTickMs = 2;
+
+net::PoolLimits admin_limits() {
+    net::PoolLimits out;
+    out.message = {64 * 1024, 0};
+    out.per_server = 8;
+    out.dial_timeout = std::chrono::seconds(5);
+    return out;
+}
+std::int64_t unix_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(std::chrono::system_clock::now().time_since_epoch()).count();
+}
+double quantile(std::vector<double> all, double part) {
+    if (all.empty()) return 0;
+    const auto at = static_cast<std::size_t>(part * static_cast<double>(all.size() - 1));
+    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(at), all.end());
+    return all[at];
+}
+
+}  // namespace
+
+// An edge, as a process; its first line on standard output says where it listens.
+struct Rehearsal::EdgeProcess {
+    std::string name;
+    std::string file;
+    std::string log;
+    uv_process_t process{};
+    uv_pipe_t output{};
+    std::string said;
+    bool running = false;
+    bool asked_to_stop = false;
+    std::int64_t exit_status = -1;
+    Address address;
+    Address admin;
+    std::vector<char> buffer = std::vector<char>(4096);
+};
+
+std::string RehearsalResult::format() const {
+    return json::ObjectWriter()
+        .whole("asked", static_cast<std::int64_t>(verdict.asked))
+        .whole("served", static_cast<std::int64_t>(verdict.served))
+        .whole("refused", static_cast<std::int64_t>(verdict.refused))
+        .whole("failed", static_cast<std::int64_t>(verdict.failed))
+        .whole("rejected", static_cast<std::int64_t>(verdict.rejected))
+        .whole("hung_up", static_cast<std::int64_t>(verdict.gone))
+        .whole("unanswered", static_cast<std::int64_t>(verdict.unanswered))
+        .whole("late", static_cast<std::int64_t>(verdict.late))
+        .whole("garbled", static_cast<std::int64_t>(verdict.garbled))
+        .whole("rules_broken", static_cast<std::int64_t>(verdict.breaches.size()))
+        .whole("clients", static_cast<std::int64_t>(clients))
+        .whole("client_retries", static_cast<std::int64_t>(retries))
+        .number("attempts_per_request", verdict.asked == 0 ? 0 : static_cast<double>(verdict.attempts) / static_cast<double>(verdict.asked))
+        .number("first_token_p50_ms", first_token_p50_ms)
+        .number("first_token_p99_ms", first_token_p99_ms)
+        .flag("edges_well", edges_well)
+        .done();
+}
+
+Rehearsal::Rehearsal(uv_loop_t& loop, Scenario scenario, RehearsalPaths paths)
+    : loop_(loop), scenario_(std::move(scenario)), paths_(std::move(paths)), random_(scenario_.seed * 104'729 + 3) {
+    std::filesystem::create_directories(paths_.folder);
+    recorder_ = Recorder(paths_.folder + "/wire.jsonl");
+    fleet_ = std::make_unique<EngineFleet>(loop_, scenario_.engines, scenario_.links, scenario_.seed, recorder_);
+    load_ = std::make_unique<Load>(loop_, scenario_, recorder_);
+    admin_ = std::make_unique<net::HttpPool>(loop_, static_cast<net::HttpPool::Handler&>(*this), admin_limits());
+    lag_ = scenario_.list_lag;
+    for (const auto& e : scenario_.engines) list_[e.name] = {};
+    // It has to be stopped outside the engine's own turn.
+    fleet_->on_fall = [this](EngineHost& host) {
+        after(Duration::zero(), [this, &host] {
+            host.crash();
+            list(host.spec().name, "removed");
+        });
+    };
+    ticker_ = new uv_timer_t;
+    uv_timer_init(&loop_, ticker_);
+    uv_timer_start(ticker_, [](uv_timer_t*) {}, kTickMs, kTickMs);
+}
+
+Rehearsal::~Rehearsal() {
+    stop_edges();
+    uv_close(reinterpret_cast<uv_handle_t*>(ticker_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+    load_.reset();
+    admin_.reset();
+    fleet_.reset();
+    while (uv_run(&loop_, UV_RUN_NOWAIT) != 0) {
+    }
+}
+
+std::vector<std::pair<std::string, Address>> Rehearsal::gateways() const {
+    std::vector<std::pair<std::string, Address>> out;
+    for (const auto& e : edges_) out.emplace_back(e->name, e->address);
+    return out;
+}
+
+void Rehearsal::spawn(EdgeProcess& edge) {
+    uv_pipe_init(&loop_, &edge.output, 0);
+    edge.output.data = &edge;
+    edge.process.data = &edge;
+    std::string program = paths_.edge_program, serve = "serve", file = edge.file;
+    char* arguments[] = {program.data(), serve.data(), file.data(), nullptr};
+    uv_fs_t open{};
+    const int log = uv_fs_open(&loop_, &open, edge.log.c_str(), UV_FS_O_CREAT | UV_FS_O_WRONLY | UV_FS_O_TRUNC, 0644, nullptr);
+    uv_fs_req_cleanup(&open);
+    if (log < 0) throw std::runtime_error(edge.log + ": can't be written");
+    uv_stdio_container_t stdio[3] = {};
+    stdio[0].flags = UV_IGNORE;
+    stdio[1].flags = static_cast<uv_stdio_flags>(UV_CREATE_PIPE | UV_WRITABLE_PIPE);
+    stdio[1].data.stream = reinterpret_cast<uv_stream_t*>(&edge.output);
+    stdio[2].flags = UV_INHERIT_FD;
+    stdio[2].data.fd = log;
+    uv_process_options_t options{};
+    options.file = arguments[0];
+    options.args = arguments;
+    options.stdio = stdio;
+    options.stdio_count = 3;
+    options.exit_cb = [](uv_process_t* p, std::int64_t status, int signal) {
+        auto& e = *static_cast<EdgeProcess*>(p->data);
+        e.running = false;
+        e.exit_status = signal != 0 ? 128 + signal : status;
+        uv_close(reinterpret_cast<uv_handle_t*>(p), nullptr);
+    };
+    const int error = uv_spawn(&loop_, &edge.process, &options);
+    uv_fs_t close{};
+    uv_fs_close(&loop_, &close, log, nullptr);
+    uv_fs_req_cleanup(&close);
+    if (error != 0) throw std::runtime_error(paths_.edge_program + ": " + uv_strerror(error));
+    edge.running = true;
+    uv_read_start(
+        reinterpret_cast<uv_stream_t*>(&edge.output),
+        [](uv_handle_t* h, std::size_t, uv_buf_t* b) {
+            auto& e = *static_cast<EdgeProcess*>(h->data);
+            *b = uv_buf_init(e.buffer.data(), static_cast<unsigned>(e.buffer.size()));
+        },
+        [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
+            auto& e = *static_cast<EdgeProcess*>(s->data);
+            if (n > 0) e.said.append(b->base, static_cast<std::size_t>(n));
+            else if (n < 0) uv_close(reinterpret_cast<uv_handle_t*>(s), nullptr);
+        });
+}
+
+void Rehearsal::turn() {
+    uv_run(&loop_, UV_RUN_ONCE);
+    const Time now = net::uv_now_time();
+    while (!timeline_.empty() && timeline_.begin()->first <= now) {
+        const auto act = std::move(timeline_.begin()->second);
+        timeline_.erase(timeline_.begin());
+        act();
+    }
+    fleet_->tick(now);
+    load_->tick(now);
+}
+
+void Rehearsal::turn_until(const std::function<bool()>& done, Duration most, const std::string& what) {
+    const Time limit = net::uv_now_time() + most;
+    while (!done()) {
+        if (net::uv_now_time() > limit) throw std::runtime_error("not in time: " + what);
+        turn();
+    }
+}
+
+void Rehearsal::after(Duration delay, std::function<void()> act) {
+    timeline_.emplace(net::uv_now_time() + delay, std::move(act));
+}
+
+void Rehearsal::start() {
+    for (int i = 0; i < scenario_.edges; ++i) {
+        auto e = std::make_unique<EdgeProcess>();
+        e->name = "edge" + std::to_string(i + 1);
+        e->file = paths_.folder + "/" + e->name + ".kdl";
+        e->log = paths_.folder + "/" + e->name + ".log";
+        std::ofstream file(e->file);
+        file << "name " << kdl::quote(e->name) << "\nzone " << kdl::quote(scenario_.zones[static_cast<std::size_t>(i) % scenario_.zones.size()])
+             << "\nlisten \"127.0.0.1:0\"\nadmin \"127.0.0.1:0\"\nseed " << scenario_.seed * 100 + static_cast<std::uint64_t>(i) + 1
+             << "\ngateways {\n  count " << scenario_.edges << "\n  number " << i << "\n}\n"
+             << scenario_.edge_text << '\n';
+        file.close();
+        spawn(*e);
+        edges_.push_back(std::move(e));
+    }
+    for (auto& e : edges_) {
+        turn_until([&] { return e->said.find('\n') != std::string::npos || !e->running; }, std::chrono::seconds(20), e->name + " starts");
+        json::Document doc;
+        if (!e->running || !json::parse(std::string_view(e->said).substr(0, e->said.find('\n')), doc))
+            throw std::runtime_error(e->name + " did not start; see " + e->log);
+        const auto address = parse_address(json::text(json::find(doc, "address")));
+        const auto admin = parse_address(json::text(json::find(doc, "admin")));
+        if (!address || !admin) throw std::runtime_error(e->name + " said no address");
+        e->address = *address;
+        e->admin = *admin;
+    }
+    for (std::size_t i = 0; i < edges_.size(); ++i) push_list(i, true);
+    turn_until([&] { return pushes_.empty(); }, std::chrono::seconds(10), "the list is told");
+    load_->set_gateways(gateways());
+}
+
+std::string Rehearsal::entry_json(const std::string& server) const {
+    const auto* host = const_cast<EngineFleet&>(*fleet_).find(server);
+    const auto& listed = list_.at(server);
+    json::ObjectWriter out;
+    out.text("name", server).text("address", format_address(host->address())).text("kind", host->spec().kind);
+    out.text("zone", host->spec().zone).whole("cell", host->spec().cell).text("state", listed.state);
+    if (listed.started_unix_ms != 0) out.whole("started_unix_ms", listed.started_unix_ms);
+    return out.done();
+}
+
+void Rehearsal::push_list(std::size_t edge, bool complete) {
+    EdgeProcess& e = *edges_[edge];
+    if (!e.running) return;
+    std::string items;
+    std::vector<std::pair<std::string, Listed>> told;
+    for (const auto& [server, listed] : list_) {
+        if (complete && listed.state == "removed") continue;
+        items += (items.empty() ? "" : ",") + entry_json(server);
+        told.emplace_back(server, listed);
+    }
+    http::Headers headers;
+    headers.add("Content-Type", "application/json");
+    const net::HttpPool::Call call = ++last_push_;
+    pushes_[call] = {e.name, std::move(told)};
+    admin_->start(call, e.admin, "POST", "/servers", std::move(headers),
+                  std::string(R"({"scope":")") + (complete ? "complete" : "changes") + R"(","servers":[)" + items + "]}");
+}
+
+void Rehearsal::on_head(net::HttpPool::Call call, int status, http::Headers) {
+    if (status == 200) return;
+    std::cerr << "the list was refused (" << status << ")\n";
+    pushes_.erase(call);
+}
+void Rehearsal::on_done(net::HttpPool::Call call) {
+    const auto it = pushes_.find(call);
+    if (it == pushes_.end()) return;
+    const auto& [gateway, told] = it->second;
+    for (const auto& [server, listed] : told) {
+        Record r;
+        r.at = net::uv_now_time();
+        r.what = What::told;
+        r.gateway = gateway;
+        r.server = server;
+        r.fate = listed.state == "up" && listed.started_unix_ms != 0 ? "started" : listed.state;
+        if (r.fate == "started") fleet_->told_cold.emplace(gateway, server);
+        recorder_.add(std::move(r));
+    }
+    pushes_.erase(it);
+}
+void Rehearsal::on_failed(net::HttpPool::Call call, engine::Ending, std::string) { pushes_.erase(call); }
+
+void Rehearsal::list(const std::string& server, const std::string& state) {
+    // What the list service sees now is told to the edges after the lag that there is now.
+    const std::int64_t started = state == "started" ? unix_ms() : 0;
+    after(lag_, [this, server, state, started] {
+        auto& listed = list_[server];
+        listed.state = state == "started" ? "up" : state;
+        if (started != 0) listed.started_unix_ms = started;
+        for (std::size_t i = 0; i < edges_.size(); ++i) push_list(i, false);
+    });
+}
+
+void Rehearsal::kill(const std::string& server, Duration lasts) {
+    EngineHost* host = fleet_->find(server);
+    if (host == nullptr || !host->up()) return;
+    host->crash();
+    std::erase_if(fleet_->told_cold, [&](const auto& p) { return p.second == server; });
+    list(server, "removed");
+    after(lasts, [this, host, server] {
+        host->restart(net::uv_now_time());
+        list(server, "started");
+    });
+}
+
+std::vector<std::string> Rehearsal::victims(const Trouble& t) {
+    if (!t.server.empty()) return {t.server};
+    std::vector<std::string> all;
+    for (const auto& e : scenario_.engines)
+        if ((t.engines.empty() || e.kind == t.engines) && (t.zone.empty() || e.zone == t.zone)) all.push_back(e.name);
+    if (t.kind == TroubleKind::zone_loss) return all;
+    std::shuffle(all.begin(), all.end(), random_);
+    all.resize(std::min(all.size(), static_cast<std::size_t>(std::ceil(t.share * static_cast<double>(all.size())))));
+    return all;
+}
+
+void Rehearsal::schedule_troubles() {
+    for (const auto& t : scenario_.troubles) after(t.at, [this, t] { begin_trouble(t); });
+}
+
+void Rehearsal::begin_trouble(const Trouble& t) {
+    const auto each = [&](const std::function<void(EngineHost&)>& begin, const std::function<void(EngineHost&)>& end) {
+        for (const auto& name : victims(t)) {
+            EngineHost* host = fleet_->find(name);
+            if (!host->up()) continue;
+            begin(*host);
+            after(t.lasts, [host, end] {
+                if (host->up()) end(*host);
+            });
+        }
+    };
+    switch (t.kind) {
+        case TroubleKind::crash:
+        case TroubleKind::zone_loss:
+            for (const auto& name : victims(t)) kill(name, t.lasts);
+            break;
+        case TroubleKind::vanish:
+            for (const auto& name : victims(t)) {
+                EngineHost* host = fleet_->find(name);
+                if (!host->up()) continue;
+                host->vanish(true);
+                // The list sees that its process is gone no sooner than at the end of its lag.
+                list(name, "removed");
+                after(t.lasts, [this, host, name] {
+                    std::erase_if(fleet_->told_cold, [&](const auto& p) { return p.second == name; });
+                    host->restart(net::uv_now_time());
+                    list(name, "started");
+                });
+            }
+            break;
+        case TroubleKind::hang:
+            each([](EngineHost& h) { h.model().set_paused(net::uv_now_time(), true); },
+                 [](EngineHost& h) { h.model().set_paused(net::uv_now_time(), false); });
+            break;
+        case TroubleKind::slow:
+            each([&](EngineHost& h) { h.model().set_slow(net::uv_now_time(), t.factor); },
+                 [](EngineHost& h) { h.model().set_slow(net::uv_now_time(), 1); });
+            break;
+        case TroubleKind::ageing: {
+            constexpr int steps = 10;
+            for (const auto& name : victims(t)) {
+                EngineHost* host = fleet_->find(name);
+                for (int i = 1; i <= steps; ++i)
+                    after(t.lasts * i / (steps + 1), [host, f = 1 + (t.factor - 1) * i / steps] {
+                        if (host->up()) host->model().set_slow(net::uv_now_time(), f);
+                    });
+                after(t.lasts, [host] {
+                    if (host->up()) host->model().set_slow(net::uv_now_time(), 1);
+                });
+            }
+            break;
+        }
+        case TroubleKind::fast_errors:
+            each([&](EngineHost& h) { h.model().set_error_share(t.part); }, [](EngineHost& h) { h.model().set_error_share(0); });
+            break;
+        case TroubleKind::answer_lost:
+            each([&](EngineHost& h) { h.model().set_lost_share(t.part); }, [](EngineHost& h) { h.model().set_lost_share(0); });
+            break;
+        case TroubleKind::origin_slow:
+            fleet_->links().set_slow(t.factor);
+            after(t.lasts, [this] { fleet_->links().set_slow(1); });
+            break;
+        case TroubleKind::discovery_stale:
+            lag_ = t.lag;
+            after(t.lasts, [this] { lag_ = scenario_.list_lag; });
+            break;
+        case TroubleKind::preempt:
+            for (const auto& name : victims(t)) {
+                list(name, "draining");
+                after(t.notice + lag_, [this, name, t] { kill(name, t.lasts); });
+            }
+            break;
+        case TroubleKind::burst:
+            load_->set_burst(t.factor);
+            after(t.lasts, [this] { load_->set_burst(1); });
+            break;
+        case TroubleKind::heavy_tail:
+            load_->set_heavy_tail(t.part, t.factor);
+            after(t.lasts, [this] { load_->set_heavy_tail(0, 1); });
+            break;
+        case TroubleKind::give_up:
+            load_->set_give_up(t.part);
+            after(t.lasts, [this] { load_->set_give_up(0); });
+            break;
+    }
+}
+
+RehearsalResult Rehearsal::run() {
+    const Time begin = net::uv_now_time();
+    load_->begin(begin);
+    schedule_troubles();
+    const Time end = begin + scenario_.length;
+    while (net::uv_now_time() < end) {
+        turn();
+        for (const auto& e : edges_)
+            if (!e->running) throw std::runtime_error(e->name + " has ended by itself; see " + e->log);
+    }
+    load_->stop();
+    Duration longest{};
+    for (const auto& c : scenario_.edge.module.classes) longest = std::max(longest, c.deadline);
+    const Time last = net::uv_now_time() + longest + std::chrono::seconds(30);
+    while (load_->in_hand() > 0 && net::uv_now_time() < last) turn();
+    load_->hang_up_all(net::uv_now_time());
+    // What the gateways still let go of is recorded too.
+    const Time rest = net::uv_now_time() + std::chrono::seconds(1);
+    while (net::uv_now_time() < rest) turn();
+    stop_edges();
+    recorder_.flush();
+
+    RehearsalResult out;
+    RuleFigures figures;
+    const Settings& m = scenario_.edge.module;
+    figures.answer_slack = m.answer_slack;
+    figures.release_within = m.release_within;
+    figures.max_attempts = m.max_attempts;
+    figures.measuring = scenario_.measuring;
+    out.verdict = check(recorder_.all(), figures);
+    out.clients = static_cast<std::size_t>(scenario_.clients);
+    out.retries = load_->figures().retries;
+    out.first_token_p50_ms = quantile(load_->figures().first_token_ms, 0.5);
+    out.first_token_p99_ms = quantile(load_->figures().first_token_ms, 0.99);
+    for (const auto& e : edges_) out.edges_well = out.edges_well && e->exit_status == 0;
+    return out;
+}
+
+void Rehearsal::serve() {
+    uv_signal_t handles[2];
+    for (int i = 0; i < 2; ++i) {
+        uv_signal_init(&loop_, &handles[i]);
+        handles[i].data = this;
+        uv_signal_start(&handles[i], [](uv_signal_t* s, int) { static_cast<Rehearsal*>(s->data)->interrupted_ = true; }, i == 0 ? SIGINT : SIGTERM);
+    }
+    while (!interrupted_) turn();
+    for (auto& h : handles) uv_close(reinterpret_cast<uv_handle_t*>(&h), nullptr);
+    stop_edges();
+}
+
+void Rehearsal::stop_edges() {
+    for (auto& e : edges_)
+        if (e->running && !e->asked_to_stop) {
+            e->asked_to_stop = true;
+            uv_process_kill(&e->process, SIGTERM);
+        }
+    const Time limit = net::uv_now_time() + scenario_.edge.limits.drain + std::chrono::seconds(5);
+    const auto any = [&] { return std::any_of(edges_.begin(), edges_.end(), [](const auto& e) { return e->running; }); };
+    while (any() && net::uv_now_time() < limit) turn();
+    for (auto& e : edges_)
+        if (e->running) uv_process_kill(&e->process, SIGKILL);
+    while (any()) turn();
+    turn();
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/shell/rehearsal.hpp
@@ -0,0 +1,96 @@
+// A whole rehearsal on loopback: engines and load in this process, each edge a process of its own (the real program),
+// the list told to the edges over their admin listeners, troubles by the scenario's timeline, everything recorded.
+// One libuv loop, one thread.
+#pragma once
+
+#include <uv.h>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "net/http_pool.hpp"
+#include "record/checker.hpp"
+#include "record/record.hpp"
+#include "scenario/scenario.hpp"
+#include "shell/engine_host.hpp"
+#include "shell/load.hpp"
+
+namespace chalksail::lab {
+
+struct RehearsalPaths {
+    std::string edge_program;
+    std::string folder;  // for records, settings and logs; made if it is not there
+};
+
+struct RehearsalResult {
+    Verdict5 verdict;
+    std::size_t clients = 0;
+    std::size_t retries = 0;
+    double first_token_p50_ms = 0;
+    double first_token_p99_ms = 0;
+    bool edges_well = true;  // each ended by SIGTERM with exit code 0
+    // One JSON object.
+    [[nodiscard]] std::string format() const;
+};
+
+class Rehearsal : net::HttpPool::Handler {
+public:
+    // Throws std::runtime_error where something can't be started.
+    Rehearsal(uv_loop_t& loop, Scenario scenario, RehearsalPaths paths);
+    ~Rehearsal() override;
+
+    // Starts engines and edges; returns once each edge serves and knows the list.
+    void start();
+    [[nodiscard]] std::vector<std::pair<std::string, Address>> gateways() const;
+    // Plays the scenario to its end and stops everything.
+    RehearsalResult run();
+    // Serves until SIGINT or SIGTERM.
+    void serve();
+
+private:
+    struct EdgeProcess;
+    void on_head(net::HttpPool::Call call, int status, http::Headers headers) override;
+    void on_body(net::HttpPool::Call, std::string) override {}
+    void on_done(net::HttpPool::Call call) override;
+    void on_failed(net::HttpPool::Call call, engine::Ending ending, std::string detail) override;
+
+    void spawn(EdgeProcess& edge);
+    void stop_edges();
+    void turn();  // one turn of the loop, with the models moved on
+    void turn_until(const std::function<bool()>& done, Duration most, const std::string& what);
+    void after(Duration delay, std::function<void()> act);
+    void schedule_troubles();
+    void begin_trouble(const Trouble& trouble);
+    [[nodiscard]] std::vector<std::string> victims(const Trouble& trouble);
+    void list(const std::string& server, const std::string& state);  // after the list's lag
+    void kill(const std::string& server, Duration lasts);
+    void push_list(std::size_t edge, bool complete);
+    [[nodiscard]] std::string entry_json(const std::string& server) const;
+
+    uv_loop_t& loop_;
+    Scenario scenario_;
+    RehearsalPaths paths_;
+    Recorder recorder_;
+    std::unique_ptr<EngineFleet> fleet_;
+    std::unique_ptr<Load> load_;
+    std::unique_ptr<net::HttpPool> admin_;
+    std::vector<std::unique_ptr<EdgeProcess>> edges_;
+    std::multimap<Time, std::function<void()>> timeline_;
+    uv_timer_t* ticker_ = nullptr;
+    // The list as it is; told to the edges with its lag.
+    struct Listed {
+        std::string state = "up";
+        std::int64_t started_unix_ms = 0;
+    };
+    std::map<std::string, Listed> list_;
+    Duration lag_{};
+    std::map<net::HttpPool::Call, std::pair<std::string, std::vector<std::pair<std::string, Listed>>>> pushes_;
+    std::uint64_t last_push_ = 0;
+    std::mt19937_64 random_;
+    bool interrupted_ = false;
+};
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/src/chat/request.cpp
@@ -0,0 +1,212 @@
+#include "chat/request.hpp"
+
+#include <rapidjson/memorystream.h>
+#include <rapidjson/reader.h>
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+#include <array>
+#include <cmath>
+#include <cstdio>
+
+#include "base/json.hpp"
+
+namespace chalksail::chat {
+namespace {
+
+// Notes where top-level members begin and end, while rapidjson's reader goes over the text.
+class MemberHandler {
+public:
+    MemberHandler(std::string_view text, rapidjson::MemoryStream& stream, std::size_t depth)
+        : text_(text), stream_(stream), most_(depth) {}
+    bool Null() { return scalar(); }
+    bool Bool(bool) { return scalar(); }
+    bool Int(int) { return scalar(); }
+    bool Uint(unsigned) { return scalar(); }
+    bool Int64(std::int64_t) { return scalar(); }
+    bool Uint64(std::uint64_t) { return scalar(); }
+    bool Double(double) { return scalar(); }
+    bool RawNumber(const char*, rapidjson::SizeType, bool) { return scalar(); }
+    bool String(const char*, rapidjson::SizeType, bool) { return scalar(); }
+    bool StartObject() { return open(true); }
+    bool StartArray() { return open(false); }
+    bool EndObject(rapidjson::SizeType) { return close(); }
+    bool EndArray(rapidjson::SizeType) { return close(); }
+    bool Key(const char* name, rapidjson::SizeType length, bool) {
+        if (depth_ != 1) return true;
+        Member m;
+        m.name.assign(name, length);
+        std::size_t at = stream_.Tell();  // just after the name's closing quote
+        while (at < text_.size() && text_[at] != ':') ++at;
+        ++at;
+        while (at < text_.size() && (text_[at] == ' ' || text_[at] == '\t' || text_[at] == '\n' || text_[at] == '\r'))
+            ++at;
+        m.value = at;
+        // Back from the end of the last member, over its comma and white space, to this name's quote.
+        std::size_t begin = members.empty() ? 0 : members.back().end;
+        while (begin < text_.size() && text_[begin] != '"') ++begin;
+        m.begin = begin;
+        members.push_back(std::move(m));
+        return true;
+    }
+    std::vector<Member> members;
+    bool object = false;
+
+private:
+    bool scalar() {
+        if (depth_ == 1 && object) members.back().end = stream_.Tell();
+        return depth_ > 0;
+    }
+    bool open(bool is_object) {
+        if (depth_ == 0) {
+            object = is_object;
+            // Releases of rapidjson differ in whether a bracket has been taken when they tell of it.
+            taken_ = stream_.Tell() > 0 && text_[stream_.Tell() - 1] == '{';
+        }
+        return ++depth_ <= most_ && object;
+    }
+    bool close() {
+        if (--depth_ == 1) members.back().end = stream_.Tell() + (taken_ ? 0 : 1);
+        return true;
+    }
+
+    std::string_view text_;
+    rapidjson::MemoryStream& stream_;
+    std::size_t most_;
+    std::size_t depth_ = 0;
+    bool taken_ = false;
+};
+
+ApiError invalid(std::string param, std::string message) {
+    return {400, std::move(message), "invalid_request_error", std::move(param), {}};
+}
+
+bool is_object_or_null(const json::Value& v) { return v.IsObject() || v.IsNull(); }
+
+// Reads a member that must be a whole number of at least 1, if it is there.
+std::optional<ApiError> take_limit(const json::Value& body, const char* name, double& out) {
+    const auto* value = json::find(body, name);
+    if (value == nullptr) return std::nullopt;
+    if (!value->IsNumber() || value->GetDouble() < 1 || value->GetDouble() > 1e9 ||
+        value->GetDouble() != std::floor(value->GetDouble()))
+        return invalid(name, std::string("'") + name + "' must be a whole number of at least 1");
+    out = value->GetDouble();
+    return std::nullopt;
+}
+std::optional<ApiError> take_flag(const json::Value& body, const char* name, const std::string& path, bool& out) {
+    const auto* value = json::find(body, name);
+    if (value == nullptr) return std::nullopt;
+    if (!value->IsBool()) return invalid(path, "'" + path + "' must be true or false");
+    out = value->GetBool();
+    return std::nullopt;
+}
+
+std::optional<ApiError> check_messages(const json::Value& messages, std::size_t most) {
+    if (!messages.IsArray() || messages.Empty()) return invalid("messages", "'messages' must be a non-empty array");
+    if (messages.Size() > most)
+        return invalid("messages", "more than " + std::to_string(most) + " messages");
+    for (rapidjson::SizeType i = 0; i < messages.Size(); ++i) {
+        const std::string at = "messages[" + std::to_string(i) + "]";
+        if (!messages[i].IsObject()) return invalid(at, "'" + at + "' must be an object");
+        const auto* role = json::find(messages[i], "role");
+        if (role == nullptr || !role->IsString()) return invalid(at + ".role", "'" + at + ".role' must be a string");
+        const auto* content = json::find(messages[i], "content");
+        if (content != nullptr && !content->IsString() && !content->IsArray())
+            return invalid(at + ".content", "'" + at + ".content' must be a string or an array of parts");
+    }
+    return std::nullopt;
+}
+
+// Hash and length of the leading system and developer messages: the text that many prompts begin with.
+void find_prefix(const json::Value& messages, Request& out) {
+    std::string leading;
+    for (const auto& m : messages.GetArray()) {
+        const auto role = json::text(json::find(m, "role"));
+        if (role != "system" && role != "developer") break;
+        leading += json::dump(m);
+    }
+    if (leading.empty()) return;
+    const auto hash = XXH3_64bits(leading.data(), leading.size());
+    std::array<char, 17> text{};
+    std::snprintf(text.data(), text.size(), "%016llx", static_cast<unsigned long long>(hash));
+    out.prefix = text.data();
+    out.prefix_bytes = leading.size();
+}
+
+}  // namespace
+
+std::string format_error(const ApiError& error) {
+    json::ObjectWriter inner;
+    inner.text("message", error.message).text("type", error.type);
+    error.param.empty() ? inner.null("param") : inner.text("param", error.param);
+    error.code.empty() ? inner.null("code") : inner.text("code", error.code);
+    return json::ObjectWriter().raw("error", inner.done()).done();
+}
+
+std::optional<std::vector<Member>> members_of(std::string_view body, std::size_t depth) {
+    rapidjson::MemoryStream stream(body.data(), body.size());
+    MemberHandler handler(body, stream, depth);
+    rapidjson::Reader reader;
+    reader.Parse<json::kFlags>(stream, handler);
+    if (reader.HasParseError() || !handler.object) return std::nullopt;
+    return std::move(handler.members);
+}
+
+tl::expected<Request, ApiError> parse_request(std::string_view body, const Limits& limits) {
+    Request out;
+    auto members = members_of(body, limits.depth);
+    if (!members) return tl::unexpected(invalid("", "the body must be one JSON object, not too deeply nested"));
+    out.members = std::move(*members);
+    json::Document doc;
+    json::parse(body, doc);  // it has just been read
+
+    const auto* model = json::find(doc, "model");
+    if (model == nullptr || !model->IsString() || model->GetStringLength() == 0)
+        return tl::unexpected(invalid("model", "'model' must be a string"));
+    out.model = json::text(*model);
+    const auto messages = doc.FindMember("messages");
+    if (messages == doc.MemberEnd()) return tl::unexpected(invalid("messages", "'messages' is missing"));
+    if (auto error = check_messages(messages->value, limits.messages)) return tl::unexpected(*error);
+    if (auto error = take_flag(doc, "stream", "stream", out.stream)) return tl::unexpected(*error);
+    if (const auto options = doc.FindMember("stream_options"); options != doc.MemberEnd()) {
+        if (!is_object_or_null(options->value))
+            return tl::unexpected(invalid("stream_options", "'stream_options' must be an object"));
+        if (!out.stream && options->value.IsObject())
+            return tl::unexpected(invalid("stream_options", "'stream_options' goes only with 'stream'"));
+        if (auto error = take_flag(options->value, "include_usage", "stream_options.include_usage", out.include_usage))
+            return tl::unexpected(*error);
+    }
+    if (auto error = take_limit(doc, "max_tokens", out.max_output)) return tl::unexpected(*error);
+    if (auto error = take_limit(doc, "max_completion_tokens", out.max_output)) return tl::unexpected(*error);
+    for (const char* name : {"prompt_cache_key", "user"}) {
+        const auto* value = json::find(doc, name);
+        if (value == nullptr) continue;
+        if (!value->IsString()) return tl::unexpected(invalid(name, std::string("'") + name + "' must be a string"));
+        if (out.session.empty()) out.session = json::text(*value);
+    }
+    for (const auto& m : out.members)
+        if (m.name == "messages" || m.name == "tools") out.prompt_bytes += m.end - m.value;
+    find_prefix(messages->value, out);
+    out.prefix_bytes = std::min(out.prefix_bytes, out.prompt_bytes);
+    return out;
+}
+
+std::string rewrite(std::string_view body, const std::vector<Member>& members, const std::vector<Override>& overrides) {
+    std::string out = "{";
+    out.reserve(body.size() + 256);
+    const auto put = [&](std::string_view member) {
+        if (out.size() > 1) out += ',';
+        out += member;
+    };
+    for (const auto& m : members) {
+        const bool replaced =
+            std::any_of(overrides.begin(), overrides.end(), [&](const auto& o) { return o.name == m.name; });
+        if (!replaced) put(body.substr(m.begin, m.end - m.begin));
+    }
+    for (const auto& o : overrides)
+        if (o.json) put("\"" + o.name + "\":" + *o.json);
+    return out + "}";
+}
+
+}  // namespace chalksail::chat
--- /dev/null
+++ b/src/config/settings.cpp
@@ -0,0 +1,264 @@
+#include "config/settings.hpp"
+
+#include <set>
+
+namespace chalksail::config {
+namespace {
+
+constexpr auto kRequired = Need::required;
+
+std::string name_of(const kdl::Node& node) { return std::get<std::string>(node.arguments.front().scalar); }
+
+class SettingsReader {
+public:
+    SettingsReader(const kdl::Document& document, Problems& problems) : document_(document), problems_(problems) {}
+
+    EdgeSettings read() {
+        defaults();
+        Block top(document_.nodes, {}, "the settings", problems_);
+        top.text("name", out_.name);
+        top.text("zone", out_.module.zone);
+        std::int64_t number = 0;
+        if (top.whole("seed", number, 0, INT64_MAX)) out_.seed = static_cast<std::uint64_t>(number);
+        top.address("listen", out_.listen);
+        top.address("admin", out_.admin);
+        top.text("session-header", out_.session_header);
+        top.flag("require-key", out_.require_key);
+        top.real("tokens-per-byte", out_.tokens_per_byte, 0.01, 10);
+        std::size_t choice = 0;
+        if (top.word("load", {"none", "headers", "metrics"}, choice)) out_.load = static_cast<LoadSource>(choice);
+        static const std::vector<std::string> levels = {"debug", "info", "warn", "error"};
+        if (top.word("log-level", levels, choice)) out_.log_level = levels[choice];
+        top.each("model", 1, [&](const kdl::Node& n) {
+            Properties(n, {}, 1, problems_);
+            out_.models.push_back(name_of(n));
+        });
+        one(top, "gateways", [&](Block& b) { gateways(b); });
+        one(top, "rules", [&](Block& b) { rules(b); });
+        one(top, "limits", [&](Block& b) { limits(b); });
+        one(top, "costs", [&](Block& b) {
+            b.real("far", out_.module.far_price, 0, 1e6);
+            b.real("cross-zone", out_.module.cross_zone_price, 0, 1e6);
+        });
+        top.each("class", 1, [&](const kdl::Node& n) { request_class(n); });
+        top.each("kind", 1, [&](const kdl::Node& n) { kind(n); });
+        top.each("tenant", 1, [&](const kdl::Node& n) { tenant(n); });
+        top.each("server", 1, [&](const kdl::Node& n) { server(n); });
+        top.done();
+        whole();
+        return std::move(out_);
+    }
+
+private:
+    void defaults() {
+        Settings& m = out_.module;
+        m.tick = std::chrono::milliseconds(4);
+        m.answer_slack = std::chrono::milliseconds(16);
+        m.release_within = std::chrono::milliseconds(300);
+        m.cold_for = std::chrono::seconds(12);
+        m.cold_from = 0.33;
+        m.fall_multiple = 3;
+        m.fall_window = std::chrono::seconds(2);
+        m.dial_timeout = std::chrono::milliseconds(250);
+        m.max_retry_after = std::chrono::seconds(2);
+        m.max_attempts = 4;
+        m.over_share_worth = 0.1;
+        m.may_cancel = true;
+        m.may_probe = true;
+        m.worth_by_work = true;
+        m.read_in_place = true;
+    }
+
+    template <class Read>
+    void one(Block& top, const char* name, Read read) {
+        bool seen = false;
+        top.each(name, 0, [&](const kdl::Node& n) {
+            if (seen) problems_.add(n.place, std::string("'") + name + "' is given twice");
+            seen = true;
+            Properties(n, {}, 0, problems_);
+            Block b(n.children, n.place, std::string("'") + name + "'", problems_);
+            read(b);
+            b.done();
+        });
+    }
+
+    void gateways(Block& b) {
+        std::int64_t count = 1;
+        std::int64_t me = 0;
+        b.whole("count", count, 1, 100'000);
+        b.whole("number", me, 0, count - 1);
+        out_.module.gateways = static_cast<int>(count);
+        out_.module.gateway = static_cast<int>(me);
+    }
+
+    void rules(Block& b) {
+        Settings& m = out_.module;
+        std::int64_t attempts = m.max_attempts;
+        b.whole("max-attempts", attempts, 1, 16);
+        m.max_attempts = static_cast<int>(attempts);
+        b.duration("tick", m.tick);
+        b.duration("answer-slack", m.answer_slack);
+        b.duration("release-within", m.release_within);
+        b.duration("cold-for", m.cold_for);
+        b.real("cold-from", m.cold_from, 0.01, 1);
+        b.real("fall-multiple", m.fall_multiple, 1, 100);
+        b.duration("fall-window", m.fall_window);
+        b.duration("dial-timeout", m.dial_timeout);
+        b.duration("max-retry-after", m.max_retry_after);
+        b.real("over-share-worth", m.over_share_worth, 0, 1);
+        b.flag("cancel", m.may_cancel);
+        b.flag("probes", m.may_probe);
+        b.flag("worth-by-work", m.worth_by_work);
+        b.flag("read-in-place", m.read_in_place);
+    }
+
+    void limits(Block& b) {
+        EdgeLimits& l = out_.limits;
+        b.size("head", l.head_bytes);
+        b.size("body", l.body_bytes);
+        b.whole("connections", l.connections, 1, 1'000'000);
+        b.whole("open-requests", l.open_requests, 1, 1'000'000);
+        b.whole("connections-per-server", l.per_server, 1, 100'000);
+        b.whole("dial-queue", l.dial_queue, 0, 1'000'000);
+        b.size("stream-buffer", l.stream_buffer);
+        b.size("event", l.event_bytes);
+        b.size("answer", l.answer_bytes);
+        b.size("pipelined", l.pipelined_bytes);
+        b.duration("head-timeout", l.head_timeout);
+        b.duration("body-timeout", l.body_timeout);
+        b.duration("idle-timeout", l.idle_timeout);
+        b.duration("stall-timeout", l.stall_timeout);
+        b.duration("stream-idle", l.stream_idle);
+        b.duration("stream-longest", l.stream_longest);
+        b.duration("server-idle", l.server_idle);
+        b.duration("drain", l.drain);
+        b.duration("call-timeout", l.release_timeout);
+    }
+
+    void request_class(const kdl::Node& n) {
+        Properties(n, {}, 1, problems_);
+        ClassSettings c;
+        ClassConfig more;
+        c.name = more.name = name_of(n);
+        if (!class_names_.insert(c.name).second) problems_.add(n.place, "class '" + c.name + "' is given twice");
+        Block b(n.children, n.place, "class '" + c.name + "'", problems_);
+        c.token_aim = std::chrono::milliseconds(60);
+        c.window = std::chrono::seconds(5);
+        b.duration("aim", c.aim, kRequired);
+        b.duration("aim-per-1000-tokens", c.aim_per_1000_tokens);
+        b.duration("token-aim", c.token_aim);
+        b.duration("deadline", c.deadline, kRequired);
+        b.real("worth", c.worth, 0, 1e6);
+        b.real("late-worth", c.late_worth, 0, 1);
+        std::size_t choice = 0;
+        if (b.word("effect", {"repeatable", "by-key", "once"}, choice)) c.effect = static_cast<Effect>(choice);
+        if (b.word("group", {"all", "zone", "cell"}, choice)) c.group = static_cast<Group>(choice);
+        b.duration("window", c.window);
+        b.flag("deadline-header", more.deadline_header);
+        b.each("when", 0, [&](const kdl::Node& w) {
+            const Properties p(w, {"model", "path", "header", "is"}, 0, problems_);
+            ClassRule rule{p.text("model"), p.text("path"), p.text("header"), p.text("is")};
+            if (rule.model.empty() && rule.path.empty() && rule.header.empty())
+                problems_.add(w.place, "'when' wants a model, a path or a header");
+            if (!rule.is.empty() && rule.header.empty()) problems_.add(w.place, "'is' goes with a header");
+            more.rules.push_back(std::move(rule));
+        });
+        b.done();
+        if (c.aim <= Duration::zero() || c.deadline < c.aim)
+            problems_.add(n.place, "class '" + c.name + "': the aim must be above 0 and within the deadline");
+        out_.module.classes.push_back(std::move(c));
+        out_.classes.push_back(std::move(more));
+    }
+
+    void kind(const kdl::Node& n) {
+        Properties(n, {}, 1, problems_);
+        KindSettings k;
+        KindConfig more;
+        k.name = more.name = name_of(n);
+        if (!kind_names_.insert(k.name).second) problems_.add(n.place, "kind '" + k.name + "' is given twice");
+        Block b(n.children, n.place, "kind '" + k.name + "'", problems_);
+        std::size_t role = 0;
+        if (b.word("role", {"prefill", "decode", "mixed"}, role, kRequired)) k.role = static_cast<Role>(role);
+        b.real("memory-tokens", k.memory_tokens, 0, 1e12);
+        b.wholes("not-run-status", more.not_run_statuses, 400, 599);
+        b.flag("release", more.release);
+        b.done();
+        out_.module.kinds.push_back(std::move(k));
+        out_.kinds.push_back(std::move(more));
+    }
+
+    void tenant(const kdl::Node& n) {
+        Properties(n, {}, 1, problems_);
+        TenantSettings t;
+        TenantConfig more;
+        t.name = more.name = name_of(n);
+        if (!tenant_names_.insert(t.name).second) problems_.add(n.place, "tenant '" + t.name + "' is given twice");
+        Block b(n.children, n.place, "tenant '" + t.name + "'", problems_);
+        b.real("quota-per-second", t.quota_per_s, 0, 1e9, kRequired);
+        b.each("key", 1, [&](const kdl::Node& k) {
+            if (!keys_.insert(name_of(k)).second) problems_.add(k.place, "this key is given twice");
+            more.keys.push_back(name_of(k));
+        });
+        b.done();
+        out_.module.tenants.push_back(std::move(t));
+        out_.tenants.push_back(std::move(more));
+    }
+
+    void server(const kdl::Node& n) {
+        const Properties p(n, {"kind", "zone", "cell", "weight", "address"}, 1, problems_);
+        ServerConfig s;
+        s.name = name_of(n);
+        s.kind = p.text("kind");
+        s.zone = p.text("zone");
+        p.whole("cell", s.cell, 0, 1'000'000);
+        p.real("weight", s.weight, 0, 1e6);
+        const auto address = parse_address(p.text("address"));
+        if (!address || address->port == 0)
+            problems_.add(n.place, "server '" + s.name + "' needs address=\"IP:PORT\"");
+        else s.address = *address;
+        if (!server_names_.insert(s.name).second) problems_.add(n.place, "server '" + s.name + "' is given twice");
+        if (!n.children.empty()) problems_.add(n.place, "'server' has no children");
+        kinds_used_.emplace_back(n.place, s.kind);
+        out_.servers.push_back(std::move(s));
+    }
+
+    // What only the whole can tell.
+    void whole() {
+        if (out_.module.classes.empty()) problems_.add({}, "the settings need a 'class'");
+        if (out_.module.kinds.empty()) problems_.add({}, "the settings need a 'kind'");
+        for (const auto& [place, kind] : kinds_used_)
+            if (!kind_names_.contains(kind)) {
+                const auto near = nearest(kind, kind_names_);
+                problems_.add(place, "unknown kind '" + kind + "'" +
+                                         (near.empty() ? "" : "; did you mean '" + near + "'?"));
+            }
+        if (out_.module.tick <= Duration::zero()) problems_.add({}, "'tick' must be above 0");
+        if (out_.module.release_within < 4 * out_.module.tick)
+            problems_.add({}, "'release-within' must be at least four times 'tick'");
+        if (out_.require_key && keys_.empty()) problems_.add({}, "'require-key' needs tenants with keys");
+        if (out_.load != LoadSource::none)
+            out_.module.report_fields = {ReportField::active, ReportField::memory_share};
+    }
+
+    const kdl::Document& document_;
+    Problems& problems_;
+    EdgeSettings out_;
+    std::set<std::string> class_names_, kind_names_, tenant_names_, server_names_, keys_;
+    std::vector<std::pair<kdl::Place, std::string>> kinds_used_;
+};
+
+}  // namespace
+
+SettingsResult parse_settings(std::string_view text, const std::string& file) {
+    Problems problems(file);
+    const auto document = kdl::parse(text);
+    if (!document) {
+        problems.add(document.error().place, document.error().text);
+        return tl::unexpected(problems.all());
+    }
+    auto settings = SettingsReader(*document, problems).read();
+    if (!problems.all().empty()) return tl::unexpected(problems.all());
+    return settings;
+}
+
+}  // namespace chalksail::config
--- /dev/null
+++ b/src/core/edge.cpp
@@ -0,0 +1,828 @@
+#include "core/edge.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/json.hpp"
+#include "chat/sse.hpp"
+
+namespace chalksail::core {
+
+using engine::Ending;
+using observe::Fate;
+
+namespace {
+
+constexpr int kModuleRounds = 64;  // steps of the module within one of ours; it settles in two or three
+
+std::int64_t whole_ms(Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
+http::Headers json_headers() {
+    http::Headers out;
+    out.add("Content-Type", "application/json");
+    return out;
+}
+
+}  // namespace
+
+// One request, from its arrival until its answer is given and none of its attempts is out.
+struct Edge::Open {
+    RequestId id;
+    ClientId client;
+    std::string name;         // X-Request-Id towards engines and client
+    std::string client_name;  // the client's own X-Request-Id
+    Intake in;
+    std::string body;
+    Time arrived{};
+    Time deadline{};  // the module's: the client's less the slack that an answer needs
+    double prompt_tokens = 0;
+    double told_prompt_tokens = 0;
+    double completion_tokens = 0;
+
+    std::optional<CallId> call;  // the attempt that is out
+    std::int64_t attempts = 0;
+    bool may_have_run = false;   // some writer attempt is not proved not to have run
+    struct Held {
+        std::string server;
+        Address address;
+        std::string kv_params;
+        std::int64_t attempt = 0;
+    };
+    std::optional<Held> held;  // the state that waits at a reader
+
+    bool started = false;   // the client gets, or will get, this attempt's answer
+    bool answered = false;  // final answer given, or the client is gone
+    bool overdue = false;   // its deadline came while nothing was out
+    Time first_chunk{};
+    Time last_chunk{};
+    std::int64_t chunks = 0;
+    std::unique_ptr<chat::Collector> collector;  // where the client wants one object
+    Time due{};
+    std::string last_outcome;
+    std::string trail;
+};
+
+// One exchange with a server.
+struct Edge::Outgoing {
+    CallId id;
+    CallKind kind = CallKind::attempt;
+    RequestId request;
+    AttemptId attempt;
+    std::string server;
+    std::string server_kind;
+    Time begun{};
+    Time timeout{};  // the module's own for this attempt; zero: none
+    bool read = false;
+    bool sent = false;
+    bool paused = false;
+    bool done_seen = false;
+    int status = 0;
+    engine::NotRun not_run = engine::NotRun::not_said;
+    std::vector<double> report;
+    std::string content_type;
+    std::string body;  // of a read, a probe or an error; bounded
+    bool body_overflow = false;
+    std::unique_ptr<chat::SseReader> events;
+};
+
+Edge::Edge(const config::EdgeSettings& settings)
+    : settings_(settings), brain_(settings.module, settings.seed),
+      tokens_(settings.module.classes.size(), settings.tokens_per_byte) {}
+Edge::~Edge() = default;
+
+std::vector<Output> Edge::step(Time now, std::vector<Input> inputs) {
+    // Guards against a clock that jumps back: time stands still until it has caught up.
+    now_ = std::max(now_, now);
+    effects_.clear();
+    for (auto& input : inputs) std::visit([this](auto& in) { on(in); }, input);
+    fire_due();
+    run_module();
+    return std::exchange(effects_, {});
+}
+
+std::optional<Time> Edge::next_wake() const {
+    std::optional<Time> out;
+    const auto want = [&](Time at) { out = out ? std::min(*out, at) : at; };
+    if (!events_.empty()) want(now_);
+    if (!due_.empty()) want(due_.begin()->first);
+    if (!call_due_.empty()) want(call_due_.begin()->first);
+    if (!wakes_.empty()) want(wakes_.begin()->first);
+    return out;
+}
+
+Gauges Edge::gauges() const {
+    return {unanswered_, started_, calls_.size(), held_, brain_.tracked_requests()};
+}
+
+std::vector<ListedServer> Edge::listed() const {
+    std::vector<ListedServer> out;
+    for (const auto& [id, s] : servers_) out.push_back(s);
+    return out;
+}
+
+Edge::Open* Edge::find(RequestId id) {
+    const auto it = open_.find(id.value);
+    return it == open_.end() ? nullptr : it->second.get();
+}
+Edge::Open* Edge::find(ClientId client) {
+    const auto it = by_client_.find(client.value);
+    return it == by_client_.end() ? nullptr : find(it->second);
+}
+const config::KindConfig* Edge::kind_config(const std::string& kind) const {
+    const auto it =
+        std::find_if(settings_.kinds.begin(), settings_.kinds.end(), [&](const auto& k) { return k.name == kind; });
+    return it == settings_.kinds.end() ? nullptr : &*it;
+}
+Role Edge::role_of(const std::string& kind) const {
+    for (const auto& k : settings_.module.kinds)
+        if (k.name == kind) return k.role;
+    return Role::mixed;
+}
+
+// ================= clients =================
+
+void Edge::reply_error(ClientId client, const chat::ApiError& error, http::Headers headers) {
+    headers.add("Content-Type", "application/json");
+    emit(Reply{client, error.status, std::move(headers), chat::format_error(error)});
+}
+
+void Edge::on(ClientRequest& in) {
+    const auto path = in.request.path();
+    if (path == engine::kChatPath) {
+        if (in.request.method == "POST") return take(in.client, in.request);
+        http::Headers allow;
+        allow.add("Allow", "POST");
+        return reply_error(in.client, {405, "use POST", "invalid_request_error", "", "method_not_allowed"}, allow);
+    }
+    if (path == "/v1/models" && in.request.method == "GET") {
+        std::string list;
+        for (const auto& model : settings_.models) {
+            if (!list.empty()) list += ',';
+            list += json::ObjectWriter().text("id", model).text("object", "model").whole("created", 0).text("owned_by", "chalksail").done();
+        }
+        emit(Reply{in.client, 200, json_headers(), R"({"object":"list","data":[)" + list + "]}"});
+        return;
+    }
+    reply_error(in.client, {404, "no such path", "invalid_request_error", "", "not_found"});
+}
+
+void Edge::take(ClientId client, http::Request& request) {
+    const std::uint64_t number = ++last_request_;
+    const std::string name = settings_.name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(number);
+    http::Headers headers;
+    headers.add(std::string(engine::kRequestIdHeader), name);
+    const auto tell = [&](Fate fate, int status, const char* reason) {
+        observe::RequestRecord record;
+        record.request = name;
+        record.client_request = request.headers.get(engine::kRequestIdHeader);
+        record.fate = fate;
+        record.status = status;
+        record.reason = reason;
+        emit(Note{record});
+    };
+    if (draining_ || unanswered_ >= static_cast<std::size_t>(settings_.limits.open_requests)) {
+        // Nothing has been done for it: harmless to try again, elsewhere or soon.
+        headers.add("Retry-After", "1");
+        headers.add("X-Should-Retry", "true");
+        if (draining_) headers.add("Connection", "close");
+        tell(Fate::refused, 503, draining_ ? "draining" : "limit");
+        return reply_error(client, {503, draining_ ? "this gateway is going away" : "too many open requests", "server_error", "", "refused"}, headers);
+    }
+    auto in = take_in(settings_, request, name);
+    if (!in) {
+        tell(Fate::rejected, in.error().status, "invalid");
+        return reply_error(client, in.error(), headers);
+    }
+    auto open = std::make_unique<Open>();
+    Open& r = *open;
+    r.id = {number};
+    r.client = client;
+    r.name = name;
+    r.client_name = request.headers.get(engine::kRequestIdHeader);
+    r.in = std::move(*in);
+    r.body = std::move(request.body);
+    r.arrived = now_;
+    r.deadline = now_ + std::max(settings_.module.tick, r.in.deadline - settings_.module.answer_slack);
+    r.prompt_tokens = std::ceil(tokens_.tokens(r.in.cls, r.in.chat.prompt_bytes));
+    if (!r.in.chat.stream) r.collector = std::make_unique<chat::Collector>(settings_.limits.answer_bytes);
+
+    Arrived arrived;
+    arrived.id = r.id;
+    arrived.class_name = settings_.classes[r.in.cls].name;
+    arrived.tenant = r.in.tenant;
+    arrived.session = r.in.session;
+    arrived.prefix = r.in.chat.prefix;
+    arrived.time_left = r.deadline - now_;
+    arrived.prompt_tokens = r.prompt_tokens;
+    arrived.shared_tokens = std::floor(tokens_.tokens(r.in.cls, r.in.chat.prefix_bytes));
+    arrived.max_output = r.in.chat.max_output;
+    arrived.retry = r.in.retry;
+    events_.emplace_back(std::move(arrived));
+
+    by_client_[client.value] = r.id;
+    unanswered_ += 1;
+    arm(r, r.deadline);
+    open_.emplace(number, std::move(open));
+}
+
+void Edge::on(const ClientClosed& in) {
+    Open* r = find(in.client);
+    if (r == nullptr || r->answered) return;
+    const RequestId id = r->id;
+    events_.emplace_back(ClientGone{id});
+    finish(*r, Fate::client_gone, 0, r->started ? "hung_up_streaming" : r->call ? "hung_up_attempt" : "hung_up_held");
+    // A stream that nobody reads ends; the module never calls off a started one by itself. One that has not
+    // started is the module's to call off, once it hears that the client is gone.
+    if (r->started && r->call) {
+        const CallId call = *r->call;
+        emit(CallAbort{call});
+        return end_attempt(call, Ending::cancelled, "client gone");
+    }
+    drop_if_over(id);
+}
+
+void Edge::on(const ClientBacklog& in) {
+    Open* r = find(in.client);
+    if (r == nullptr || !r->call) return;
+    auto& call = calls_.at(*r->call);
+    if (call.paused == in.full) return;
+    call.paused = in.full;
+    r->last_chunk = now_;
+    emit(CallFlow{call.id, in.full});
+}
+
+// ================= calls =================
+
+void Edge::on(const CallSent& in) {
+    if (const auto it = calls_.find(in.call); it != calls_.end()) it->second.sent = true;
+}
+
+void Edge::on(CallHead& in) {
+    const auto it = calls_.find(in.call);
+    if (it == calls_.end()) return;
+    Outgoing& call = it->second;
+    call.sent = true;
+    call.status = in.status;
+    call.not_run = engine::parse_not_run(in.headers.get(engine::kNotRunHeader));
+    call.content_type = in.headers.get("content-type");
+    if (settings_.load == config::LoadSource::headers)
+        call.report = engine::parse_load_header(in.headers.get(engine::kLoadHeader)).report();
+    if (call.kind == CallKind::attempt && !call.read && in.status == 200)
+        call.events = std::make_unique<chat::SseReader>(settings_.limits.event_bytes);
+}
+
+void Edge::on(CallBody& in) {
+    const auto it = calls_.find(in.call);
+    if (it == calls_.end()) return;
+    Outgoing& call = it->second;
+    if (call.events != nullptr) return take_stream(call, in.bytes);
+    if (call.body.size() + in.bytes.size() <= settings_.limits.answer_bytes) {
+        call.body += in.bytes;
+        return;
+    }
+    emit(CallAbort{call.id});
+    if (call.kind == CallKind::attempt) return end_attempt(call.id, Ending::bad_answer, "answer too large");
+    const Outgoing over = std::move(call);
+    calls_.erase(it);
+    over.kind == CallKind::probe ? end_probe(over, Ending::bad_answer) : end_release(over, Ending::bad_answer);
+}
+
+void Edge::take_stream(Outgoing& call, std::string_view bytes) {
+    const CallId id = call.id;
+    const RequestId request = call.request;
+    const auto events = call.events->feed(bytes);
+    std::size_t count = 0;
+    for (const auto& data : events) {
+        Open* r = find(request);
+        if (r == nullptr || r->call != id) return;  // this event's predecessor ended the attempt
+        take_chunk(*r, call, data);
+        ++count;
+    }
+    if (calls_.contains(id) && call.events->overflowed()) {
+        emit(CallAbort{id});
+        end_attempt(id, Ending::bad_answer, "event too large");
+    }
+}
+
+void Edge::take_chunk(Open& r, Outgoing& call, const std::string& data) {
+    const CallId id = call.id;
+    const auto chunk = engine::read_chunk(data);
+    if (chunk.usage) {
+        r.told_prompt_tokens = chunk.usage->prompt_tokens;
+        r.completion_tokens = chunk.usage->completion_tokens;
+    }
+    switch (chunk.kind) {
+        case engine::ChunkKind::done:
+            call.done_seen = true;
+            emit(CallSettled{id});
+            return end_attempt(id, Ending::answered, "");
+        case engine::ChunkKind::error:
+            emit(CallAbort{id});
+            return end_attempt(id, Ending::bad_answer, "error event");
+        case engine::ChunkKind::broken:
+            emit(CallAbort{id});
+            return end_attempt(id, Ending::bad_answer, "not a chunk");
+        case engine::ChunkKind::chunk:
+        case engine::ChunkKind::usage_only: break;
+    }
+    if (r.answered) {  // its client has gone, and the module may not call attempts off
+        emit(CallAbort{id});
+        return end_attempt(id, Ending::cancelled, "client gone");
+    }
+    r.last_chunk = now_;
+    r.chunks += 1;
+    if (!r.started) {
+        r.started = true;
+        r.first_chunk = now_;
+        started_ += 1;
+        events_.emplace_back(StreamStarted{r.id, call.attempt, {call.server}, now_ - call.begun});
+        if (r.held) {  // the writer has fetched it
+            r.held.reset();
+            held_ -= 1;
+        }
+        arm(r, now_ + settings_.limits.stream_idle);
+        std::string().swap(r.body);
+        std::vector<chat::Member>().swap(r.in.chat.members);
+        if (r.in.chat.stream) {
+            http::Headers headers;
+            headers.add("Content-Type", "text/event-stream; charset=utf-8");
+            headers.add("Cache-Control", "no-cache");
+            headers.add(std::string(engine::kRequestIdHeader), r.name);
+            emit(StreamBegin{r.client, std::move(headers)});
+        }
+    }
+    if (r.collector != nullptr) {
+        if (r.collector->add(data)) return;
+        emit(CallAbort{id});
+        return end_attempt(id, Ending::bad_answer, "answer too large, or not a chunk");
+    }
+    // The engine's count is asked for always, to correct our own; the client sees it only if it asked too.
+    if (chunk.kind == engine::ChunkKind::usage_only && !r.in.chat.include_usage) return;
+    emit(StreamBytes{r.client, chat::format_event(data)});
+}
+
+void Edge::on(const CallDone& in) {
+    const auto it = calls_.find(in.call);
+    if (it == calls_.end()) return;
+    if (it->second.kind == CallKind::attempt) return end_attempt(in.call, Ending::answered, "");
+    const Outgoing call = std::move(it->second);
+    calls_.erase(it);
+    call.kind == CallKind::probe ? end_probe(call, Ending::answered) : end_release(call, Ending::answered);
+}
+
+void Edge::on(const CallFailed& in) {
+    const auto it = calls_.find(in.call);
+    if (it == calls_.end()) return;
+    if (it->second.kind == CallKind::attempt) return end_attempt(in.call, in.ending, in.detail);
+    const Outgoing call = std::move(it->second);
+    calls_.erase(it);
+    call.kind == CallKind::probe ? end_probe(call, in.ending) : end_release(call, in.ending);
+}
+
+// The one place where an attempt ends, whatever ended it.
+void Edge::end_attempt(CallId id, Ending ending, const std::string& detail) {
+    const auto it = calls_.find(id);
+    const Outgoing call = std::move(it->second);
+    calls_.erase(it);
+    const RequestId request = call.request;
+    Open& r = *find(request);
+    r.call.reset();
+
+    std::optional<engine::ReadAnswer> read_answer;
+    if (call.read && call.status == 200 && ending == Ending::answered && !call.body_overflow)
+        read_answer = engine::parse_read_answer(call.body);
+    engine::Facts facts;
+    facts.ending = ending;
+    facts.sent = call.sent;
+    facts.read = call.read;
+    facts.started = r.started;
+    facts.whole = call.read ? read_answer.has_value() : call.done_seen && r.started;
+    facts.status = call.status;
+    facts.not_run = call.not_run;
+    if (const auto* kind = kind_config(call.server_kind))
+        facts.not_run_status = std::find(kind->not_run_statuses.begin(), kind->not_run_statuses.end(), call.status) !=
+                               kind->not_run_statuses.end();
+    const auto judged = engine::judge(facts);
+    if (!call.read && !engine::proves_not_run(judged.outcome)) r.may_have_run = true;
+
+    AttemptEnded ended{r.id, call.attempt, {call.server}, judged.outcome, now_ - call.begun, false, judged.remark, call.report};
+    // The break of a stream that had started ends the request, as its good end does; so does a verdict on it.
+    ended.finished = r.answered || r.started || judged.clients_fault;
+    if (read_answer) {
+        ended.remark = read_answer->cached_tokens;
+        if (read_answer->prompt_tokens > 0) {
+            r.told_prompt_tokens = read_answer->prompt_tokens;
+            tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, read_answer->prompt_tokens);
+        }
+        r.held = Open::Held{call.server, servers_.contains({call.server}) ? servers_.at({call.server}).address : Address{},
+                            std::move(read_answer->kv_params), call.attempt.value};
+        held_ += 1;
+    } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault && r.told_prompt_tokens > 0) {
+        tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, r.told_prompt_tokens);
+    }
+    if (judged.outcome == Outcome::full && judged.remark == 1 && r.held) {
+        r.held.reset();  // the writer says that there is none: nothing to let go
+        held_ -= 1;
+    }
+    r.last_outcome = engine::name(judged.outcome);
+    r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") + r.last_outcome + "/" +
+               std::to_string(whole_ms(now_ - call.begun)) + "ms";
+    emit(Note{observe::AttemptRecord{r.name, call.attempt.value, call.server, call.read, engine::name(judged.outcome),
+                                     call.status, call.sent, r.started && !call.read, now_ - call.begun, detail}});
+    // A read called off may have been done all the same, its answer on the way: the state is let go by its number.
+    if (call.read && call.sent && judged.outcome != Outcome::read &&
+        (judged.outcome == Outcome::cancelled || judged.outcome == Outcome::timeout || judged.outcome == Outcome::reset)) {
+        if (const auto s = servers_.find({call.server}); s != servers_.end())
+            release_call(r, call.attempt.value, call.server, s->second.address, "");
+    }
+    events_.emplace_back(std::move(ended));
+
+    if (!r.answered) {
+        if (judged.clients_fault) {
+            http::Headers headers;
+            headers.add("Content-Type", call.content_type.empty() ? "application/json" : call.content_type);
+            headers.add(std::string(engine::kRequestIdHeader), r.name);
+            emit(Reply{r.client, call.status, std::move(headers), call.body});
+            finish(r, Fate::rejected, call.status, "engine");
+        } else if (judged.outcome == Outcome::ok) {
+            if (r.in.chat.stream) {
+                emit(StreamBytes{r.client, chat::format_event(chat::kDone)});
+                emit(StreamEnd{r.client});
+            } else {
+                auto headers = json_headers();
+                headers.add(std::string(engine::kRequestIdHeader), r.name);
+                emit(Reply{r.client, 200, std::move(headers), r.collector->finish()});
+            }
+            finish(r, Fate::served, 200, "served");
+        } else if (r.started) {
+            fail(r, 502, "broken_stream", "the answer broke off: " + (detail.empty() ? r.last_outcome : detail));
+        }
+    }
+    drop_if_over(request);
+}
+
+void Edge::end_probe(const Outgoing& call, Ending ending) {
+    engine::Facts facts;
+    facts.ending = ending;
+    facts.sent = call.sent;
+    facts.whole = true;
+    facts.status = call.status;
+    auto outcome = engine::judge(facts).outcome;
+    if (outcome == Outcome::ok && call.status != 200) outcome = Outcome::error;  // no /health: not known to be well
+    std::vector<double> report = call.report;
+    if (settings_.load == config::LoadSource::metrics) report = engine::parse_metrics_page(call.body).report();
+    std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
+    emit(Note{observe::ServerRecord{call.server, "probe", std::string(engine::name(outcome))}});
+    events_.emplace_back(ProbeEnded{{call.server}, outcome, now_ - call.begun, std::move(report)});
+}
+
+void Edge::end_release(const Outgoing& call, Ending ending) {
+    std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
+    const bool has_none = ending == Ending::answered && (call.status == 404 || call.status == 405 || call.status == 501);
+    if (has_none) no_release_.insert(call.server);
+    const bool done = ending == Ending::answered && call.status < 300;
+    emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
+}
+
+// ================= the list of servers =================
+
+void Edge::on(const ServerList& in) {
+    ListChanged event;
+    event.scope = in.scope;
+    if (in.scope == ListScope::complete || in.scope == ListScope::recalled) {
+        std::set<ServerId> named;
+        for (const auto& s : in.servers) named.insert(s.entry.id);
+        for (auto& [id, s] : servers_)
+            if (!named.contains(id)) s.entry.state = ServerState::removed;
+    }
+    std::set<std::string> restarted;
+    for (const auto& s : in.servers) {
+        const auto old = servers_.find(s.entry.id);
+        const bool again = old != servers_.end() && old->second.entry.born != s.entry.born;
+        if (again) restarted.insert(s.entry.id.value);
+        if (again || old == servers_.end() || old->second.entry.state != s.entry.state) {
+            const char* const what = s.entry.state == ServerState::draining  ? "draining"
+                                     : s.entry.state == ServerState::removed ? "removed"
+                                     : again                                 ? "restarted"
+                                                                             : "up";
+            emit(Note{observe::ServerRecord{s.entry.id.value, what, format_address(s.address)}});
+        }
+        servers_[s.entry.id] = s;
+        event.entries.push_back(s.entry);
+    }
+    events_.emplace_back(std::move(event));
+    // What still waits for a connection to a server that drains, is gone, or has started anew does not go out.
+    std::vector<CallId> stay;
+    for (const auto& [id, call] : calls_) {
+        if (call.kind != CallKind::attempt || call.sent) continue;
+        const auto s = servers_.find({call.server});
+        if (s == servers_.end() || s->second.entry.state != ServerState::up || restarted.contains(call.server))
+            stay.push_back(id);
+    }
+    for (const CallId id : stay) {
+        emit(CallAbort{id});
+        end_attempt(id, Ending::withdrawn, "list");
+    }
+    // Removed servers are forgotten when nothing of theirs is out; states at them keep their own address.
+    std::set<std::string> used;
+    for (const auto& [id, call] : calls_) used.insert(call.server);
+    std::erase_if(servers_, [&](const auto& p) {
+        return p.second.entry.state == ServerState::removed && !used.contains(p.first.value);
+    });
+}
+
+// ================= the module's actions =================
+
+void Edge::run_module() {
+    for (int round = 0; !events_.empty() && round < kModuleRounds; ++round) {
+        const auto events = std::exchange(events_, {});
+        for (const auto& action : brain_.step(now_, events)) std::visit([this](const auto& a) { act(a); }, action);
+    }
+}
+
+// The module keeps these by itself; here each edge makes sure. What is stopped is told to the module as never sent.
+std::string Edge::guard(const Open& r, const Send& action) const {
+    if (r.answered) return "send after the final answer";
+    if (r.call) return "second attempt while one is out";
+    if (r.attempts >= settings_.module.max_attempts) return "over the attempt limit";
+    if (now_ >= r.deadline) return "send after the deadline";
+    const auto s = servers_.find(action.server);
+    if (s == servers_.end()) return "unknown server";
+    if (s->second.entry.state != ServerState::up) return "server not in service";
+    if (r.may_have_run && settings_.module.classes[r.in.cls].effect == Effect::once) return "once may have run";
+    return {};
+}
+
+void Edge::act(const Send& action) {
+    Open* r = find(action.id);
+    if (r == nullptr) return;
+    const auto attempt = r->attempts++;
+    if (const auto against = guard(*r, action); !against.empty()) {
+        emit(Note{observe::GuardRecord{r->name, against}});
+        if (!r->call)
+            events_.emplace_back(AttemptEnded{r->id, {attempt}, action.server, Outcome::moot, {}, r->answered, 0, {}});
+        return;
+    }
+    const ListedServer& s = servers_.at(action.server);
+    const bool read = role_of(s.entry.kind) == Role::prefill;
+
+    Call call;
+    call.call = {++last_call_};
+    call.server = action.server.value;
+    call.address = s.address;
+    call.method = "POST";
+    call.target = engine::kChatPath;
+    call.headers.add("Content-Type", "application/json");
+    call.headers.add(std::string(engine::kRequestIdHeader), r->name);
+    call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
+    if (!r->client_name.empty()) call.headers.add("X-Client-Request-Id", r->client_name);
+    if (!r->in.idempotency_key.empty()) call.headers.add(std::string(kIdempotencyHeader), r->in.idempotency_key);
+    if (settings_.load == config::LoadSource::headers) call.headers.add("endpoint-load-metrics-format", "TEXT");
+    const std::string params = r->held ? r->held->kv_params : std::string();
+    call.body = read ? engine::read_body(r->body, r->in.chat) : engine::write_body(r->body, r->in.chat, params);
+
+    Outgoing out;
+    out.id = call.call;
+    out.request = r->id;
+    out.attempt = {attempt};
+    out.server = call.server;
+    out.server_kind = s.entry.kind;
+    out.begun = now_;
+    out.read = read;
+    if (action.timeout > Duration::zero()) {
+        out.timeout = now_ + action.timeout;
+        arm(*r, std::min(r->deadline, out.timeout));
+    }
+    r->call = out.id;
+    calls_.emplace(out.id, std::move(out));
+    emit(std::move(call));
+}
+
+void Edge::act(const Refuse& action) {
+    Open* r = find(action.id);
+    if (r == nullptr || r->answered) return;
+    const bool once_ran = r->may_have_run && settings_.module.classes[r->in.cls].effect == Effect::once;
+    if (once_ran || r->started) {
+        emit(Note{observe::GuardRecord{r->name, "refusal of what may have run"}});
+        fail(*r, 502, "attempts", "the request failed");
+        return drop_if_over(action.id);
+    }
+    http::Headers headers;
+    const auto ms = std::max<std::int64_t>(1, whole_ms(action.retry_after));
+    headers.add("Retry-After", std::to_string(std::max<std::int64_t>(1, (ms + 999) / 1000)));
+    headers.add("Retry-After-Ms", std::to_string(ms));
+    headers.add("X-Should-Retry", "true");
+    headers.add(std::string(engine::kRequestIdHeader), r->name);
+    const std::string reason = r->attempts == 0 ? "held" : "attempts";
+    reply_error(r->client, {503, "no room to serve this in time; nothing was done, try again", "server_error", "", "refused"}, headers);
+    finish(*r, Fate::refused, 503, reason);
+    drop_if_over(action.id);
+}
+
+void Edge::act(const Fail& action) {
+    Open* r = find(action.id);
+    if (r == nullptr || r->answered) return;
+    const bool late = now_ >= r->deadline;
+    fail(*r, late ? 504 : 502, late ? "deadline" : "attempts",
+         late ? "no answer in time" : "the servers failed this request" + (r->last_outcome.empty() ? "" : " (" + r->last_outcome + ")"));
+    drop_if_over(action.id);
+}
+
+void Edge::act(const CancelAttempt& action) {
+    Open* r = find(action.id);
+    if (r == nullptr || !r->call || r->started) return;
+    const CallId id = *r->call;
+    if (calls_.at(id).attempt != action.attempt) return;
+    emit(CallAbort{id});
+    end_attempt(id, Ending::cancelled, "called off");
+}
+
+void Edge::act(const Release& action) {
+    if (Open* r = find(action.id)) let_go(*r);
+}
+
+void Edge::act(const Probe& action) {
+    const auto s = servers_.find(action.server);
+    if (s == servers_.end()) {
+        events_.emplace_back(ProbeEnded{action.server, Outcome::moot, {}, {}});
+        return;
+    }
+    Call call;
+    call.call = {++last_call_};
+    call.kind = CallKind::probe;
+    call.server = action.server.value;
+    call.address = s->second.address;
+    call.method = "GET";
+    call.target = settings_.load == config::LoadSource::metrics ? "/metrics" : "/health";
+    Outgoing out;
+    out.id = call.call;
+    out.kind = call.kind;
+    out.server = call.server;
+    out.server_kind = s->second.entry.kind;
+    out.begun = now_;
+    call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
+    calls_.emplace(out.id, std::move(out));
+    emit(std::move(call));
+}
+
+void Edge::act(const Wake& action) { wakes_.emplace(action.at, action.id); }
+
+// ================= time =================
+
+void Edge::arm(Open& r, Time at) {
+    disarm(r);
+    r.due = at;
+    due_.emplace(at, r.id);
+}
+void Edge::disarm(Open& r) {
+    if (r.due != Time{}) due_.erase({r.due, r.id});
+    r.due = {};
+}
+
+void Edge::fire_due() {
+    while (!wakes_.empty() && wakes_.begin()->first <= now_) {
+        events_.emplace_back(TimerFired{wakes_.begin()->second});
+        wakes_.erase(wakes_.begin());
+    }
+    while (!call_due_.empty() && call_due_.begin()->first <= now_) {
+        const CallId id = call_due_.begin()->second;
+        call_due_.erase(call_due_.begin());
+        const auto it = calls_.find(id);
+        if (it == calls_.end()) continue;
+        const Outgoing call = std::move(it->second);
+        calls_.erase(it);
+        emit(CallAbort{id});
+        call.kind == CallKind::probe ? end_probe(call, Ending::timed_out) : end_release(call, Ending::timed_out);
+    }
+    while (!due_.empty() && due_.begin()->first <= now_) {
+        const RequestId id = due_.begin()->second;
+        Open& r = *find(id);
+        disarm(r);
+        if (r.started) {
+            // Looked at when the idle time may be over, not moved at every chunk. A client that takes nothing is the
+            // shell's to give up; its engine is not read meanwhile, and so can't be called silent.
+            const Time longest = r.first_chunk + settings_.limits.stream_longest;
+            const bool paused = r.call && calls_.at(*r.call).paused;
+            const Time idle = (paused ? now_ : r.last_chunk) + settings_.limits.stream_idle;
+            if (now_ < longest && now_ < idle) {
+                arm(r, std::min(longest, idle));
+                continue;
+            }
+            const CallId call = *r.call;
+            emit(CallAbort{call});
+            end_attempt(call, Ending::timed_out, now_ >= longest ? "longest stream" : "silent stream");
+        } else if (r.call) {
+            const CallId call = *r.call;
+            const bool own = now_ < r.deadline;  // the module's own time-out of this attempt
+            emit(CallAbort{call});
+            if (own) arm(r, r.deadline);
+            else arm(r, now_ + 2 * settings_.module.tick);
+            r.overdue = !own;
+            end_attempt(call, Ending::timed_out, own ? "time-out" : "deadline");
+        } else if (!r.overdue) {
+            // Nothing is out, and the module has not given it up: it hears of the time now, and has one chance.
+            r.overdue = true;
+            arm(r, now_ + 2 * settings_.module.tick);
+            events_.emplace_back(TimerFired{{0}});
+        } else {
+            emit(Note{observe::GuardRecord{r.name, "no final answer at the deadline"}});
+            events_.emplace_back(ClientGone{id});
+            fail(r, 504, "deadline", "no answer in time");
+            drop_if_over(id);
+        }
+    }
+}
+
+// ================= ends =================
+
+void Edge::fail(Open& r, int status, std::string reason, std::string message) {
+    const auto& c = settings_.module.classes[r.in.cls];
+    const chat::ApiError error{status, std::move(message), "server_error", "", "failed"};
+    if (r.started && r.in.chat.stream) {
+        emit(StreamBytes{r.client, chat::format_event(chat::format_error(error))});
+        emit(StreamEnd{r.client});
+    } else {
+        http::Headers headers;
+        headers.add(std::string(engine::kRequestIdHeader), r.name);
+        // The OpenAI clients try again by themselves after any 5xx. What may have run and must not run twice says no.
+        if (c.effect != Effect::repeatable && r.may_have_run) headers.add("X-Should-Retry", "false");
+        reply_error(r.client, error, headers);
+    }
+    finish(r, Fate::failed, status, std::move(reason));
+}
+
+void Edge::finish(Open& r, Fate fate, int status, std::string reason) {
+    r.answered = true;
+    unanswered_ -= 1;
+    if (r.started) started_ -= 1;
+    by_client_.erase(r.client.value);
+    disarm(r);
+    observe::RequestRecord record;
+    record.request = r.name;
+    record.client_request = r.client_name;
+    record.class_name = settings_.classes[r.in.cls].name;
+    record.tenant = r.in.tenant;
+    record.fate = fate;
+    record.status = status;
+    record.reason = std::move(reason);
+    record.total = now_ - r.arrived;
+    if (r.started) record.first_token = r.first_chunk - r.arrived;
+    record.prompt_tokens = r.prompt_tokens;
+    record.prompt_tokens_told = r.told_prompt_tokens;
+    record.completion_tokens = r.completion_tokens;
+    record.chunks = r.chunks;
+    record.streamed = r.in.chat.stream;
+    record.trail = r.trail;
+    emit(Note{std::move(record)});
+    std::string().swap(r.body);
+    r.collector.reset();
+}
+
+// Forgets a request that has its answer and no attempt out. A state that is still held goes at once.
+void Edge::drop_if_over(RequestId id) {
+    Open* r = find(id);
+    if (r == nullptr || !r->answered || r->call) return;
+    let_go(*r);
+    open_.erase(id.value);
+}
+
+void Edge::let_go(Open& r) {
+    if (!r.held || r.call) return;  // with an attempt out the state is that attempt's to take
+    const auto held = std::move(*r.held);
+    r.held.reset();
+    held_ -= 1;
+    release_call(r, held.attempt, held.server, held.address, held.kv_params);
+}
+
+void Edge::release_call(const Open& r, std::int64_t attempt, const std::string& server, const Address& address,
+                        const std::string& kv_params) {
+    const auto listed = servers_.find({server});
+    const auto* kind = listed == servers_.end() ? nullptr : kind_config(listed->second.entry.kind);
+    if ((kind != nullptr && !kind->release) || no_release_.contains(server)) {
+        // Counted and noted: the state stays until the engine drops it by its own time.
+        emit(Note{observe::ServerRecord{server, "release", "none"}});
+        return;
+    }
+    Call call;
+    call.call = {++last_call_};
+    call.kind = CallKind::release;
+    call.server = server;
+    call.address = address;
+    call.method = "POST";
+    call.target = engine::kReleasePath;
+    call.headers.add("Content-Type", "application/json");
+    call.headers.add(std::string(engine::kRequestIdHeader), r.name);
+    call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
+    call.body = engine::release_body(r.name, kv_params);
+    Outgoing out;
+    out.id = call.call;
+    out.kind = call.kind;
+    out.server = server;
+    out.begun = now_;
+    call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
+    calls_.emplace(out.id, std::move(out));
+    emit(std::move(call));
+}
+
+}  // namespace chalksail::core
--- /dev/null
+++ b/src/core/edge.hpp
@@ -0,0 +1,236 @@
+// The edge without I/O: it owns the life of each request, hosts one decision module, and speaks in inputs and effects.
+//
+// step(now, inputs) takes what a shell has seen and gives what it is to do, in order. There is no socket, clock,
+// thread, log or global in here: the same object runs behind real sockets or in virtual time, and the same inputs
+// give the same effects. One Edge, one thread. Bad input of clients and engines becomes answers and outcomes, never
+// an exception; the constructor throws std::invalid_argument where the module refuses its settings.
+//
+// Names: a *client* is one connection with one request in hand; a *call* is one HTTP exchange with a server (an
+// attempt, a let-go, a probe). The shell knows both by number only.
+//
+// The module decides where and when. What is decided here is what the rules leave to whoever owns the sockets: the
+// end at the deadline, what proves that an attempt did not run (engine/outcome.hpp), that bytes of an attempt still
+// waiting for a connection stay here once the list says that its server drains, and that nothing is sent after a
+// final answer. Each of these also stands guard over the module: see guard().
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "base/units.hpp"
+#include "chat/collect.hpp"
+#include "config/settings.hpp"
+#include "core/intake.hpp"
+#include "core/token_estimate.hpp"
+#include "engine/outcome.hpp"
+#include "engine/protocol.hpp"
+#include "http/message.hpp"
+#include "observe/record.hpp"
+
+namespace chalksail::core {
+
+using ClientId = Strong<struct ClientTag, std::uint64_t>;
+using CallId = Strong<struct CallTag, std::uint64_t>;
+
+// ---- inputs ----
+
+struct ClientRequest {
+    ClientId client;
+    http::Request request;
+};
+struct ClientClosed {  // it hung up, or the shell gave it up
+    ClientId client;
+};
+struct ClientBacklog {  // bytes wait for it above the limit, or no longer
+    ClientId client;
+    bool full = false;
+};
+struct CallSent {  // its first byte was handed to a connection
+    CallId call;
+};
+struct CallHead {
+    CallId call;
+    int status = 0;
+    http::Headers headers;
+};
+struct CallBody {
+    CallId call;
+    std::string bytes;
+};
+struct CallDone {  // the answer came to its proper end
+    CallId call;
+};
+struct CallFailed {
+    CallId call;
+    engine::Ending ending = engine::Ending::closed;
+    std::string detail;
+};
+struct ListedServer {
+    ServerEntry entry;
+    Address address;
+};
+struct ServerList {
+    ListScope scope = ListScope::complete;
+    std::vector<ListedServer> servers;
+};
+struct DrainBegins {};  // no new request is taken from now on
+using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallHead, CallBody, CallDone,
+                           CallFailed, ServerList, DrainBegins>;
+
+// ---- effects: what the shell is to do ----
+
+struct Reply {  // a whole answer
+    ClientId client;
+    int status = 200;
+    http::Headers headers;
+    std::string body;
+};
+struct StreamBegin {
+    ClientId client;
+    http::Headers headers;
+};
+struct StreamBytes {
+    ClientId client;
+    std::string bytes;
+};
+struct StreamEnd {
+    ClientId client;
+};
+enum class CallKind { attempt, release, probe };
+struct Call {
+    CallId call;
+    CallKind kind = CallKind::attempt;
+    std::string server;
+    Address address;
+    std::string method;
+    std::string target;
+    http::Headers headers;
+    std::string body;
+};
+struct CallAbort {  // its connection is closed, or it leaves the queue; nothing more is heard of it
+    CallId call;
+};
+struct CallSettled {  // all that was wanted of it is here; its connection may serve others once the answer has ended
+    CallId call;
+};
+struct CallFlow {  // stop or go on reading its answer
+    CallId call;
+    bool paused = false;
+};
+struct Note {
+    observe::Record record;
+};
+using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, Call, CallAbort, CallSettled, CallFlow, Note>;
+
+struct Gauges {
+    std::size_t open_requests = 0;    // without a final answer
+    std::size_t started_streams = 0;
+    std::size_t calls = 0;
+    std::size_t states_held = 0;
+    std::size_t tracked_by_module = 0;
+};
+
+class Edge {
+public:
+    explicit Edge(const config::EdgeSettings& settings);
+    ~Edge();
+    Edge(const Edge&) = delete;
+    Edge& operator=(const Edge&) = delete;
+
+    // `now` must not go backwards; one that does counts as the latest seen.
+    [[nodiscard]] std::vector<Output> step(Time now, std::vector<Input> inputs);
+    // No later than this step() must be called again, with or without inputs.
+    [[nodiscard]] std::optional<Time> next_wake() const;
+    [[nodiscard]] Gauges gauges() const;
+    // Names and states of the servers listed, for operators.
+    [[nodiscard]] std::vector<ListedServer> listed() const;
+
+private:
+    struct Open;
+    struct Outgoing;
+
+    // clients
+    void on(ClientRequest& in);
+    void on(const ClientClosed& in);
+    void on(const ClientBacklog& in);
+    void take(ClientId client, http::Request& request);
+    void reply_error(ClientId client, const chat::ApiError& error, http::Headers headers = {});
+    // calls
+    void on(const CallSent& in);
+    void on(CallHead& in);
+    void on(CallBody& in);
+    void on(const CallDone& in);
+    void on(const CallFailed& in);
+    void take_stream(Outgoing& call, std::string_view bytes);
+    void take_chunk(Open& open, Outgoing& call, const std::string& data);
+    void end_attempt(CallId id, engine::Ending ending, const std::string& detail);
+    void end_probe(const Outgoing& call, engine::Ending ending);
+    void end_release(const Outgoing& call, engine::Ending ending);
+    // list
+    void on(const ServerList& in);
+    void on(const DrainBegins&) { draining_ = true; }
+    // the module's actions
+    void run_module();
+    void act(const Send& action);
+    void act(const Refuse& action);
+    void act(const Fail& action);
+    void act(const CancelAttempt& action);
+    void act(const Release& action);
+    void act(const MoveStream&) {}  // streams are not moved
+    void act(const BookSeat&) {}    // engines of this convention hold no places ahead
+    void act(const Probe& action);
+    void act(const Wake& action);
+    void act(const FollowList&) {}  // the list is pushed
+    // May this be sent? Says what speaks against it.
+    [[nodiscard]] std::string guard(const Open& open, const Send& action) const;
+    // time
+    void fire_due();
+    void arm(Open& open, Time at);
+    void disarm(Open& open);
+    // ends
+    void fail(Open& open, int status, std::string reason, std::string message);
+    void finish(Open& open, observe::Fate fate, int status, std::string reason);
+    void drop_if_over(RequestId id);
+    void let_go(Open& open);
+    void release_call(const Open& open, std::int64_t attempt, const std::string& server, const Address& address,
+                      const std::string& kv_params);
+
+    Open* find(RequestId id);
+    Open* find(ClientId client);
+    [[nodiscard]] const config::KindConfig* kind_config(const std::string& kind) const;
+    [[nodiscard]] Role role_of(const std::string& kind) const;
+    template <class E>
+    void emit(E effect) {
+        effects_.emplace_back(std::move(effect));
+    }
+
+    config::EdgeSettings settings_;
+    Brain brain_;
+    TokenEstimate tokens_;
+    Time now_{};
+    bool draining_ = false;
+    std::vector<Output> effects_;
+    std::vector<Event> events_;  // for the module, at its next step
+    std::unordered_map<std::uint64_t, std::unique_ptr<Open>> open_;          // by request; looked up, never walked
+    std::unordered_map<std::uint64_t, RequestId> by_client_;                 // the same
+    std::map<CallId, Outgoing> calls_;
+    std::map<ServerId, ListedServer> servers_;
+    std::set<std::pair<Time, RequestId>> due_;
+    std::set<std::pair<Time, CallId>> call_due_;  // let-go calls and probes
+    std::multimap<Time, TimerId> wakes_;
+    std::uint64_t last_request_ = 0;
+    std::uint64_t last_call_ = 0;
+    std::size_t started_ = 0;
+    std::size_t unanswered_ = 0;
+    std::size_t held_ = 0;
+    std::set<std::string> no_release_;  // servers that have no let-go call
+};
+
+}  // namespace chalksail::core
--- /dev/null
+++ b/src/net/edge_shell.cpp
@@ -0,0 +1,231 @@
+#include "net/edge_shell.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chalksail::net {
+namespace {
+
+constexpr std::size_t kAdminConnections = 64;
+constexpr std::uint64_t kDrainLookMs = 20;
+
+ServerLimits client_limits(const config::EdgeLimits& l) {
+    ServerLimits out;
+    out.message = {l.head_bytes, l.body_bytes};
+    out.connections = static_cast<std::size_t>(l.connections);
+    out.stream_buffer = l.stream_buffer;
+    out.pipelined_bytes = l.pipelined_bytes;
+    out.head_timeout = l.head_timeout;
+    out.body_timeout = l.body_timeout;
+    out.idle_timeout = l.idle_timeout;
+    out.stall_timeout = l.stall_timeout;
+    return out;
+}
+ServerLimits admin_limits(const config::EdgeLimits& l) {
+    ServerLimits out = client_limits(l);
+    out.connections = kAdminConnections;
+    return out;
+}
+PoolLimits pool_limits(const config::EdgeSettings& s) {
+    PoolLimits out;
+    out.message = {s.limits.head_bytes, 0};
+    out.per_server = static_cast<std::size_t>(s.limits.per_server);
+    out.queue = static_cast<std::size_t>(s.limits.dial_queue);
+    out.dial_timeout = s.module.dial_timeout;
+    out.idle = s.limits.server_idle;
+    out.settle = s.limits.release_timeout;
+    return out;
+}
+ClockOffset offset_now() {
+    const auto wall = std::chrono::system_clock::now().time_since_epoch();
+    return {uv_now_time().time_since_epoch() - std::chrono::duration_cast<Duration>(wall)};
+}
+void close_timer(uv_timer_t*& timer) {
+    if (timer == nullptr) return;
+    uv_timer_stop(timer);
+    uv_close(reinterpret_cast<uv_handle_t*>(timer), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+    timer = nullptr;
+}
+
+}  // namespace
+
+struct EdgeShell::AdminHandler : HttpServer::Handler {
+    explicit AdminHandler(EdgeShell& owner) : shell(owner) {}
+    void on_request(HttpServer::Peer peer, http::Request request) override { shell.admin_request(peer, request); }
+    void on_closed(HttpServer::Peer) override {}
+    EdgeShell& shell;
+};
+
+EdgeShell::EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log)
+    : loop_(loop), settings_(settings), log_(log), metrics_(settings.name), edge_(settings),
+      admin_handler_(std::make_unique<AdminHandler>(*this)), offset_(offset_now()) {
+    for (const auto& k : settings_.kinds) kinds_.insert(k.name);
+    clients_ = std::make_unique<HttpServer>(loop_, static_cast<HttpServer::Handler&>(*this), client_limits(settings_.limits));
+    admin_ = std::make_unique<HttpServer>(loop_, *admin_handler_, admin_limits(settings_.limits));
+    servers_ = std::make_unique<HttpPool>(loop_, static_cast<HttpPool::Handler&>(*this), pool_limits(settings_));
+    address_ = clients_->listen(settings_.listen);
+    admin_address_ = admin_->listen(settings_.admin);
+
+    check_ = new uv_check_t;
+    uv_check_init(&loop_, check_);
+    check_->data = this;
+    uv_check_start(check_, [](uv_check_t* c) { static_cast<EdgeShell*>(c->data)->pump(); });
+    uv_unref(reinterpret_cast<uv_handle_t*>(check_));
+    wake_ = new uv_timer_t;
+    uv_timer_init(&loop_, wake_);
+    wake_->data = this;
+    if (!settings_.servers.empty()) inputs_.emplace_back(settings_list(settings_));
+    pump();
+}
+
+EdgeShell::~EdgeShell() { finish(); }
+
+void EdgeShell::on_request(HttpServer::Peer peer, http::Request request) {
+    inputs_.emplace_back(core::ClientRequest{{peer}, std::move(request)});
+}
+void EdgeShell::on_closed(HttpServer::Peer peer) { inputs_.emplace_back(core::ClientClosed{{peer}}); }
+void EdgeShell::on_backlog(HttpServer::Peer peer, bool full) {
+    inputs_.emplace_back(core::ClientBacklog{{peer}, full});
+}
+void EdgeShell::on_sent(HttpPool::Call call) { inputs_.emplace_back(core::CallSent{{call}}); }
+void EdgeShell::on_head(HttpPool::Call call, int status, http::Headers headers) {
+    inputs_.emplace_back(core::CallHead{{call}, status, std::move(headers)});
+}
+void EdgeShell::on_body(HttpPool::Call call, std::string bytes) {
+    inputs_.emplace_back(core::CallBody{{call}, std::move(bytes)});
+}
+void EdgeShell::on_done(HttpPool::Call call) { inputs_.emplace_back(core::CallDone{{call}}); }
+void EdgeShell::on_failed(HttpPool::Call call, engine::Ending ending, std::string detail) {
+    inputs_.emplace_back(core::CallFailed{{call}, ending, std::move(detail)});
+}
+
+void EdgeShell::pump() {
+    if (pumping_ || finished_) return;
+    pumping_ = true;
+    for (;;) {
+        const Time now = uv_now_time();
+        const auto wake = edge_.next_wake();
+        if (inputs_.empty() && (!wake || *wake > now)) break;
+        for (auto& output : edge_.step(now, std::exchange(inputs_, {}))) carry_out(output);
+        clients_->flush();
+    }
+    admin_->flush();
+    if (const auto wake = edge_.next_wake()) {
+        const auto left = std::chrono::duration_cast<std::chrono::microseconds>(*wake - uv_now_time()).count();
+        const auto ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, (left + 999) / 1000));
+        uv_update_time(&loop_);
+        uv_timer_start(wake_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->pump(); }, ms, 0);
+    } else {
+        uv_timer_stop(wake_);
+    }
+    pumping_ = false;
+}
+
+void EdgeShell::carry_out(core::Output& output) {
+    if (auto* bytes = std::get_if<core::StreamBytes>(&output)) {
+        clients_->stream(bytes->client.value, bytes->bytes);
+    } else if (auto* reply = std::get_if<core::Reply>(&output)) {
+        clients_->reply(reply->client.value, reply->status, std::move(reply->headers), reply->body);
+    } else if (auto* begin = std::get_if<core::StreamBegin>(&output)) {
+        clients_->begin_stream(begin->client.value, std::move(begin->headers));
+    } else if (auto* end = std::get_if<core::StreamEnd>(&output)) {
+        clients_->end_stream(end->client.value);
+    } else if (auto* call = std::get_if<core::Call>(&output)) {
+        servers_->start(call->call.value, call->address, call->method, call->target, std::move(call->headers), call->body);
+    } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
+        servers_->cancel(abort->call.value);
+    } else if (const auto* settled = std::get_if<core::CallSettled>(&output)) {
+        servers_->settle(settled->call.value);
+    } else if (const auto* flow = std::get_if<core::CallFlow>(&output)) {
+        servers_->flow(flow->call.value, flow->paused);
+    } else if (const auto* note = std::get_if<core::Note>(&output)) {
+        metrics_.count(note->record);
+        log_.write(note->record);
+    }
+}
+
+void EdgeShell::admin_request(HttpServer::Peer peer, const http::Request& request) {
+    http::Headers headers;
+    headers.add("Content-Type", "application/json");
+    const auto path = request.path();
+    if (path == "/servers" && request.method == "POST") {
+        auto list = parse_server_list(request.body, kinds_, offset_);
+        if (!list) {
+            log_.say("warn", "list_refused", list.error());
+            return admin_->reply(peer, 400, headers, chat::format_error({400, list.error(), "invalid_request_error", "servers", ""}));
+        }
+        inputs_.emplace_back(std::move(*list));
+        // Answered once it is in force: whoever gets the answer knows that the edge has been told.
+        pump();
+        return admin_->reply(peer, 200, headers, R"({"taken":true})");
+    }
+    if (path == "/servers" && request.method == "GET")
+        return admin_->reply(peer, 200, headers, format_server_list(edge_.listed(), offset_));
+    if (path == "/metrics" && request.method == "GET") {
+        const auto g = edge_.gauges();
+        const auto c = clients_->counts();
+        const auto s = servers_->counts();
+        metrics_.set("open_requests", static_cast<double>(g.open_requests));
+        metrics_.set("started_streams", static_cast<double>(g.started_streams));
+        metrics_.set("calls_out", static_cast<double>(g.calls));
+        metrics_.set("states_held", static_cast<double>(g.states_held));
+        metrics_.set("client_connections", static_cast<double>(c.connections));
+        metrics_.set("client_connections_over_limit", static_cast<double>(c.over_limit));
+        metrics_.set("client_bad_requests", static_cast<double>(c.bad_requests));
+        metrics_.set("client_stalled", static_cast<double>(c.stalled));
+        metrics_.set("client_timed_out", static_cast<double>(c.timed_out));
+        metrics_.set("server_connections", static_cast<double>(s.connections));
+        metrics_.set("server_dials", static_cast<double>(s.dialled));
+        metrics_.set("server_dials_failed", static_cast<double>(s.dial_failed));
+        metrics_.set("server_connections_reused", static_cast<double>(s.reused));
+        metrics_.set("server_queue", static_cast<double>(s.waiting));
+        http::Headers text;
+        text.add("Content-Type", "text/plain; version=0.0.4");
+        return admin_->reply(peer, 200, text, metrics_.page());
+    }
+    if (path == "/health" && request.method == "GET")
+        return admin_->reply(peer, draining_ ? 503 : 200, headers, draining_ ? R"({"status":"draining"})" : R"({"status":"ok"})");
+    admin_->reply(peer, 404, headers, chat::format_error({404, "no such path", "invalid_request_error", "", "not_found"}));
+}
+
+void EdgeShell::drain() {
+    if (draining_) return;
+    draining_ = true;
+    log_.say("info", "drain", "stops accepting; " + std::to_string(edge_.gauges().open_requests) + " requests are open");
+    clients_->stop_listening();
+    clients_->drain();
+    inputs_.emplace_back(core::DrainBegins{});
+    drain_timer_ = new uv_timer_t;
+    uv_timer_init(&loop_, drain_timer_);
+    drain_timer_->data = this;
+    drain_until_ = uv_now_time() + settings_.limits.drain;
+    uv_timer_start(
+        drain_timer_,
+        [](uv_timer_t* t) {
+            auto& shell = *static_cast<EdgeShell*>(t->data);
+            shell.pump();
+            const auto g = shell.edge_.gauges();
+            const bool done = g.open_requests == 0 && g.calls == 0 && shell.clients_->counts().connections == 0;
+            const bool late = uv_now_time() >= shell.drain_until_;
+            if (late && !done)
+                shell.log_.say("warn", "drain", "time is over; " + std::to_string(g.open_requests) + " requests are cut");
+            if (done || late) shell.finish();
+        },
+        kDrainLookMs, kDrainLookMs);
+}
+
+void EdgeShell::finish() {
+    if (finished_) return;
+    finished_ = true;
+    close_timer(wake_);
+    close_timer(drain_timer_);
+    uv_check_stop(check_);
+    uv_close(reinterpret_cast<uv_handle_t*>(check_), [](uv_handle_t* h) { delete reinterpret_cast<uv_check_t*>(h); });
+    check_ = nullptr;
+    clients_.reset();
+    admin_.reset();
+    servers_.reset();
+    log_.flush();
+}
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/net/edge_shell.hpp
@@ -0,0 +1,76 @@
+// The edge on sockets: carries bytes and time to the core and does what it says. Decides nothing.
+// One libuv loop, one thread: the one that calls run().
+#pragma once
+
+#include <uv.h>
+
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "core/edge.hpp"
+#include "net/admin.hpp"
+#include "net/http_pool.hpp"
+#include "net/http_server.hpp"
+#include "observe/log.hpp"
+#include "observe/metrics.hpp"
+
+namespace chalksail::net {
+
+class EdgeShell : HttpServer::Handler, HttpPool::Handler {
+public:
+    // Throws std::runtime_error if an address can't be listened on, std::invalid_argument for bad settings.
+    EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log);
+    ~EdgeShell() override;
+    EdgeShell(const EdgeShell&) = delete;
+    EdgeShell& operator=(const EdgeShell&) = delete;
+
+    [[nodiscard]] const Address& address() const { return address_; }
+    [[nodiscard]] const Address& admin_address() const { return admin_address_; }
+    // Stops accepting; when all is answered, or the drain time is over, closes everything, so that the loop ends.
+    void drain();
+    [[nodiscard]] core::Gauges gauges() const { return edge_.gauges(); }
+
+private:
+    struct AdminHandler;
+    void on_request(HttpServer::Peer peer, http::Request request) override;
+    void on_closed(HttpServer::Peer peer) override;
+    void on_backlog(HttpServer::Peer peer, bool full) override;
+    void on_sent(HttpPool::Call call) override;
+    void on_head(HttpPool::Call call, int status, http::Headers headers) override;
+    void on_body(HttpPool::Call call, std::string bytes) override;
+    void on_done(HttpPool::Call call) override;
+    void on_failed(HttpPool::Call call, engine::Ending ending, std::string detail) override;
+    void admin_request(HttpServer::Peer peer, const http::Request& request);
+
+    void pump();  // gives the core what has come, and does what it says, until nothing is left
+    void carry_out(core::Output& output);
+    void finish();
+
+    uv_loop_t& loop_;
+    config::EdgeSettings settings_;
+    observe::Log& log_;
+    observe::Metrics metrics_;
+    core::Edge edge_;
+    std::unique_ptr<AdminHandler> admin_handler_;
+    std::unique_ptr<HttpServer> clients_;
+    std::unique_ptr<HttpServer> admin_;
+    std::unique_ptr<HttpPool> servers_;
+    std::vector<core::Input> inputs_;
+    std::set<std::string> kinds_;
+    ClockOffset offset_;
+    Address address_;
+    Address admin_address_;
+    uv_check_t* check_ = nullptr;
+    uv_timer_t* wake_ = nullptr;
+    uv_timer_t* drain_timer_ = nullptr;
+    Time drain_until_{};
+    bool draining_ = false;
+    bool finished_ = false;
+    bool pumping_ = false;
+};
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/net/http_pool.cpp
@@ -0,0 +1,338 @@
+#include "net/http_pool.hpp"
+
+#include <netinet/in.h>
+
+#include <algorithm>
+#include <utility>
+
+#include "net/http_server.hpp"
+
+namespace chalksail::net {
+
+using engine::Ending;
+
+namespace {
+
+constexpr std::size_t kReadBuffer = 64 * 1024;
+constexpr std::uint64_t kSweepMs = 10;  // dial time-outs are tens of milliseconds and more
+constexpr std::uint64_t kSweepsToIdle = 25;
+
+bool out_of_resources(int error) {
+    return error == UV_EMFILE || error == UV_ENFILE || error == UV_ENOBUFS || error == UV_ENOMEM ||
+           error == UV_EADDRNOTAVAIL;
+}
+
+struct WriteJob {
+    uv_write_t request{};
+    std::string bytes;
+};
+
+}  // namespace
+
+struct HttpPool::Connection {
+    uv_tcp_t socket{};
+    uv_connect_t connect{};
+    HttpPool* pool = nullptr;
+    Address address;
+    http::ResponseReader reader;
+    enum class State { dialling, idle, busy, closing } state = State::dialling;
+    Call call = 0;
+    bool settled = false;  // nobody listens to the rest of this answer
+    bool paused = false;
+    Waiting first;         // to send once connected
+    Time since{};          // of the state
+
+    explicit Connection(http::Limits limits) : reader(limits) {}
+    [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
+};
+
+HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
+    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer) {
+    sweeper_ = new uv_timer_t;
+    uv_timer_init(&loop_, sweeper_);
+    sweeper_->data = this;
+    uv_timer_start(sweeper_, [](uv_timer_t* t) { static_cast<HttpPool*>(t->data)->sweep(); }, kSweepMs, kSweepMs);
+    uv_unref(reinterpret_cast<uv_handle_t*>(sweeper_));
+}
+
+HttpPool::~HttpPool() {
+    close_all();
+    uv_timer_stop(sweeper_);
+    uv_close(reinterpret_cast<uv_handle_t*>(sweeper_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+}
+
+void HttpPool::start(Call call, const Address& address, std::string_view method, std::string_view target,
+                     http::Headers headers, std::string_view body) {
+    http::Headers all;
+    all.add("Host", format_address(address));
+    for (auto& h : headers.all()) all.add(std::move(h.name), std::move(h.value));
+    if (method != "GET") all.add("Content-Length", std::to_string(body.size()));
+    std::string bytes = http::format_request_head(method, target, all);
+    bytes += body;
+
+    Host& host = hosts_[address];
+    if (!host.idle.empty()) {
+        Connection& c = *host.idle.back();  // the one used last: the others may be closed for want of use
+        host.idle.pop_back();
+        counts_.reused += 1;
+        return send(c, call, std::move(bytes));
+    }
+    Waiting waiting{call, uv_now_time(), std::move(bytes)};
+    if (host.connections < limits_.per_server) return dial(address, host, std::move(waiting));
+    if (host.waiting.size() >= limits_.queue) return handler_.on_failed(call, Ending::no_resources, "queue full");
+    queued_.emplace(call, address);
+    host.waiting.push_back(std::move(waiting));
+}
+
+void HttpPool::dial(const Address& address, Host& host, Waiting first) {
+    auto* c = new Connection(limits_.message);
+    c->pool = this;
+    c->address = address;
+    c->since = first.since;
+    c->first = std::move(first);
+    c->call = c->first.call;
+    uv_tcp_init(&loop_, &c->socket);
+    c->socket.data = c;
+    c->connect.data = c;
+    all_.insert(c);
+    dialling_.insert(c);
+    busy_.emplace(c->call, c);
+    host.connections += 1;
+    counts_.dialled += 1;
+    sockaddr_storage where{};
+    if (uv_ip4_addr(address.host.c_str(), address.port, reinterpret_cast<sockaddr_in*>(&where)) != 0)
+        uv_ip6_addr(address.host.c_str(), address.port, reinterpret_cast<sockaddr_in6*>(&where));
+    const int error = uv_tcp_connect(&c->connect, &c->socket, reinterpret_cast<const sockaddr*>(&where), [](uv_connect_t* r, int status) {
+        auto& connection = *static_cast<Connection*>(r->data);
+        if (connection.state == Connection::State::dialling) connection.pool->connected(connection, status);
+    });
+    if (error != 0) connected(*c, error);
+}
+
+void HttpPool::connected(Connection& c, int status) {
+    if (status != 0) {
+        counts_.dial_failed += 1;
+        return broke(c, out_of_resources(status) ? Ending::no_resources : Ending::dial_failed, uv_strerror(status));
+    }
+    dialling_.erase(&c);
+    uv_tcp_nodelay(&c.socket, 1);
+    start_reading(c);
+    const Call call = c.call;
+    busy_.erase(call);
+    send(c, call, std::move(c.first.bytes));
+}
+
+void HttpPool::start_reading(Connection& c) {
+    uv_read_start(
+        c.stream(),
+        [](uv_handle_t* h, std::size_t, uv_buf_t* buffer) {
+            auto& all = static_cast<Connection*>(h->data)->pool->read_buffer_;
+            *buffer = uv_buf_init(all.data(), static_cast<unsigned>(all.size()));
+        },
+        [](uv_stream_t* s, ssize_t n, const uv_buf_t* buffer) {
+            auto& connection = *static_cast<Connection*>(s->data);
+            if (n > 0) connection.pool->took(connection, {buffer->base, static_cast<std::size_t>(n)});
+            else if (n < 0) connection.pool->ended(connection);
+        });
+}
+
+void HttpPool::send(Connection& c, Call call, std::string bytes) {
+    c.state = Connection::State::busy;
+    c.call = call;
+    c.settled = c.paused = false;
+    c.since = uv_now_time();
+    c.reader.reset();
+    busy_[call] = &c;
+    handler_.on_sent(call);  // from here on it may run, whatever the write says
+    auto* job = new WriteJob;
+    job->bytes = std::move(bytes);
+    job->request.data = job;
+    uv_buf_t buffer = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
+    const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int) {
+        // A failed write is seen by the reader too, as the end of the connection.
+        delete static_cast<WriteJob*>(w->data);
+    });
+    if (error != 0) {
+        delete job;
+        broke(c, Ending::closed, uv_strerror(error));
+    }
+}
+
+void HttpPool::took(Connection& c, std::string_view bytes) {
+    if (c.state != Connection::State::busy) return close(c);  // nothing was asked for
+    pieces(c, c.reader.feed(bytes));
+}
+
+void HttpPool::ended(Connection& c) {
+    if (c.state == Connection::State::idle) return close(c);
+    auto rest = c.reader.close();
+    const bool had = !rest.empty();
+    if (had) pieces(c, std::move(rest));
+    if (c.state == Connection::State::busy) broke(c, Ending::closed, "closed by the server");
+}
+
+void HttpPool::pieces(Connection& c, std::vector<http::ResponsePiece> all) {
+    const Call call = c.call;
+    for (auto& piece : all) {
+        if (c.state != Connection::State::busy || c.call != call) return;
+        if (std::holds_alternative<http::ResponseEnd>(piece)) {
+            const bool keep = std::get<http::ResponseEnd>(piece).keep_alive;
+            const bool heard = !c.settled;
+            finish(c, keep);
+            if (heard) handler_.on_done(call);
+            return;
+        }
+        if (auto* fault = std::get_if<http::Fault>(&piece))
+            return broke(c, fault->text == "the answer was cut" ? Ending::closed : Ending::bad_answer, fault->text);
+        if (c.settled) continue;
+        if (auto* head = std::get_if<http::ResponseHead>(&piece)) handler_.on_head(call, head->status, std::move(head->headers));
+        else handler_.on_body(call, std::move(std::get<http::BodyPiece>(piece).bytes));
+    }
+}
+
+// The answer is whole: the connection waits for the next call, or goes.
+void HttpPool::finish(Connection& c, bool keep) {
+    busy_.erase(c.call);
+    c.call = 0;
+    if (!keep || c.paused) return close(c);
+    c.state = Connection::State::idle;
+    c.since = uv_now_time();
+    Host& host = hosts_[c.address];
+    host.idle.push_back(&c);
+    next(c.address);
+}
+
+void HttpPool::broke(Connection& c, Ending ending, const std::string& detail) {
+    const Call call = c.call;
+    const bool heard = !c.settled;
+    busy_.erase(call);
+    c.call = 0;
+    close(c);
+    if (heard) handler_.on_failed(call, ending, detail);
+}
+
+void HttpPool::close(Connection& c) {
+    if (c.state == Connection::State::closing) return;
+    c.state = Connection::State::closing;
+    all_.erase(&c);
+    dialling_.erase(&c);
+    const Address address = c.address;
+    Host& host = hosts_[address];
+    host.connections -= 1;
+    std::erase(host.idle, &c);
+    uv_close(reinterpret_cast<uv_handle_t*>(&c.socket), [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+    next(address);
+    if (const auto it = hosts_.find(address); it != hosts_.end() && it->second.connections == 0 && it->second.waiting.empty())
+        hosts_.erase(it);
+}
+
+// Gives what waits for this server to a connection, if one is there or may be made.
+void HttpPool::next(const Address& address) {
+    const auto it = hosts_.find(address);
+    if (it == hosts_.end()) return;
+    Host& host = it->second;
+    while (!host.waiting.empty() && (!host.idle.empty() || host.connections < limits_.per_server)) {
+        Waiting w = std::move(host.waiting.front());
+        host.waiting.pop_front();
+        queued_.erase(w.call);
+        if (host.idle.empty()) return dial(address, host, std::move(w));
+        Connection& c = *host.idle.back();
+        host.idle.pop_back();
+        counts_.reused += 1;
+        return send(c, w.call, std::move(w.bytes));
+    }
+}
+
+void HttpPool::cancel(Call call) {
+    if (const auto q = queued_.find(call); q != queued_.end()) {
+        auto& waiting = hosts_[q->second].waiting;
+        std::erase_if(waiting, [&](const Waiting& w) { return w.call == call; });
+        queued_.erase(q);
+        return;
+    }
+    const auto it = busy_.find(call);
+    if (it == busy_.end()) return;
+    Connection& c = *it->second;
+    busy_.erase(it);
+    c.call = 0;
+    c.settled = true;
+    close(c);
+}
+
+void HttpPool::settle(Call call) {
+    const auto it = busy_.find(call);
+    if (it == busy_.end()) return;
+    it->second->settled = true;
+    it->second->since = uv_now_time();
+}
+
+void HttpPool::flow(Call call, bool paused) {
+    const auto it = busy_.find(call);
+    if (it == busy_.end()) return;
+    Connection& c = *it->second;
+    if (c.paused == paused || c.state != Connection::State::busy) return;
+    c.paused = paused;
+    if (paused) {
+        uv_read_stop(c.stream());
+        return;
+    }
+    start_reading(c);
+}
+
+void HttpPool::sweep() {
+    const Time now = uv_now_time();
+    std::vector<Connection*> late;
+    std::vector<Connection*> unused;
+    for (Connection* c : dialling_)
+        if (now - c->since > limits_.dial_timeout) late.push_back(c);
+    // Idle times are seconds long: a look now and then is exact enough.
+    if (++sweeps_ % kSweepsToIdle == 0)
+    for (Connection* c : all_) {
+        if (c->state == Connection::State::idle && now - c->since > limits_.idle) unused.push_back(c);
+        if (c->state == Connection::State::busy && c->settled && now - c->since > limits_.settle) unused.push_back(c);
+    }
+    for (Connection* c : unused) {
+        if (c->state == Connection::State::busy) {
+            busy_.erase(c->call);
+            c->call = 0;
+        }
+        close(*c);
+    }
+    for (Connection* c : late)
+        if (c->state == Connection::State::dialling) {
+            counts_.dial_failed += 1;
+            broke(*c, Ending::dial_failed, "no connection in time");
+        }
+    std::vector<Call> waited;
+    for (const auto& [call, address] : queued_) {
+        const auto& queue = hosts_[address].waiting;
+        const auto w = std::find_if(queue.begin(), queue.end(), [&, id = call](const Waiting& x) { return x.call == id; });
+        if (w != queue.end() && now - w->since > limits_.dial_timeout) waited.push_back(call);
+    }
+    std::sort(waited.begin(), waited.end());
+    for (const Call call : waited) {
+        cancel(call);
+        handler_.on_failed(call, Ending::dial_failed, "no free connection in time");
+    }
+}
+
+void HttpPool::close_all() {
+    for (auto& [address, host] : hosts_) {
+        for (const auto& w : host.waiting) queued_.erase(w.call);
+        host.waiting.clear();
+    }
+    for (Connection* c : std::vector<Connection*>(all_.begin(), all_.end())) {
+        busy_.erase(c->call);
+        c->call = 0;
+        close(*c);
+    }
+}
+
+HttpPool::Counts HttpPool::counts() const {
+    Counts out = counts_;
+    out.connections = all_.size();
+    out.waiting = queued_.size();
+    return out;
+}
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/net/http_pool.hpp
@@ -0,0 +1,113 @@
+// HTTP/1.1 calls to servers over kept connections, on a libuv loop. One call at a time on a connection; calls wait
+// while a server has its most connections, and the wait counts in the dial time-out. Thin: where, what and whether
+// again is the owner's; nothing is sent twice here. A call on a kept connection that the server has closed meanwhile
+// ends as "closed" like any other break: it may have run.
+//
+// Owns its sockets; one loop, one thread. The handler's calls may come from within start() and cancel() too: it
+// only takes note, and acts later.
+#pragma once
+
+#include <uv.h>
+
+#include <chalksail/chalksail.hpp>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <set>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/units.hpp"
+#include "engine/outcome.hpp"
+#include "http/message.hpp"
+
+namespace chalksail::net {
+
+struct PoolLimits {
+    http::Limits message;
+    std::size_t per_server = 1024;
+    std::size_t queue = 4096;  // calls waiting for one server
+    Duration dial_timeout = std::chrono::milliseconds(250);
+    Duration idle = std::chrono::seconds(30);
+    Duration settle = std::chrono::seconds(2);  // for the end of an answer of which all that matters is here
+};
+
+class HttpPool {
+public:
+    using Call = std::uint64_t;
+    struct Handler {
+        virtual ~Handler() = default;
+        virtual void on_sent(Call) {}
+        virtual void on_head(Call call, int status, http::Headers headers) = 0;
+        virtual void on_body(Call call, std::string bytes) = 0;
+        virtual void on_done(Call call) = 0;
+        virtual void on_failed(Call call, engine::Ending ending, std::string detail) = 0;
+    };
+
+    HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits);
+    ~HttpPool();
+    HttpPool(const HttpPool&) = delete;
+    HttpPool& operator=(const HttpPool&) = delete;
+
+    // Sends the request; Host, Content-Length and Connection are added.
+    void start(Call call, const Address& address, std::string_view method, std::string_view target,
+               http::Headers headers, std::string_view body);
+    // Closes its connection, or takes it out of the queue. Nothing more is heard of it.
+    void cancel(Call call);
+    // Nothing more of its answer is wanted: its connection is kept once the answer has ended.
+    void settle(Call call);
+    void flow(Call call, bool paused);
+    void close_all();
+
+    struct Counts {
+        std::uint64_t dialled = 0;
+        std::uint64_t dial_failed = 0;
+        std::uint64_t reused = 0;
+        std::size_t connections = 0;
+        std::size_t waiting = 0;
+    };
+    [[nodiscard]] Counts counts() const;
+
+private:
+    struct Connection;
+    struct Waiting {
+        Call call = 0;
+        Time since{};
+        std::string bytes;
+    };
+    struct Host {
+        std::size_t connections = 0;
+        std::vector<Connection*> idle;
+        std::deque<Waiting> waiting;
+    };
+
+    void dial(const Address& address, Host& host, Waiting first);
+    void connected(Connection& c, int status);
+    static void start_reading(Connection& c);
+    void send(Connection& c, Call call, std::string bytes);
+    void took(Connection& c, std::string_view bytes);
+    void ended(Connection& c);
+    void pieces(Connection& c, std::vector<http::ResponsePiece> all);
+    void finish(Connection& c, bool keep);
+    void broke(Connection& c, engine::Ending ending, const std::string& detail);
+    void close(Connection& c);
+    void next(const Address& address);
+    void sweep();
+
+    uv_loop_t& loop_;
+    Handler& handler_;
+    PoolLimits limits_;
+    uv_timer_t* sweeper_ = nullptr;
+    std::vector<char> read_buffer_;
+    std::map<Address, Host> hosts_;
+    std::unordered_map<Call, Connection*> busy_;
+    std::unordered_map<Call, Address> queued_;
+    std::set<Connection*> all_;
+    std::set<Connection*> dialling_;
+    std::uint64_t sweeps_ = 0;
+    Counts counts_;
+};
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/net/http_server.cpp
@@ -0,0 +1,399 @@
+#include "net/http_server.hpp"
+
+#include <netinet/in.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <stdexcept>
+#include <utility>
+
+namespace chalksail::net {
+namespace {
+
+constexpr std::size_t kReadBuffer = 64 * 1024;
+constexpr std::uint64_t kSweepMs = 250;
+constexpr int kBacklog = 1024;
+
+sockaddr_storage to_sockaddr(const Address& address) {
+    sockaddr_storage out{};
+    const int port = address.port;
+    if (uv_ip4_addr(address.host.c_str(), port, reinterpret_cast<sockaddr_in*>(&out)) != 0 &&
+        uv_ip6_addr(address.host.c_str(), port, reinterpret_cast<sockaddr_in6*>(&out)) != 0)
+        throw std::runtime_error("no IP address: " + address.host);
+    return out;
+}
+
+struct WriteJob {
+    uv_write_t request{};
+    std::string bytes;
+};
+
+}  // namespace
+
+struct HttpServer::Connection {
+    uv_tcp_t socket{};
+    HttpServer* server = nullptr;
+    std::uint64_t id = 0;
+    http::RequestReader reader;
+    std::string ahead;   // bytes after the request in hand
+    std::string out;     // gathered, not yet handed to the socket
+    Peer peer = 0;       // 0: no request in hand
+    bool reading = false;
+    bool keep_alive = true;
+    bool head_only = false;
+    bool http_1_0 = false;
+    bool streaming = false;
+    bool close_after = false;   // once all is written
+    bool closing = false;
+    bool dirty = false;
+    bool backlog_told = false;
+    Time begun{};        // of the message being read, or of the wait for one
+    bool midway = false;
+    Time last_progress{};  // of writing, while something waits
+    std::size_t waiting = 0;      // writes under way
+    std::size_t last_queued = 0;  // bytes of them, when last looked at
+
+    explicit Connection(http::Limits limits) : reader(limits) {}
+    [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
+};
+
+HttpServer::HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits)
+    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer) {
+    sweeper_ = new uv_timer_t;
+    uv_timer_init(&loop_, sweeper_);
+    sweeper_->data = this;
+    uv_timer_start(sweeper_, [](uv_timer_t* t) { static_cast<HttpServer*>(t->data)->sweep(); }, kSweepMs, kSweepMs);
+    uv_unref(reinterpret_cast<uv_handle_t*>(sweeper_));
+}
+
+HttpServer::~HttpServer() {
+    close_all();
+    stop_listening();
+    uv_timer_stop(sweeper_);
+    uv_close(reinterpret_cast<uv_handle_t*>(sweeper_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+}
+
+Address HttpServer::listen(const Address& address) {
+    listener_ = new uv_tcp_t;
+    uv_tcp_init(&loop_, listener_);
+    listener_->data = this;
+    const auto where = to_sockaddr(address);
+    int error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
+    if (error == 0)
+        error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* s, int status) {
+            if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+        });
+    if (error != 0) {
+        stop_listening();
+        throw std::runtime_error("can't listen on " + format_address(address) + ": " + uv_strerror(error));
+    }
+    sockaddr_storage bound{};
+    int length = sizeof bound;
+    uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &length);
+    Address out = address;
+    out.port = ntohs(bound.ss_family == AF_INET ? reinterpret_cast<sockaddr_in&>(bound).sin_port
+                                                : reinterpret_cast<sockaddr_in6&>(bound).sin6_port);
+    return out;
+}
+
+void HttpServer::stop_listening() {
+    if (listener_ == nullptr) return;
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+    listener_ = nullptr;
+}
+
+void HttpServer::accept() {
+    auto* c = new Connection(limits_.message);
+    c->server = this;
+    c->id = ++last_connection_;
+    uv_tcp_init(&loop_, &c->socket);
+    c->socket.data = c;
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), c->stream()) != 0) {
+        uv_close(reinterpret_cast<uv_handle_t*>(&c->socket), [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+        return;
+    }
+    uv_tcp_nodelay(&c->socket, 1);
+    connections_.emplace(c->id, c);
+    counts_.accepted += 1;
+    c->begun = uv_now_time();
+    if (connections_.size() > limits_.connections) {
+        counts_.over_limit += 1;
+        return close(*c);
+    }
+    start_reading(*c);
+}
+
+void HttpServer::start_reading(Connection& connection) {
+    connection.reading = true;
+    uv_read_start(
+        connection.stream(),
+        [](uv_handle_t* h, std::size_t, uv_buf_t* buffer) {
+            // One buffer for all: what it holds is taken before the next read.
+            auto& all = static_cast<Connection*>(h->data)->server->read_buffer_;
+            *buffer = uv_buf_init(all.data(), static_cast<unsigned>(all.size()));
+        },
+        [](uv_stream_t* s, ssize_t n, const uv_buf_t* buffer) {
+            auto& c = *static_cast<Connection*>(s->data);
+            if (n > 0) c.server->took(c, {buffer->base, static_cast<std::size_t>(n)});
+            else if (n < 0) c.server->close(c);
+        });
+}
+
+void HttpServer::took(Connection& c, std::string_view bytes) {
+    if (c.close_after) return;  // it is on its way out: nothing more of it is read
+    c.ahead += bytes;
+    feed(c);
+    // A peer that sends on ahead of its answers is not read further than this.
+    if (!c.closing && c.peer != 0 && c.ahead.size() > limits_.pipelined_bytes && c.reading) {
+        c.reading = false;
+        uv_read_stop(c.stream());
+    }
+}
+
+// Takes the next request out of what has come, unless one is in hand.
+void HttpServer::feed(Connection& c) {
+    while (c.peer == 0 && !c.ahead.empty() && !c.closing && !c.close_after) {
+        if (!c.midway) {
+            c.midway = true;
+            c.begun = uv_now_time();
+        }
+        std::string_view rest = c.ahead;
+        auto progress = c.reader.feed(rest);
+        c.ahead.erase(0, c.ahead.size() - rest.size());
+        if (auto* fault = std::get_if<http::Fault>(&progress)) return refuse(c, *fault);
+        if (auto* more = std::get_if<http::RequestReader::NeedMore>(&progress)) {
+            if (more->send_continue) {
+                put(c, http::kContinue);
+                write_out(c);
+            }
+            if (c.ahead.empty()) std::string().swap(c.ahead);
+            return;
+        }
+        auto& request = std::get<http::Request>(progress);
+        c.midway = false;
+        c.keep_alive = request.keep_alive && !draining_;
+        c.head_only = request.method == "HEAD";
+        c.http_1_0 = request.http_1_0;
+        c.peer = ++last_peer_;
+        in_hand_.emplace(c.peer, &c);
+        if (c.ahead.empty()) std::string().swap(c.ahead);
+        handler_.on_request(c.peer, std::move(request));
+    }
+}
+
+void HttpServer::refuse(Connection& c, const http::Fault& fault) {
+    counts_.bad_requests += 1;
+    const std::string body = R"({"error":{"message":")" + fault.text +
+                             R"(","type":"invalid_request_error","param":null,"code":null}})";
+    http::Headers headers;
+    headers.add("Content-Type", "application/json");
+    headers.add("Content-Length", std::to_string(body.size()));
+    headers.add("Connection", "close");
+    put(c, http::format_response_head(fault.status, headers));
+    put(c, body);
+    c.close_after = true;
+    write_out(c);
+}
+
+HttpServer::Connection* HttpServer::find(Peer peer) {
+    const auto it = in_hand_.find(peer);
+    return it == in_hand_.end() ? nullptr : it->second;
+}
+
+void HttpServer::reply(Peer peer, int status, http::Headers headers, std::string_view body) {
+    Connection* c = find(peer);
+    if (c == nullptr) return;
+    headers.add("Content-Length", std::to_string(body.size()));
+    if (http::same_name(headers.get("connection"), "close")) c->keep_alive = false;
+    else headers.add("Connection", c->keep_alive ? "keep-alive" : "close");
+    put(*c, http::format_response_head(status, headers));
+    if (!c->head_only) put(*c, body);
+    finish_answer(*c);
+}
+
+void HttpServer::begin_stream(Peer peer, http::Headers headers, int status) {
+    Connection* c = find(peer);
+    if (c == nullptr) return;
+    c->streaming = true;
+    if (c->http_1_0) c->keep_alive = false;  // its end is the close
+    else headers.add("Transfer-Encoding", "chunked");
+    headers.add("Connection", c->keep_alive ? "keep-alive" : "close");
+    put(*c, http::format_response_head(status, headers));
+}
+
+void HttpServer::stream(Peer peer, std::string_view bytes) {
+    Connection* c = find(peer);
+    if (c == nullptr || bytes.empty()) return;
+    if (c->http_1_0) put(*c, bytes);
+    else put(*c, http::format_chunk(bytes));
+}
+
+void HttpServer::end_stream(Peer peer) {
+    Connection* c = find(peer);
+    if (c == nullptr) return;
+    if (!c->http_1_0) put(*c, http::kLastChunk);
+    finish_answer(*c);
+}
+
+void HttpServer::finish_answer(Connection& c) {
+    in_hand_.erase(c.peer);
+    c.peer = 0;
+    c.streaming = false;
+    c.backlog_told = false;
+    c.begun = uv_now_time();
+    if (!c.keep_alive || draining_) c.close_after = true;
+    if (!c.dirty) {
+        c.dirty = true;
+        dirty_.push_back(c.id);
+    }
+}
+
+void HttpServer::abort(Peer peer, bool reset) {
+    Connection* c = find(peer);
+    if (c == nullptr) return;
+    in_hand_.erase(peer);
+    c->peer = 0;
+    if (reset && !c->closing) {
+        connections_.erase(c->id);
+        c->closing = true;
+        uv_tcp_close_reset(&c->socket, [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+        return;
+    }
+    close(*c);
+}
+
+void HttpServer::put(Connection& c, std::string_view bytes) {
+    c.out += bytes;
+    if (c.dirty) return;
+    c.dirty = true;
+    dirty_.push_back(c.id);
+}
+
+void HttpServer::flush() {
+    // Requests that were waiting behind an answer may come out here, and be answered by the handler at once.
+    while (!dirty_.empty()) {
+        const auto ids = std::exchange(dirty_, {});
+        for (const auto id : ids)
+            if (const auto it = connections_.find(id); it != connections_.end()) write_out(*it->second);
+    }
+}
+
+void HttpServer::write_out(Connection& c) {
+    c.dirty = false;
+    if (c.closing) return;
+    if (!c.out.empty()) {
+        std::string bytes = std::move(c.out);
+        c.out.clear();
+        std::size_t done = 0;
+        if (uv_stream_get_write_queue_size(c.stream()) == 0) {
+            uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+            const int n = uv_try_write(c.stream(), &buffer, 1);
+            if (n < 0 && n != UV_EAGAIN) return close(c);
+            if (n > 0) done = static_cast<std::size_t>(n);
+        }
+        if (done < bytes.size()) {
+            if (c.waiting == 0) c.last_progress = uv_now_time();
+            auto* job = new WriteJob;
+            job->bytes = bytes.substr(done);
+            job->request.data = job;
+            c.waiting += 1;
+            uv_buf_t buffer = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
+            const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int status) {
+                auto* done_job = static_cast<WriteJob*>(w->data);
+                auto& owner = *static_cast<Connection*>(w->handle->data);
+                owner.waiting -= 1;
+                delete done_job;
+                if (owner.closing) return;
+                if (status < 0) return owner.server->close(owner);
+                owner.last_progress = uv_now_time();
+                owner.server->write_out(owner);
+            });
+            if (error != 0) {
+                delete job;
+                return close(c);
+            }
+        }
+    }
+    const std::size_t queued = uv_stream_get_write_queue_size(c.stream());
+    if (c.peer != 0 && !c.backlog_told && queued > limits_.stream_buffer) {
+        c.backlog_told = true;
+        handler_.on_backlog(c.peer, true);
+    } else if (c.peer != 0 && c.backlog_told && queued <= limits_.stream_buffer / 2) {
+        c.backlog_told = false;
+        handler_.on_backlog(c.peer, false);
+    }
+    if (c.peer != 0) return;
+    if (c.close_after) {
+        if (queued == 0) close(c);
+        return;
+    }
+    if (!c.reading) start_reading(c);
+    feed(c);
+}
+
+void HttpServer::close(Connection& c) {
+    if (c.closing) return;
+    c.closing = true;
+    connections_.erase(c.id);
+    if (c.peer != 0) {
+        const Peer peer = c.peer;
+        in_hand_.erase(peer);
+        c.peer = 0;
+        handler_.on_closed(peer);
+    }
+    uv_close(reinterpret_cast<uv_handle_t*>(&c.socket), [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+}
+
+void HttpServer::drain() {
+    draining_ = true;
+    std::vector<Connection*> idle;
+    for (auto& [id, c] : connections_)
+        if (c->peer == 0 && !c->midway && c->out.empty() && c->waiting == 0) idle.push_back(c);
+    for (auto* c : idle) close(*c);
+}
+
+void HttpServer::close_all() {
+    std::vector<Connection*> all;
+    for (auto& [id, c] : connections_) all.push_back(c);
+    for (auto* c : all) close(*c);
+}
+
+// Time-outs are seconds long: looking a few times a second is exact enough, and costs no timer for each connection.
+void HttpServer::sweep() {
+    const Time now = uv_now_time();
+    std::vector<Connection*> stalled;
+    std::vector<Connection*> slow;
+    std::vector<Connection*> idle;
+    for (auto& [id, c] : connections_) {
+        if (c->waiting > 0) {
+            // Any part that the peer takes is progress, also where a write has not ended yet.
+            const auto queued = uv_stream_get_write_queue_size(c->stream());
+            if (queued < c->last_queued) c->last_progress = now;
+            c->last_queued = queued;
+            if (now - c->last_progress > limits_.stall_timeout) stalled.push_back(c);
+        } else if (c->peer == 0 && c->midway) {
+            if (now - c->begun > limits_.head_timeout + (c->reader.in_body() ? limits_.body_timeout : Duration{}))
+                slow.push_back(c);
+        } else if (c->peer == 0 && now - c->begun > (draining_ ? Duration{} : limits_.idle_timeout)) {
+            idle.push_back(c);
+        }
+    }
+    for (auto* c : idle) close(*c);
+    for (auto* c : slow) {
+        counts_.timed_out += 1;
+        refuse(*c, {408, "request not sent in time"});
+    }
+    for (auto* c : stalled) {
+        counts_.stalled += 1;
+        close(*c);
+    }
+}
+
+HttpServer::Counts HttpServer::counts() const {
+    Counts out = counts_;
+    out.connections = connections_.size();
+    out.in_hand = in_hand_.size();
+    return out;
+}
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/net/http_server.hpp
@@ -0,0 +1,113 @@
+// HTTP/1.1 on a listening socket, on a libuv loop: requests come out whole, one at a time for each connection;
+// answers go in whole or as chunks. Thin: what to answer is the owner's.
+//
+// Owns its sockets; one loop, one thread. The handler's calls never re-enter it: they come from the loop only.
+// Limits are the settings'; a peer over one is answered (408, 413, 431) or closed. A half-close of a client counts as
+// hanging up. Errors: listen() throws std::runtime_error; all else is the peer's trouble and ends its connection.
+#pragma once
+
+#include <uv.h>
+
+#include <chalksail/chalksail.hpp>
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+#include <vector>
+
+#include "base/units.hpp"
+#include "http/message.hpp"
+
+namespace chalksail::net {
+
+struct ServerLimits {
+    http::Limits message;
+    std::size_t connections = 1024;
+    std::size_t stream_buffer = 64 * 1024;
+    std::size_t pipelined_bytes = 64 * 1024;
+    Duration head_timeout = std::chrono::seconds(10);
+    Duration body_timeout = std::chrono::seconds(30);
+    Duration idle_timeout = std::chrono::seconds(75);
+    Duration stall_timeout = std::chrono::seconds(30);
+};
+
+// A monotonic clock: the loop's, in nanoseconds.
+[[nodiscard]] inline Time uv_now_time() { return Time(Duration(static_cast<std::int64_t>(uv_hrtime()))); }
+
+class HttpServer {
+public:
+    // A connection with the request in hand; the number never comes back.
+    using Peer = std::uint64_t;
+    struct Handler {
+        virtual ~Handler() = default;
+        virtual void on_request(Peer peer, http::Request request) = 0;
+        // The peer went away, or was given up, while its request was in hand.
+        virtual void on_closed(Peer peer) = 0;
+        virtual void on_backlog(Peer, bool) {}
+    };
+
+    HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    // Returns the address in use: port 0 asks for a free one.
+    Address listen(const Address& address);
+    void stop_listening();
+    // Closes connections that have no request in hand, and from now on each other one after its answer.
+    void drain();
+    // Closes all at once.
+    void close_all();
+
+    // Calls about a peer that has gone are ignored.
+    void reply(Peer peer, int status, http::Headers headers, std::string_view body);
+    void begin_stream(Peer peer, http::Headers headers, int status = 200);
+    void stream(Peer peer, std::string_view bytes);
+    void end_stream(Peer peer);
+    // Closes without an answer. `reset`: with a TCP reset.
+    void abort(Peer peer, bool reset = false);
+    // Sends what the calls above have gathered; to be called once after them.
+    void flush();
+
+    struct Counts {
+        std::uint64_t accepted = 0;
+        std::uint64_t over_limit = 0;
+        std::uint64_t bad_requests = 0;
+        std::uint64_t timed_out = 0;
+        std::uint64_t stalled = 0;
+        std::size_t connections = 0;
+        std::size_t in_hand = 0;
+    };
+    [[nodiscard]] Counts counts() const;
+
+private:
+    struct Connection;
+    void accept();
+    static void start_reading(Connection& connection);
+    void feed(Connection& c);
+    void took(Connection& c, std::string_view bytes);
+    void refuse(Connection& c, const http::Fault& fault);
+    void put(Connection& c, std::string_view bytes);
+    void write_out(Connection& c);
+    void finish_answer(Connection& c);
+    void close(Connection& c);
+    void sweep();
+    Connection* find(Peer peer);
+
+    uv_loop_t& loop_;
+    Handler& handler_;
+    ServerLimits limits_;
+    uv_tcp_t* listener_ = nullptr;
+    uv_timer_t* sweeper_ = nullptr;
+    std::vector<char> read_buffer_;
+    std::unordered_map<std::uint64_t, Connection*> connections_;
+    std::unordered_map<Peer, Connection*> in_hand_;
+    std::vector<std::uint64_t> dirty_;
+    std::uint64_t last_connection_ = 0;
+    Peer last_peer_ = 0;
+    bool draining_ = false;
+    Counts counts_;
+};
+
+}  // namespace chalksail::net
--- /dev/null
+++ b/src/observe/log.cpp
@@ -0,0 +1,101 @@
+#include "observe/log.hpp"
+
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+#include "base/json.hpp"
+
+namespace chalksail::observe {
+namespace {
+
+double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+
+struct Formatter {
+    std::string operator()(const AttemptRecord& r) const {
+        return json::ObjectWriter()
+            .text("event", "attempt")
+            .text("request", r.request)
+            .whole("attempt", r.attempt)
+            .text("server", r.server)
+            .text("stage", r.read ? "read" : "write")
+            .text("outcome", r.outcome)
+            .whole("status", r.status)
+            .flag("sent", r.sent)
+            .flag("started", r.started)
+            .number("ms", ms(r.taken))
+            .text("detail", r.detail)
+            .done();
+    }
+    std::string operator()(const RequestRecord& r) const {
+        return json::ObjectWriter()
+            .text("event", "request")
+            .text("request", r.request)
+            .text("client_request", r.client_request)
+            .text("class", r.class_name)
+            .text("tenant", r.tenant)
+            .text("fate", name(r.fate))
+            .whole("status", r.status)
+            .text("reason", r.reason)
+            .number("ms", ms(r.total))
+            .number("first_token_ms", ms(r.first_token))
+            .number("prompt_tokens", r.prompt_tokens)
+            .number("prompt_tokens_told", r.prompt_tokens_told)
+            .number("completion_tokens", r.completion_tokens)
+            .whole("chunks", r.chunks)
+            .flag("stream", r.streamed)
+            .text("trail", r.trail)
+            .done();
+    }
+    std::string operator()(const ServerRecord& r) const {
+        return json::ObjectWriter().text("event", "server").text("server", r.server).text("what", r.what).text("detail", r.detail).done();
+    }
+    std::string operator()(const GuardRecord& r) const {
+        return json::ObjectWriter().text("event", "guard").text("request", r.request).text("what", r.what).done();
+    }
+};
+
+spdlog::level::level_enum level_of(const Record& record) {
+    if (std::holds_alternative<GuardRecord>(record)) return spdlog::level::err;
+    if (std::holds_alternative<AttemptRecord>(record)) return spdlog::level::debug;
+    if (const auto* server = std::get_if<ServerRecord>(&record))
+        return server->what == "probe" || server->what == "release" ? spdlog::level::debug : spdlog::level::info;
+    return spdlog::level::info;
+}
+
+}  // namespace
+
+std::string_view name(Fate fate) {
+    switch (fate) {
+        case Fate::served: return "served";
+        case Fate::refused: return "refused";
+        case Fate::failed: return "failed";
+        case Fate::client_gone: return "client_gone";
+        case Fate::rejected: return "rejected";
+    }
+    return "unknown";
+}
+
+std::string format_json(const Record& record) { return std::visit(Formatter{}, record); }
+
+Log::Log(const std::string& who, const std::string& level)
+    : who_(who), logger_(std::make_shared<spdlog::logger>(who, std::make_shared<spdlog::sinks::stderr_sink_mt>())) {
+    logger_->set_level(spdlog::level::from_str(level));
+    logger_->flush_on(spdlog::level::warn);
+    logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","who":"%n","data":%v})");
+}
+Log::~Log() { logger_->flush(); }
+void Log::flush() { logger_->flush(); }
+
+void Log::write(const Record& record) {
+    const auto level = level_of(record);
+    if (!logger_->should_log(level)) return;
+    logger_->log(level, format_json(record));
+}
+
+void Log::say(const std::string& level, const std::string& event, const std::string& text) {
+    const auto at = spdlog::level::from_str(level);
+    if (!logger_->should_log(at)) return;
+    logger_->log(at, json::ObjectWriter().text("event", event).text("text", text).done());
+}
+
+}  // namespace chalksail::observe
--- /dev/null
+++ b/src/observe/log.hpp
@@ -0,0 +1,33 @@
+// Structured logs: one JSON object a line. Records become text here; where the lines go is spdlog's.
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "observe/record.hpp"
+
+namespace spdlog {
+class logger;
+}
+
+namespace chalksail::observe {
+
+// The members of a record, as one JSON object: {"event": "request", ...}.
+[[nodiscard]] std::string format_json(const Record& record);
+
+class Log {
+public:
+    // `level`: debug, info, warn or error. Lines go to standard error.
+    Log(const std::string& who, const std::string& level);
+    ~Log();
+    void write(const Record& record);
+    // A line of the program's own: {"event": event, "text": text}.
+    void say(const std::string& level, const std::string& event, const std::string& text);
+    void flush();
+
+private:
+    std::string who_;
+    std::shared_ptr<spdlog::logger> logger_;
+};
+
+}  // namespace chalksail::observe
--- /dev/null
+++ b/src/observe/metrics.cpp
@@ -0,0 +1,93 @@
+#include "observe/metrics.hpp"
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace chalksail::observe {
+namespace {
+
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+const prometheus::Histogram::BucketBoundaries kSeconds = {0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25,
+                                                          0.5,   1,      2.5,   5,    10,    30,   60};
+
+}  // namespace
+
+struct Metrics::Families {
+    prometheus::Registry registry;
+    prometheus::Family<prometheus::Counter>& requests;
+    prometheus::Family<prometheus::Counter>& attempts;
+    prometheus::Family<prometheus::Counter>& servers;
+    prometheus::Family<prometheus::Counter>& guards;
+    prometheus::Family<prometheus::Histogram>& first_token;
+    prometheus::Family<prometheus::Histogram>& attempt_seconds;
+    std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges;
+    std::string gateway;
+
+    explicit Families(const std::string& name)
+        : requests(prometheus::BuildCounter()
+                       .Name("chalksail_requests_total")
+                       .Help("Requests that ended, by class, fate (served, refused, failed, client_gone, rejected) and reason")
+                       .Labels({{"gateway", name}})
+                       .Register(registry)),
+          attempts(prometheus::BuildCounter()
+                       .Name("chalksail_attempts_total")
+                       .Help("Attempts that ended, by server, stage (read, write) and outcome")
+                       .Labels({{"gateway", name}})
+                       .Register(registry)),
+          servers(prometheus::BuildCounter()
+                      .Name("chalksail_server_events_total")
+                      .Help("List changes, probes and let-go calls, by server; release/none: the engine lets go of nothing")
+                      .Labels({{"gateway", name}})
+                      .Register(registry)),
+          guards(prometheus::BuildCounter()
+                     .Name("chalksail_guards_total")
+                     .Help("Actions that a rule forbids, stopped at the edge. Above 0: report it")
+                     .Labels({{"gateway", name}})
+                     .Register(registry)),
+          first_token(prometheus::BuildHistogram()
+                          .Name("chalksail_first_token_seconds")
+                          .Help("From a request's arrival to its first chunk, by class")
+                          .Labels({{"gateway", name}})
+                          .Register(registry)),
+          attempt_seconds(prometheus::BuildHistogram()
+                              .Name("chalksail_attempt_seconds")
+                              .Help("Length of attempts, by stage")
+                              .Labels({{"gateway", name}})
+                              .Register(registry)),
+          gateway(name) {}
+};
+
+Metrics::Metrics(const std::string& gateway) : families_(std::make_unique<Families>(gateway)) {}
+Metrics::~Metrics() = default;
+
+void Metrics::count(const Record& record) {
+    Families& f = *families_;
+    if (const auto* r = std::get_if<RequestRecord>(&record)) {
+        f.requests.Add({{"class", r->class_name}, {"fate", std::string(name(r->fate))}, {"reason", r->reason}}).Increment();
+        if (r->first_token > Duration::zero())
+            f.first_token.Add({{"class", r->class_name}}, kSeconds).Observe(seconds(r->first_token));
+    } else if (const auto* a = std::get_if<AttemptRecord>(&record)) {
+        const std::string stage = a->read ? "read" : "write";
+        f.attempts.Add({{"server", a->server}, {"stage", stage}, {"outcome", std::string(a->outcome)}}).Increment();
+        f.attempt_seconds.Add({{"stage", stage}}, kSeconds).Observe(seconds(a->taken));
+    } else if (const auto* s = std::get_if<ServerRecord>(&record)) {
+        const bool call = s->what == "probe" || s->what == "release";
+        f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}}).Increment();
+    } else {
+        f.guards.Add({{"what", std::get<GuardRecord>(record).what}}).Increment();
+    }
+}
+
+void Metrics::set(const std::string& gauge, double value) {
+    auto& family = families_->gauges[gauge];
+    if (family == nullptr)
+        family = &prometheus::BuildGauge().Name("chalksail_" + gauge).Help("See docs/operators/gateway.md").Register(families_->registry);
+    family->Add({{"gateway", families_->gateway}}).Set(value);
+}
+
+std::string Metrics::page() const { return prometheus::TextSerializer().Serialize(families_->registry.Collect()); }
+
+}  // namespace chalksail::observe
