--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -146,13 +146,13 @@
     json::Document doc;
     std::string id;
     if (json::parse(request.body, doc)) id = json::text(json::find(doc, "request_id"));
-    if (vanished_) return;
     const bool had = model_.drop_state(id);
     if (had) {
         Exchange e;
         e.request = fleet_.client_number[id];
         note(What::released, e, "");
     }
+    if (vanished_) return;  // it reached the socket: the gateway has done its part
     server_->reply(peer, 200, {}, had ? R"({"released":true})" : R"({"released":false})");
 }
 
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -341,7 +341,8 @@
             r.held.reset();
             held_ -= 1;
         }
-        arm(r, now_ + settings_.limits.stream_idle);
+        const Time idle = now_ + settings_.limits.stream_idle;
+        arm(r, r.collector != nullptr ? std::min(idle, r.deadline) : idle);
         std::string().swap(r.body);
         std::vector<chat::Member>().swap(r.in.chat.members);
         if (r.in.chat.stream) {
@@ -421,10 +422,8 @@
     } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault && r.told_prompt_tokens > 0) {
         tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, r.told_prompt_tokens);
     }
-    if (judged.outcome == Outcome::full && judged.remark == 1 && r.held) {
-        r.held.reset();  // the writer says that there is none: nothing to let go
-        held_ -= 1;
-    }
+    // The writer could not fetch the state; its reader may have it all the same, and must not keep it.
+    if (judged.outcome == Outcome::full && judged.remark == 1) let_go(r);
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") + r.last_outcome + "/" +
                std::to_string(whole_ms(now_ - call.begun)) + "ms";
@@ -456,7 +455,9 @@
             }
             finish(r, Fate::served, 200, "served");
         } else if (r.started) {
-            fail(r, 502, "broken_stream", "the answer broke off: " + (detail.empty() ? r.last_outcome : detail));
+            const bool late = ending == Ending::timed_out;
+            fail(r, late ? 504 : 502, late ? "stream_time" : "broken_stream",
+                 "the answer broke off: " + (detail.empty() ? r.last_outcome : detail));
         }
     }
     drop_if_over(request);
@@ -557,8 +558,9 @@
 void Edge::act(const Send& action) {
     Open* r = find(action.id);
     if (r == nullptr) return;
+    const auto against = guard(*r, action);
     const auto attempt = r->attempts++;
-    if (const auto against = guard(*r, action); !against.empty()) {
+    if (!against.empty()) {
         emit(Note{observe::GuardRecord{r->name, against}});
         if (!r->call)
             events_.emplace_back(AttemptEnded{r->id, {attempt}, action.server, Outcome::moot, {}, r->answered, 0, {}});
@@ -705,13 +707,15 @@
             const Time longest = r.first_chunk + settings_.limits.stream_longest;
             const bool paused = r.call && calls_.at(*r.call).paused;
             const Time idle = (paused ? now_ : r.last_chunk) + settings_.limits.stream_idle;
-            if (now_ < longest && now_ < idle) {
-                arm(r, std::min(longest, idle));
+            // A client that wants one object has nothing in hand until the end: its deadline goes on.
+            const Time last = r.collector != nullptr ? std::min(longest, r.deadline) : longest;
+            if (now_ < last && now_ < idle) {
+                arm(r, std::min(last, idle));
                 continue;
             }
             const CallId call = *r.call;
             emit(CallAbort{call});
-            end_attempt(call, Ending::timed_out, now_ >= longest ? "longest stream" : "silent stream");
+            end_attempt(call, Ending::timed_out, now_ >= last ? "time is over" : "silent stream");
         } else if (r.call) {
             const CallId call = *r.call;
             const bool own = now_ < r.deadline;  // the module's own time-out of this attempt
