--- /dev/null
+++ b/lab/model/exchange.cpp
@@ -0,0 +1,127 @@
+#include "model/exchange.hpp"
+
+#include <cstdlib>
+
+#include "base/json.hpp"
+#include "chat/request.hpp"
+#include "engine/protocol.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+constexpr std::int64_t kCreated = 1'700'000'000;
+
+// A gateway numbers its requests "name-seed-count".
+std::string gateway_of(const std::string& request) {
+    auto end = request.rfind('-');
+    if (end == std::string::npos || end == 0) return request;
+    end = request.rfind('-', end - 1);
+    return end == std::string::npos ? request : request.substr(0, end);
+}
+
+std::string usage_json(double prompt, double completion, double cached) {
+    return json::ObjectWriter()
+        .whole("prompt_tokens", static_cast<std::int64_t>(prompt))
+        .whole("completion_tokens", static_cast<std::int64_t>(completion))
+        .whole("total_tokens", static_cast<std::int64_t>(prompt + completion))
+        .raw("prompt_tokens_details", json::ObjectWriter().whole("cached_tokens", static_cast<std::int64_t>(cached)).done())
+        .done();
+}
+
+json::ObjectWriter& begin(json::ObjectWriter& out, const Asked& asked, const char* kind) {
+    return out.text("id", "chatcmpl-" + asked.request).text("object", kind).whole("created", kCreated).text("model", asked.model);
+}
+
+std::string chunk(const Asked& asked, const std::string& delta, bool last) {
+    const std::string choice = R"({"index":0,"delta":)" + delta + R"(,"logprobs":null,"finish_reason":)" + (last ? "\"stop\"" : "null") + "}";
+    json::ObjectWriter out;
+    return begin(out, asked, "chat.completion.chunk").raw("choices", "[" + choice + "]").done();
+}
+
+}  // namespace
+
+std::optional<Asked> read_request(const http::Headers& headers, std::string_view body) {
+    Asked out;
+    out.request = headers.get(engine::kRequestIdHeader);
+    out.client_request = headers.get("x-client-request-id");
+    if (out.client_request.empty()) out.client_request = out.request;
+    out.gateway = gateway_of(out.request);
+    out.attempt = std::atoll(std::string(headers.get(engine::kAttemptHeader)).c_str());
+    const auto parsed = chat::parse_request(body);
+    json::Document doc;
+    if (!parsed || !json::parse(body, doc)) return std::nullopt;
+    out.model = parsed->model;
+    out.streaming = parsed->stream;
+    out.usage = parsed->include_usage;
+    std::vector<std::string> messages;
+    for (const auto& m : doc["messages"].GetArray()) messages.push_back(json::dump(m));
+    out.blocks = prefix_blocks(messages);
+    for (const auto& m : parsed->members) {
+        if (m.name != "messages") continue;
+        const std::string_view raw = body.substr(m.value, m.end - m.value);
+        out.key = prompt_key(raw);
+        out.prompt_tokens = count_tokens(raw.size());
+    }
+    out.output = answer_length(out.key, static_cast<std::size_t>(parsed->max_output > 0 ? parsed->max_output : 64));
+    if (const auto* params = json::find(doc, "kv_transfer_params")) {
+        const auto truth = [&](const char* name) {
+            const auto* v = json::find(*params, name);
+            return v != nullptr && v->IsBool() && v->GetBool();
+        };
+        out.read = truth("do_remote_decode");
+        out.fetches = truth("do_remote_prefill");
+        out.fetch_from = json::text(json::find(*params, "remote_engine_id"));
+    }
+    return out;
+}
+
+Job job_of(const Asked& asked, JobId id) {
+    Job job;
+    job.id = id;
+    job.read = asked.read;
+    job.request = asked.request;
+    job.gateway = asked.gateway;
+    job.prompt_tokens = asked.prompt_tokens;
+    job.blocks = asked.blocks;
+    job.output_tokens = asked.output;
+    return job;
+}
+
+std::string read_answer(const Asked& asked, JobId job, double kept, const EngineAddress& engine) {
+    const std::string params = json::ObjectWriter()
+                                   .flag("do_remote_prefill", true)
+                                   .flag("do_remote_decode", false)
+                                   .text("remote_engine_id", engine.name)
+                                   .raw("remote_block_ids", "[" + std::to_string(job) + "]")
+                                   .text("remote_host", engine.host)
+                                   .whole("remote_port", engine.port)
+                                   .done();
+    json::ObjectWriter out;
+    return begin(out, asked, "chat.completion")
+        .raw("choices", R"([{"index":0,"message":{"role":"assistant","content":"."},"finish_reason":"length"}])")
+        .raw("usage", usage_json(asked.prompt_tokens, 1, kept))
+        .raw("kv_transfer_params", params)
+        .done();
+}
+
+std::string opening_chunk(const Asked& asked) { return chunk(asked, R"({"role":"assistant","content":""})", false); }
+std::string token_chunk(const Asked& asked, std::size_t i) {
+    return chunk(asked, json::ObjectWriter().text("content", answer_token(asked.key, i)).done(), i + 1 == asked.output);
+}
+std::string usage_chunk(const Asked& asked) {
+    json::ObjectWriter out;
+    return begin(out, asked, "chat.completion.chunk")
+        .raw("choices", "[]")
+        .raw("usage", usage_json(asked.prompt_tokens, static_cast<double>(asked.output), 0))
+        .done();
+}
+std::string whole_answer(const Asked& asked) {
+    const std::string message = json::ObjectWriter().text("role", "assistant").text("content", answer_text(asked.key, asked.output)).done();
+    json::ObjectWriter out;
+    return begin(out, asked, "chat.completion")
+        .raw("choices", R"([{"index":0,"finish_reason":"stop","message":)" + message + "}]")
+        .raw("usage", usage_json(asked.prompt_tokens, static_cast<double>(asked.output), 0))
+        .done();
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/model/exchange.hpp
@@ -0,0 +1,47 @@
+// The words of a stand-in engine: what it reads out of a request, and the bytes that it answers with. Shared by the
+// engines on sockets and those in virtual time. No I/O, no state.
+#pragma once
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "http/message.hpp"
+#include "model/engine.hpp"
+
+namespace chalksail::lab {
+
+struct Asked {
+    std::string request;       // the gateway's number for it
+    std::string client_request;
+    std::string gateway;
+    std::int64_t attempt = 0;
+    bool read = false;
+    bool streaming = false;
+    bool usage = false;
+    bool fetches = false;      // a state is to be fetched ...
+    std::string fetch_from;    // ... from this engine
+    std::string model;
+    std::uint64_t key = 0;
+    double prompt_tokens = 0;
+    std::size_t output = 0;
+    std::vector<PrefixBlock> blocks;
+};
+// Nothing if the body is no chat request.
+[[nodiscard]] std::optional<Asked> read_request(const http::Headers& headers, std::string_view body);
+[[nodiscard]] Job job_of(const Asked& asked, JobId id);
+
+struct EngineAddress {
+    std::string name;
+    std::string host;
+    int port = 0;
+};
+[[nodiscard]] std::string read_answer(const Asked& asked, JobId job, double kept, const EngineAddress& engine);
+// Chunks of the stream, as JSON: the opening one, the i-th token, and the one with the usage.
+[[nodiscard]] std::string opening_chunk(const Asked& asked);
+[[nodiscard]] std::string token_chunk(const Asked& asked, std::size_t i);
+[[nodiscard]] std::string usage_chunk(const Asked& asked);
+[[nodiscard]] std::string whole_answer(const Asked& asked);
+
+}  // namespace chalksail::lab
--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -20,34 +20,6 @@
     return out;
 }
 
-// A gateway numbers its requests "name-seed-count".
-std::string gateway_of(const std::string& request) {
-    auto end = request.rfind('-');
-    if (end == std::string::npos || end == 0) return request;
-    end = request.rfind('-', end - 1);
-    return end == std::string::npos ? request : request.substr(0, end);
-}
-
-std::string chunk_json(const std::string& id, const std::string& model, const std::string& delta, bool last) {
-    const std::string choice = R"({"index":0,"delta":)" + delta + R"(,"logprobs":null,"finish_reason":)" + (last ? "\"stop\"" : "null") + "}";
-    return json::ObjectWriter()
-        .text("id", "chatcmpl-" + id)
-        .text("object", "chat.completion.chunk")
-        .whole("created", 1'700'000'000)
-        .text("model", model)
-        .raw("choices", "[" + choice + "]")
-        .done();
-}
-
-std::string usage_json(double prompt, double completion, double cached) {
-    return json::ObjectWriter()
-        .whole("prompt_tokens", static_cast<std::int64_t>(prompt))
-        .whole("completion_tokens", static_cast<std::int64_t>(completion))
-        .whole("total_tokens", static_cast<std::int64_t>(prompt + completion))
-        .raw("prompt_tokens_details", json::ObjectWriter().whole("cached_tokens", static_cast<std::int64_t>(cached)).done())
-        .done();
-}
-
 }  // namespace
 
 EngineHost::EngineHost(uv_loop_t& loop, EngineFleet& fleet, EngineSpec spec)
@@ -61,35 +33,41 @@
     address_ = server_->listen(address_);
 }
 
-void EngineHost::note(What what, const Exchange& e, const std::string& fate) {
+void EngineHost::note(What what, const Asked& asked, const std::string& fate) {
     Record r;
     r.at = net::uv_now_time();
     r.what = what;
-    r.request = e.request;
-    r.gateway = e.gateway;
+    r.request = asked.client_request;
+    r.gateway = asked.gateway;
     r.server = spec().name;
     r.zone = spec().zone;
     r.cell = spec().cell;
-    r.attempt = e.attempt;
-    r.read = e.read;
+    r.attempt = asked.attempt;
+    r.read = asked.read;
     r.fate = fate;
     fleet_.recorder().add(std::move(r));
 }
 
+// What becomes of a state that waits, or waited, here.
+void EngineHost::note_state(What what, const std::string& edge_request) {
+    Record r;
+    r.at = net::uv_now_time();
+    r.what = what;
+    r.request = fleet_.client_number[edge_request];
+    r.server = spec().name;
+    fleet_.recorder().add(std::move(r));
+}
+
 void EngineHost::crash() {
     if (server_ == nullptr) return;
     vanished_ = false;
     for (auto& [peer, e] : exchanges_) {
-        note(What::ended, e, "cut");
+        note(What::ended, e.asked, "cut");
         server_->abort(peer, true);
     }
     exchanges_.clear();
     by_job_.clear();
-    for (const auto& s : model_.expire_states(Time::max() - std::chrono::hours(24))) {
-        Exchange e;
-        e.request = fleet_.client_number[s.request];
-        note(What::lost, e, "");
-    }
+    for (const auto& s : model_.expire_states(Time::max() - std::chrono::hours(24))) note_state(What::lost, s.request);
     model_.stop();
     server_.reset();
 }
@@ -147,75 +125,36 @@
     std::string id;
     if (json::parse(request.body, doc)) id = json::text(json::find(doc, "request_id"));
     const bool had = model_.drop_state(id);
-    if (had) {
-        Exchange e;
-        e.request = fleet_.client_number[id];
-        note(What::released, e, "");
-    }
+    if (had) note_state(What::released, id);
     if (vanished_) return;  // it reached the socket: the gateway has done its part
     server_->reply(peer, 200, {}, had ? R"({"released":true})" : R"({"released":false})");
 }
 
 void EngineHost::chat(net::HttpServer::Peer peer, const http::Request& request) {
-    Exchange e;
-    e.peer = peer;
-    e.edge_request = request.headers.get(engine::kRequestIdHeader);
-    e.request = request.headers.get("x-client-request-id");
-    if (e.request.empty()) e.request = e.edge_request;
-    e.gateway = gateway_of(e.edge_request);
-    e.attempt = std::atoll(std::string(request.headers.get(engine::kAttemptHeader)).c_str());
-    fleet_.client_number[e.edge_request] = e.request;
-
-    const auto parsed = chat::parse_request(request.body);
-    json::Document doc;
-    if (!parsed || !json::parse(request.body, doc)) return error(peer, 400, "bad request");
-    e.model = parsed->model;
-    std::vector<std::string> messages;
-    for (const auto& m : doc["messages"].GetArray()) messages.push_back(json::dump(m));
-    for (const auto& m : parsed->members) {
-        if (m.name != "messages") continue;
-        const std::string_view raw = std::string_view(request.body).substr(m.value, m.end - m.value);
-        e.key = prompt_key(raw);
-        e.prompt_tokens = count_tokens(raw.size());
-    }
-    const auto* params = json::find(doc, "kv_transfer_params");
-    const auto truth = [&](const char* name) {
-        const auto* v = params == nullptr ? nullptr : json::find(*params, name);
-        return v != nullptr && v->IsBool() && v->GetBool();
-    };
-    e.read = truth("do_remote_decode");
-    e.streaming = parsed->stream;
-    e.usage = parsed->include_usage;
-    e.output = answer_length(e.key, static_cast<std::size_t>(parsed->max_output > 0 ? parsed->max_output : 64));
-    note(What::taken, e, "");
+    auto asked = read_request(request.headers, request.body);
+    if (!asked) return error(peer, 400, "bad request");
+    Exchange e{peer, fleet_.next_job(), std::move(*asked)};
+    fleet_.client_number[e.asked.request] = e.asked.client_request;
+    note(What::taken, e.asked, "");
 
     const Time now = net::uv_now_time();
-    Job job;
-    job.id = e.job = fleet_.next_job();
-    job.read = e.read;
-    job.request = e.edge_request;
-    job.gateway = e.gateway;
-    job.told_cold = fleet_.told_cold.contains({e.gateway, spec().name});
-    job.prompt_tokens = e.prompt_tokens;
-    job.blocks = prefix_blocks(messages);
-    job.output_tokens = e.output;
-    EngineHost* from = nullptr;
-    if (!e.read && truth("do_remote_prefill")) {
-        from = fleet_.find(std::string(json::text(json::find(*params, "remote_engine_id"))));
-        const bool there = from != nullptr && from->up() && !from->vanished_ && from->model_.state(e.edge_request) != nullptr;
-        job.has_state = there;
-        if (!there) from = nullptr;
-    }
+    Job job = job_of(e.asked, e.job);
+    job.told_cold = fleet_.told_cold.contains({e.asked.gateway, spec().name});
     const auto refuse = [&](int status, const char* text, const char* not_run) {
         if (vanished_) {  // it says nothing, whatever it would say
             exchanges_[peer] = std::move(e);
             return;
         }
-        note(What::ended, e, *not_run != 0 ? "not_run" : "error");
+        note(What::ended, e.asked, *not_run != 0 ? "not_run" : "error");
         error(peer, status, text, not_run);
     };
-    if (params != nullptr && truth("do_remote_prefill") && from == nullptr && !vanished_) return refuse(503, "the state is gone", "no-state");
-    if (from != nullptr) job.transfer = fleet_.links().transfer(now, from->spec(), spec(), e.prompt_tokens);
+    EngineHost* from = e.asked.fetches ? fleet_.find(e.asked.fetch_from) : nullptr;
+    if (from != nullptr && (!from->up() || from->vanished_ || from->model_.state(e.asked.request) == nullptr)) from = nullptr;
+    if (e.asked.fetches && from == nullptr) return refuse(503, "the state is gone", "no-state");
+    if (from != nullptr) {
+        job.has_state = true;
+        job.transfer = fleet_.links().transfer(now, from->spec(), spec(), e.asked.prompt_tokens);
+    }
     const auto verdict = model_.submit(now, job, fleet_.draw());
     if (const auto told = model_.take_fall()) {
         Record r;
@@ -224,7 +163,7 @@
         r.server = spec().name;
         r.value = *told;
         fleet_.recorder().add(std::move(r));
-        note(What::ended, e, "cut");
+        note(What::ended, e.asked, "cut");
         server_->abort(peer, true);
         if (fleet_.on_fall) fleet_.on_fall(*this);
         return;
@@ -238,14 +177,8 @@
         case Verdict::taken: break;
     }
     if (from != nullptr && verdict == Verdict::taken) {
-        from->model_.drop_state(e.edge_request);
-        Exchange source = e;
-        Record r;
-        r.at = now;
-        r.what = What::fetched;
-        r.request = e.request;
-        r.server = from->spec().name;
-        fleet_.recorder().add(std::move(r));
+        from->model_.drop_state(e.asked.request);
+        from->note_state(What::fetched, e.asked.request);
     }
     by_job_[e.job] = peer;
     exchanges_[peer] = std::move(e);
@@ -254,77 +187,43 @@
 void EngineHost::on_closed(net::HttpServer::Peer peer) {
     const auto it = exchanges_.find(peer);
     if (it == exchanges_.end()) return;
-    note(What::ended, it->second, "left");
+    note(What::ended, it->second.asked, "left");
     model_.cancel(net::uv_now_time(), it->second.job);
     by_job_.erase(it->second.job);
     exchanges_.erase(it);
 }
 
 void EngineHost::answer_read(Exchange& e, double kept) {
-    Exchange state = e;
-    note(What::state, state, "");
-    note(What::ended, e, "done");
+    note_state(What::state, e.asked.request);
+    note(What::ended, e.asked, "done");
     http::Headers headers;
     headers.add("Content-Type", "application/json");
     add_load(headers);
-    const std::string params = json::ObjectWriter()
-                                   .flag("do_remote_prefill", true)
-                                   .flag("do_remote_decode", false)
-                                   .text("remote_engine_id", spec().name)
-                                   .raw("remote_block_ids", "[" + std::to_string(e.job) + "]")
-                                   .text("remote_host", address_.host)
-                                   .whole("remote_port", address_.port)
-                                   .done();
-    const std::string choice = R"({"index":0,"message":{"role":"assistant","content":"."},"finish_reason":"length"})";
-    server_->reply(e.peer, 200, std::move(headers),
-                   json::ObjectWriter()
-                       .text("id", "chatcmpl-" + e.edge_request)
-                       .text("object", "chat.completion")
-                       .whole("created", 1'700'000'000)
-                       .text("model", e.model)
-                       .raw("choices", "[" + choice + "]")
-                       .raw("usage", usage_json(e.prompt_tokens, 1, kept))
-                       .raw("kv_transfer_params", params)
-                       .done());
+    server_->reply(e.peer, 200, std::move(headers), read_answer(e.asked, e.job, kept, {spec().name, address_.host, address_.port}));
 }
 
 void EngineHost::write_tokens(Exchange& e, std::size_t first, std::size_t count) {
-    if (!e.streaming) return;
+    if (!e.asked.streaming) return;
     if (first == 0) {
         http::Headers headers;
         headers.add("Content-Type", "text/event-stream; charset=utf-8");
         add_load(headers);
         server_->begin_stream(e.peer, std::move(headers));
-        server_->stream(e.peer, chat::format_event(chunk_json(e.edge_request, e.model, R"({"role":"assistant","content":""})", false)));
-    }
-    for (std::size_t i = first; i < first + count; ++i) {
-        const auto delta = json::ObjectWriter().text("content", answer_token(e.key, i)).done();
-        server_->stream(e.peer, chat::format_event(chunk_json(e.edge_request, e.model, delta, i + 1 == e.output)));
+        server_->stream(e.peer, chat::format_event(opening_chunk(e.asked)));
     }
+    for (std::size_t i = first; i < first + count; ++i)
+        server_->stream(e.peer, chat::format_event(token_chunk(e.asked, i)));
 }
 
 void EngineHost::end_stream(Exchange& e) {
-    note(What::ended, e, "done");
-    if (!e.streaming) {
+    note(What::ended, e.asked, "done");
+    if (!e.asked.streaming) {
         http::Headers headers;
         headers.add("Content-Type", "application/json");
-        const std::string message = json::ObjectWriter().text("role", "assistant").text("content", answer_text(e.key, e.output)).done();
-        server_->reply(e.peer, 200, std::move(headers),
-                       json::ObjectWriter().text("id", "chatcmpl-" + e.edge_request).text("object", "chat.completion").text("model", e.model)
-                           .raw("choices", R"([{"index":0,"finish_reason":"stop","message":)" + message + "}]").done());
+        server_->reply(e.peer, 200, std::move(headers), whole_answer(e.asked));
         return;
     }
-    if (e.usage) {
-        const auto usage = json::ObjectWriter()
-                               .text("id", "chatcmpl-" + e.edge_request)
-                               .text("object", "chat.completion.chunk")
-                               .whole("created", 1'700'000'000)
-                               .text("model", e.model)
-                               .raw("choices", "[]")
-                               .raw("usage", usage_json(e.prompt_tokens, static_cast<double>(e.output), 0))
-                               .done();
-        server_->stream(e.peer, chat::format_event(usage));
-    }
+    if (e.asked.usage) server_->stream(e.peer, chat::format_event(usage_chunk(e.asked)));
     server_->stream(e.peer, chat::format_event(chat::kDone));
     server_->end_stream(e.peer);
 }
@@ -344,11 +243,7 @@
         exchanges_.erase(job->second);
         by_job_.erase(job);
     }
-    for (const auto& s : model_.expire_states(now)) {
-        Exchange e;
-        e.request = fleet_.client_number[s.request];
-        note(What::expired, e, "");
-    }
+    for (const auto& s : model_.expire_states(now)) note_state(What::expired, s.request);
     flush();
 }
 
--- a/lab/shell/engine_host.hpp
+++ b/lab/shell/engine_host.hpp
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "model/engine.hpp"
+#include "model/exchange.hpp"
 #include "net/http_server.hpp"
 #include "record/record.hpp"
 
@@ -39,17 +40,7 @@
     struct Exchange {
         net::HttpServer::Peer peer = 0;
         JobId job = 0;
-        std::string request;  // the client's number for it
-        std::string edge_request;
-        std::string gateway;
-        std::int64_t attempt = 0;
-        bool read = false;
-        bool streaming = false;
-        std::uint64_t key = 0;
-        double prompt_tokens = 0;
-        std::size_t output = 0;
-        std::string model;
-        bool usage = false;
+        Asked asked;
     };
     void on_request(net::HttpServer::Peer peer, http::Request request) override;
     void on_closed(net::HttpServer::Peer peer) override;
@@ -59,7 +50,8 @@
     void write_tokens(Exchange& e, std::size_t first, std::size_t count);
     void end_stream(Exchange& e);
     void error(net::HttpServer::Peer peer, int status, const std::string& text, const std::string& not_run = "");
-    void note(What what, const Exchange& e, const std::string& fate);
+    void note(What what, const Asked& asked, const std::string& fate);
+    void note_state(What what, const std::string& edge_request);
     void add_load(http::Headers& headers) const;
     void flush();
 
--- /dev/null
+++ b/lab/virtual/day.cpp
@@ -0,0 +1,610 @@
+#include "virtual/day.hpp"
+
+#include <algorithm>
+#include <cmath>
+#include <utility>
+
+#include "base/json.hpp"
+#include "chat/sse.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+constexpr Duration kWay = std::chrono::microseconds(500);  // one way between any two
+constexpr double kAsksEachClient = 0.4;                    // a second
+
+std::string words(std::mt19937_64& random, std::size_t bytes) {
+    static constexpr const char* all[] = {"menu ", "order ", "jollof ", "suya ", "price ", "table ", "spicy ", "branch "};
+    std::string out;
+    while (out.size() < bytes) out += all[random() % 8];
+    return out;
+}
+
+}  // namespace
+
+struct VirtualDay::Gateway {
+    std::size_t number = 0;
+    std::string name;
+    std::unique_ptr<core::Edge> edge;
+    std::vector<core::Input> inputs;
+    std::optional<Time> wake;  // for which a step is on the timeline
+    bool stepping = false;
+    std::map<std::uint64_t, std::string> clients;  // peer -> the client's number
+};
+
+struct VirtualDay::Host {
+    EngineModel model;
+    bool up = true;
+    bool vanished = false;
+    std::string listed = "up";
+    Time born{};
+    std::optional<Time> wake;
+    std::map<JobId, std::uint64_t> jobs;
+    explicit Host(const EngineSpec& spec) : model(spec) {}
+};
+
+struct VirtualDay::Exchange {
+    std::uint64_t id = 0;
+    Gateway* gateway = nullptr;
+    Host* host = nullptr;
+    core::CallId call;
+    Asked asked;
+    bool begun = false;
+};
+
+struct VirtualDay::Ask {
+    std::string number;
+    Gateway* gateway = nullptr;
+    std::uint64_t peer = 0;
+    std::uint64_t key = 0;
+    std::size_t tokens = 0;
+    bool stream = true;
+    bool started = false;
+    bool done = false;
+    bool error = false;
+    std::string text;
+    chat::SseReader events{1 << 20};
+};
+
+VirtualDay::VirtualDay(Scenario scenario)
+    : scenario_(std::move(scenario)), links_(scenario_.links), random_(scenario_.seed), now_(std::chrono::seconds(1000)),
+      lag_(scenario_.list_lag) {
+    for (const auto& spec : scenario_.engines) hosts_.push_back(std::make_unique<Host>(spec));
+    for (int i = 0; i < scenario_.edges; ++i) {
+        auto g = std::make_unique<Gateway>();
+        g->number = static_cast<std::size_t>(i);
+        g->name = "edge" + std::to_string(i + 1);
+        auto settings = scenario_.edge;
+        settings.name = g->name;
+        settings.module.zone = scenario_.zones[static_cast<std::size_t>(i) % scenario_.zones.size()];
+        settings.seed = scenario_.seed * 1000 + static_cast<std::uint64_t>(i) + 1;
+        settings.module.gateways = scenario_.edges;
+        settings.module.gateway = i;
+        g->edge = std::make_unique<core::Edge>(settings);
+        gateways_.push_back(std::move(g));
+    }
+}
+VirtualDay::~VirtualDay() = default;
+
+void VirtualDay::at(Time when, std::function<void()> act) { timeline_.emplace(std::max(now_, when), std::move(act)); }
+
+VirtualDay::Host* VirtualDay::find(const std::string& name) {
+    const auto it = std::find_if(hosts_.begin(), hosts_.end(), [&](const auto& h) { return h->model.spec().name == name; });
+    return it == hosts_.end() ? nullptr : it->get();
+}
+
+void VirtualDay::note(What what, const Host& host, const Asked& asked, const std::string& fate) {
+    Record r;
+    r.at = now_;
+    r.what = what;
+    r.request = asked.client_request;
+    r.gateway = asked.gateway;
+    r.server = host.model.spec().name;
+    r.zone = host.model.spec().zone;
+    r.cell = host.model.spec().cell;
+    r.attempt = asked.attempt;
+    r.read = asked.read;
+    r.fate = fate;
+    recorder_.add(std::move(r));
+}
+void VirtualDay::note_state(What what, const Host& host, const std::string& edge_request) {
+    Record r;
+    r.at = now_;
+    r.what = what;
+    r.request = client_number_[edge_request];
+    r.server = host.model.spec().name;
+    recorder_.add(std::move(r));
+}
+
+// ================= gateways =================
+
+void VirtualDay::give(Gateway& g, core::Input input) {
+    if (g.inputs.empty()) at(now_, [this, &g] { step(g); });
+    g.inputs.push_back(std::move(input));
+}
+
+void VirtualDay::step(Gateway& g) {
+    for (auto& output : g.edge->step(now_, std::exchange(g.inputs, {}))) carry_out(g, output);
+    const auto wake = g.edge->next_wake();
+    if (!wake || (g.wake && *g.wake <= *wake && *g.wake > now_)) return;
+    g.wake = std::max(*wake, now_ + Duration(1));
+    at(*g.wake, [this, &g, when = *g.wake] {
+        if (g.wake == when) g.wake.reset();
+        step(g);
+    });
+}
+
+void VirtualDay::carry_out(Gateway& g, core::Output& output) {
+    const auto ask_of = [&](core::ClientId client) -> Ask* {
+        const auto number = g.clients.find(client.value);
+        if (number == g.clients.end()) return nullptr;
+        const auto it = asks_.find(number->second);
+        return it == asks_.end() ? nullptr : it->second.get();
+    };
+    const auto answered = [&](core::ClientId client, const std::string& fate, bool intact, int status) {
+        Ask* ask = ask_of(client);
+        if (ask == nullptr) return;
+        Record r;
+        r.at = now_;
+        r.what = What::answered;
+        r.request = ask->number;
+        r.gateway = g.name;
+        r.fate = fate;
+        r.status = status;
+        r.intact = intact;
+        recorder_.add(std::move(r));
+        asks_.erase(ask->number);
+        g.clients.erase(client.value);
+    };
+    if (auto* call = std::get_if<core::Call>(&output)) {
+        give(g, core::CallSent{call->call});
+        at(now_ + kWay, [this, &g, call = std::move(*call)] { reach(g, call); });
+    } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
+        at(now_ + kWay, [this, key = std::pair(g.number, abort->call.value)] {
+            const auto it = by_call_.find(key);
+            if (it == by_call_.end()) return;
+            Exchange& e = *exchanges_.at(it->second);
+            note(What::ended, *e.host, e.asked, "left");
+            e.host->model.cancel(now_, e.id);
+            e.host->jobs.erase(e.id);
+            Host& host = *e.host;
+            exchanges_.erase(it->second);
+            by_call_.erase(it);
+            move(host);
+        });
+    } else if (auto* bytes = std::get_if<core::StreamBytes>(&output)) {
+        Ask* ask = ask_of(bytes->client);
+        if (ask == nullptr) return;
+        for (const auto& data : ask->events.feed(bytes->bytes)) {
+            if (data == chat::kDone) {
+                ask->done = true;
+                continue;
+            }
+            json::Document doc;
+            if (!json::parse(data, doc) || json::find(doc, "error") != nullptr) {
+                ask->error = true;
+                continue;
+            }
+            if (!ask->started) {
+                ask->started = true;
+                Record r;
+                r.at = now_;
+                r.what = What::first;
+                r.request = ask->number;
+                recorder_.add(std::move(r));
+            }
+            const auto* choices = json::find(doc, "choices");
+            if (choices != nullptr && choices->IsArray() && !choices->Empty())
+                if (const auto* delta = json::find((*choices)[0], "delta")) ask->text += json::text(json::find(*delta, "content"));
+        }
+    } else if (const auto* end = std::get_if<core::StreamEnd>(&output)) {
+        if (Ask* ask = ask_of(end->client)) {
+            const bool whole = ask->done && !ask->error;
+            answered(end->client, whole ? "served" : "failed", !whole || ask->text == answer_text(ask->key, ask->tokens), 200);
+        }
+    } else if (const auto* reply = std::get_if<core::Reply>(&output)) {
+        Ask* ask = ask_of(reply->client);
+        if (ask == nullptr) return;
+        if (reply->status == 200) {
+            json::Document doc;
+            std::string text;
+            if (json::parse(reply->body, doc)) text = json::text(json::find(doc["choices"][0]["message"], "content"));
+            answered(reply->client, "served", text == answer_text(ask->key, ask->tokens), 200);
+        } else {
+            answered(reply->client, reply->status == 503 ? "refused" : reply->status < 500 ? "rejected" : "failed", true, reply->status);
+        }
+    } else if (const auto* told = std::get_if<core::Note>(&output)) {
+        if (std::holds_alternative<observe::GuardRecord>(told->record)) figures_.guards += 1;
+    }
+}
+
+// ================= engines =================
+
+// A call reaches its server.
+void VirtualDay::reach(Gateway& g, const core::Call& call) {
+    Host& host = *find(call.server);
+    const auto later = [&](core::Input input) { at(now_ + kWay, [this, &g, input = std::move(input)] { give(g, input); }); };
+    if (!host.up) return later(core::CallFailed{call.call, engine::Ending::closed, "down"});
+    if (call.kind == core::CallKind::release) {
+        json::Document doc;
+        json::parse(call.body, doc);
+        const std::string id(json::text(json::find(doc, "request_id")));
+        if (host.model.drop_state(id)) note_state(What::released, host, id);
+    }
+    if (call.kind != core::CallKind::attempt) {
+        if (host.vanished) return;
+        later(core::CallHead{call.call, 200, {}});
+        return later(core::CallDone{call.call});
+    }
+    auto asked = read_request(call.headers, call.body);
+    auto e = std::make_unique<Exchange>();
+    e->id = ++last_exchange_;
+    e->gateway = &g;
+    e->host = &host;
+    e->call = call.call;
+    e->asked = std::move(*asked);
+    client_number_[e->asked.request] = e->asked.client_request;
+    note(What::taken, host, e->asked, "");
+    Exchange& x = *e;
+    by_call_[{g.number, call.call.value}] = x.id;
+    exchanges_.emplace(x.id, std::move(e));
+
+    Job job = job_of(x.asked, x.id);
+    job.told_cold = told_cold_.contains({g.name, host.model.spec().name});
+    Host* from = x.asked.fetches ? find(x.asked.fetch_from) : nullptr;
+    if (from != nullptr && (!from->up || from->vanished || from->model.state(x.asked.request) == nullptr)) from = nullptr;
+    if (x.asked.fetches && from == nullptr && !host.vanished) return answer(x, 503, "{}", "no-state");
+    if (from != nullptr) {
+        job.has_state = true;
+        job.transfer = links_.transfer(now_, from->model.spec(), host.model.spec(), x.asked.prompt_tokens);
+    }
+    const auto verdict = host.model.submit(now_, std::move(job), draw());
+    if (const auto told = host.model.take_fall()) {
+        figures_.fell += 1;
+        Record r;
+        r.at = now_;
+        r.what = What::fell;
+        r.server = host.model.spec().name;
+        r.value = *told;
+        recorder_.add(std::move(r));
+        kill(host.model.spec().name, Duration::zero());
+        return;
+    }
+    if (!host.vanished) {
+        if (verdict == Verdict::full) return answer(x, 503, "{}", "full");
+        if (verdict == Verdict::draining) return answer(x, 503, "{}", "draining");
+        if (verdict == Verdict::no_state) return answer(x, 503, "{}", "no-state");
+        if (verdict == Verdict::error) return answer(x, 500, "{}");
+    }
+    if (from != nullptr && verdict == Verdict::taken) {
+        from->model.drop_state(x.asked.request);
+        note_state(What::fetched, *from, x.asked.request);
+    }
+    host.jobs[x.id] = x.id;
+    move(host);
+}
+
+// The whole of an answer, and the end of its exchange.
+void VirtualDay::answer(Exchange& e, int status, const std::string& body, const std::string& not_run) {
+    note(What::ended, *e.host, e.asked, status == 200 ? "done" : not_run.empty() ? "error" : "not_run");
+    http::Headers headers;
+    if (!not_run.empty()) headers.add(std::string(engine::kNotRunHeader), not_run);
+    Gateway& g = *e.gateway;
+    const auto call = e.call;
+    at(now_ + kWay, [this, &g, call, status, headers, body] {
+        give(g, core::CallHead{call, status, headers});
+        give(g, core::CallBody{call, body});
+        give(g, core::CallDone{call});
+    });
+    by_call_.erase({g.number, call.value});
+    e.host->jobs.erase(e.id);
+    exchanges_.erase(e.id);
+}
+
+// Its connection breaks.
+void VirtualDay::cut(std::uint64_t id) {
+    const Exchange& e = *exchanges_.at(id);
+    note(What::ended, *e.host, e.asked, "cut");
+    Gateway& g = *e.gateway;
+    at(now_ + kWay, [this, &g, call = e.call] { give(g, core::CallFailed{call, engine::Ending::closed, "cut"}); });
+    by_call_.erase({g.number, e.call.value});
+    exchanges_.erase(id);
+}
+
+// Lets the model catch up, and wakes it when next something happens there.
+void VirtualDay::move(Host& host) {
+    if (!host.up) return;
+    if (!host.vanished)
+        for (const auto& p : host.model.advance(now_)) {
+            const auto it = exchanges_.find(p.job);
+            if (it == exchanges_.end()) continue;
+            Exchange& e = *it->second;
+            Gateway& g = *e.gateway;
+            const auto send = [&](std::string data) {
+                at(now_ + kWay, [this, &g, call = e.call, bytes = chat::format_event(data)] { give(g, core::CallBody{call, bytes}); });
+            };
+            switch (p.what) {
+                case Progress::What::read_done:
+                    note_state(What::state, host, e.asked.request);
+                    answer(e, 200, read_answer(e.asked, e.id, p.kept, {host.model.spec().name, "virtual", 1}));
+                    break;
+                case Progress::What::tokens:
+                    if (!e.begun) {
+                        e.begun = true;
+                        at(now_ + kWay, [this, &g, call = e.call] { give(g, core::CallHead{call, 200, {}}); });
+                        send(opening_chunk(e.asked));
+                    }
+                    for (std::size_t i = p.first; i < p.first + p.count; ++i) send(token_chunk(e.asked, i));
+                    break;
+                case Progress::What::finished:
+                    note(What::ended, host, e.asked, "done");
+                    send(usage_chunk(e.asked));
+                    send(std::string(chat::kDone));
+                    at(now_ + kWay, [this, &g, call = e.call] { give(g, core::CallDone{call}); });
+                    by_call_.erase({g.number, e.call.value});
+                    host.jobs.erase(e.id);
+                    exchanges_.erase(e.id);
+                    break;
+                case Progress::What::dropped: break;
+            }
+        }
+    for (const auto& s : host.model.expire_states(now_)) note_state(What::expired, host, s.request);
+    const auto next = host.model.next();
+    if (!next || host.vanished || (host.wake && *host.wake <= *next && *host.wake > now_)) return;
+    host.wake = std::max(*next, now_ + Duration(1));
+    at(*host.wake, [this, &host, when = *host.wake] {
+        if (host.wake != when) return;
+        host.wake.reset();
+        move(host);
+    });
+}
+
+// ================= clients =================
+
+void VirtualDay::arrival() {
+    if (now_ >= end_) return;
+    const double rate = kAsksEachClient * scenario_.clients * burst_;
+    at(now_ + Duration(static_cast<std::int64_t>(-std::log(1 - draw()) / rate * 1e9)), [this] {
+        if (now_ >= end_) return;
+        ask(static_cast<std::size_t>(draw() * static_cast<double>(gateways_.size())));
+        arrival();
+    });
+}
+
+void VirtualDay::ask(std::size_t gateway) {
+    Gateway& g = *gateways_[gateway];
+    double total = 0;
+    for (const auto& t : scenario_.traffic) total += t.share;
+    double left = draw() * total;
+    const TrafficClass* t = &scenario_.traffic.front();
+    for (const auto& one : scenario_.traffic) {
+        t = &one;
+        if ((left -= one.share) < 0) break;
+    }
+    const auto& classes = scenario_.edge.module.classes;
+    const auto& cls = *std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == t->name; });
+    double bytes = t->turn_bytes * (0.5 + draw());
+    if (draw() < heavy_part_) bytes *= heavy_factor_;
+    std::mt19937_64 prefix(static_cast<std::uint64_t>(draw() * t->prefixes));
+    const std::string messages =
+        "[" + json::ObjectWriter().text("role", "system").text("content", words(prefix, static_cast<std::size_t>(t->system_bytes))).done() + "," +
+        json::ObjectWriter().text("role", "user").text("content", words(random_, static_cast<std::size_t>(bytes))).done() + "]";
+    auto a = std::make_unique<Ask>();
+    const std::uint64_t number = ++last_ask_;
+    a->number = "c" + std::to_string(number);
+    a->gateway = &g;
+    a->peer = number;
+    a->key = prompt_key(messages);
+    a->tokens = answer_length(a->key, static_cast<std::size_t>(t->max_tokens));
+    a->stream = draw() < t->stream_part;
+    http::Request request;
+    request.method = "POST";
+    request.target = engine::kChatPath;
+    request.headers.add("X-Request-Id", a->number);
+    request.headers.add("Idempotency-Key", a->number);
+    json::ObjectWriter body;
+    body.text("model", t->model).raw("messages", messages).whole("max_tokens", t->max_tokens).text("user", "u" + std::to_string(number % 97));
+    if (a->stream) body.flag("stream", true);
+    request.body = body.done();
+    Record r;
+    r.at = now_;
+    r.what = What::asked;
+    r.request = a->number;
+    r.gateway = g.name;
+    r.cls = cls.name;
+    r.effect = cls.effect;
+    r.group = cls.group;
+    r.window = cls.window;
+    r.deadline = cls.deadline;
+    recorder_.add(std::move(r));
+    g.clients[number] = a->number;
+    if (draw() < give_up_) {
+        const double patience = draw() * draw() * 2 * std::chrono::duration<double>(cls.deadline).count();
+        at(now_ + Duration(static_cast<std::int64_t>(patience * 1e9)), [this, who = a->number] { hang_up(who); });
+    }
+    asks_[a->number] = std::move(a);
+    give(g, core::ClientRequest{{number}, std::move(request)});
+}
+
+void VirtualDay::hang_up(const std::string& number) {
+    const auto it = asks_.find(number);
+    if (it == asks_.end()) return;
+    Gateway& g = *it->second->gateway;
+    Record r;
+    r.at = now_;
+    r.what = What::hung_up;
+    r.request = number;
+    recorder_.add(std::move(r));
+    g.clients.erase(it->second->peer);
+    give(g, core::ClientClosed{{it->second->peer}});
+    asks_.erase(it);
+}
+
+// ================= the list and the troubles =================
+
+core::ListedServer VirtualDay::entry(const Host& host) const {
+    core::ListedServer out;
+    const auto& spec = host.model.spec();
+    out.entry.id = {spec.name};
+    out.entry.kind = spec.kind;
+    out.entry.zone = spec.zone;
+    out.entry.cell = spec.cell;
+    out.entry.born = host.born;
+    out.entry.state = host.listed == "up" ? ServerState::up : host.listed == "draining" ? ServerState::draining : ServerState::removed;
+    out.address = {"127.0.0.1", 1};
+    return out;
+}
+
+// The list's service sees this now; the gateways are told after its lag.
+void VirtualDay::tell(const std::string& server, const std::string& state) {
+    const Time born = state == "started" ? now_ : Time{};
+    at(now_ + lag_, [this, server, state, born] {
+        Host& host = *find(server);
+        host.listed = state == "started" ? "up" : state;
+        if (born != Time{}) host.born = born;
+        for (auto& g : gateways_) {
+            Record r;
+            r.at = now_;
+            r.what = What::told;
+            r.gateway = g->name;
+            r.server = server;
+            r.fate = state;
+            recorder_.add(std::move(r));
+            if (state == "started") told_cold_.emplace(g->name, server);
+            give(*g, core::ServerList{ListScope::changes, {entry(host)}});
+        }
+    });
+}
+
+void VirtualDay::kill(const std::string& server, Duration lasts) {
+    Host& host = *find(server);
+    if (!host.up) return;
+    host.up = false;
+    host.vanished = false;
+    std::vector<std::uint64_t> gone;
+    for (const auto& [id, e] : exchanges_)
+        if (e->host == &host) gone.push_back(id);
+    for (const auto id : gone) cut(id);
+    host.jobs.clear();
+    for (const auto& s : host.model.expire_states(Time::max() - std::chrono::hours(24))) note_state(What::lost, host, s.request);
+    host.model.stop();
+    std::erase_if(told_cold_, [&](const auto& p) { return p.second == server; });
+    tell(server, "removed");
+    if (lasts == Duration::zero()) return;  // it stays down
+    at(now_ + lasts, [this, server] {
+        Host& back = *find(server);
+        back.up = true;
+        back.model.start_cold(now_);
+        tell(server, "started");
+    });
+}
+
+void VirtualDay::trouble(const Trouble& t) {
+    std::vector<std::string> victims;
+    if (!t.server.empty()) victims = {t.server};
+    else {
+        for (const auto& e : scenario_.engines)
+            if ((t.engines.empty() || e.kind == t.engines) && (t.zone.empty() || e.zone == t.zone)) victims.push_back(e.name);
+        if (t.kind != TroubleKind::zone_loss) {
+            for (std::size_t i = victims.size(); i > 1; --i)
+                std::swap(victims[i - 1], victims[static_cast<std::size_t>(draw() * static_cast<double>(i))]);
+            victims.resize(std::min(victims.size(), static_cast<std::size_t>(std::ceil(t.share * static_cast<double>(victims.size())))));
+        }
+    }
+    const auto each = [&](const std::function<void(Host&)>& begin, const std::function<void(Host&)>& end) {
+        for (const auto& name : victims) {
+            Host* host = find(name);
+            if (!host->up) continue;
+            begin(*host);
+            move(*host);
+            at(now_ + t.lasts, [this, host, end] {
+                if (!host->up) return;
+                end(*host);
+                move(*host);
+            });
+        }
+    };
+    const auto later = [&](std::function<void()> act) { at(now_ + t.lasts, std::move(act)); };
+    switch (t.kind) {
+        case TroubleKind::crash:
+        case TroubleKind::zone_loss:
+            for (const auto& name : victims) kill(name, t.lasts);
+            break;
+        case TroubleKind::vanish:
+            each([&](Host& h) {
+                h.vanished = true;
+                h.model.set_paused(now_, true);
+                tell(h.model.spec().name, "removed");
+            }, [this](Host& h) { kill(h.model.spec().name, std::chrono::milliseconds(1)); });
+            break;
+        case TroubleKind::hang:
+            each([&](Host& h) { h.model.set_paused(now_, true); }, [this](Host& h) { h.model.set_paused(now_, false); });
+            break;
+        case TroubleKind::slow:
+        case TroubleKind::ageing:
+            each([&](Host& h) { h.model.set_slow(now_, t.factor); }, [this](Host& h) { h.model.set_slow(now_, 1); });
+            break;
+        case TroubleKind::fast_errors:
+            each([&](Host& h) { h.model.set_error_share(t.part); }, [](Host& h) { h.model.set_error_share(0); });
+            break;
+        case TroubleKind::answer_lost:
+            each([&](Host& h) { h.model.set_lost_share(t.part); }, [](Host& h) { h.model.set_lost_share(0); });
+            break;
+        case TroubleKind::origin_slow:
+            links_.set_slow(t.factor);
+            later([this] { links_.set_slow(1); });
+            break;
+        case TroubleKind::discovery_stale:
+            lag_ = t.lag;
+            later([this] { lag_ = scenario_.list_lag; });
+            break;
+        case TroubleKind::preempt:
+            for (const auto& name : victims) {
+                tell(name, "draining");
+                at(now_ + t.notice + lag_, [this, name, lasts = t.lasts] { kill(name, lasts); });
+            }
+            break;
+        case TroubleKind::burst:
+            burst_ = t.factor;
+            later([this] { burst_ = 1; });
+            break;
+        case TroubleKind::heavy_tail:
+            heavy_part_ = t.part;
+            heavy_factor_ = t.factor;
+            later([this] { heavy_part_ = 0; });
+            break;
+        case TroubleKind::give_up:
+            give_up_ = t.part;
+            later([this] { give_up_ = 0; });
+            break;
+    }
+}
+
+Verdict5 VirtualDay::run(Duration rest) {
+    end_ = now_ + scenario_.length;
+    core::ServerList list;
+    for (const auto& h : hosts_) list.servers.push_back(entry(*h));
+    for (auto& g : gateways_) give(*g, list);
+    if (!scenario_.traffic.empty()) arrival();
+    for (const auto& t : scenario_.troubles) at(now_ + t.at, [this, t] { trouble(t); });
+    const Time last = end_ + rest;
+    while (!timeline_.empty() && timeline_.begin()->first <= last) {
+        now_ = timeline_.begin()->first;
+        const auto act = std::move(timeline_.begin()->second);
+        timeline_.erase(timeline_.begin());
+        act();
+    }
+    for (const auto& g : gateways_) {
+        const auto gauges = g->edge->gauges();
+        figures_.open_at_end += gauges.open_requests + gauges.calls + gauges.states_held + gauges.tracked_by_module;
+    }
+    RuleFigures figures;
+    const Settings& m = scenario_.edge.module;
+    figures.answer_slack = m.answer_slack;
+    figures.release_within = m.release_within;
+    figures.max_attempts = m.max_attempts;
+    figures.measuring = std::chrono::milliseconds(2);  // the way between gateway and engine, and back
+    return check(recorder_.all(), figures);
+}
+
+}  // namespace chalksail::lab
