--- /dev/null
+++ b/tests/core/driver.hpp
@@ -0,0 +1,148 @@
+// A hand-driven edge core: virtual time, and servers that do what the test says.
+#pragma once
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+#include "chat/sse.hpp"
+#include "core/edge.hpp"
+
+namespace chalksail::core::testing {
+
+using namespace std::chrono_literals;
+
+inline config::EdgeSettings settings(const std::string& more = "") {
+    const std::string text = R"(
+        name "e"
+        seed 1
+        class "once" { when model="once"; aim "1s"; deadline "4s"; effect "once"; }
+        class "keyed" { when model="keyed"; aim "1s"; deadline "4s"; effect "by-key"; group "zone"; }
+        class "chat" { aim "1s"; deadline "4s"; deadline-header #true; }
+        kind "reader" { role "prefill"; memory-tokens 200000; }
+        kind "writer" { role "decode"; memory-tokens 100000; }
+        limits { open-requests 50; stream-idle "5s"; }
+    )" + more;
+    auto out = config::parse_settings(text, "test");
+    if (!out) throw std::runtime_error(format(out.error().front()));
+    return std::move(*out);
+}
+
+inline ListedServer listed(const std::string& name, const std::string& kind, ServerState state = ServerState::up) {
+    ListedServer s;
+    s.entry.id = {name};
+    s.entry.kind = kind;
+    s.entry.zone = "north";
+    s.entry.state = state;
+    s.address = {"127.0.0.1", 9};
+    return s;
+}
+
+inline constexpr const char* kReadAnswer =
+    R"({"id":"x","usage":{"prompt_tokens":40,"completion_tokens":1},"kv_transfer_params":{"remote_engine_id":"r","remote_block_ids":[1,2]}})";
+inline std::string chunk(const std::string& text) {
+    return chat::format_event(R"({"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":")" + text + R"("}}]})");
+}
+inline constexpr const char* kUsage = R"({"id":"x","choices":[],"usage":{"prompt_tokens":40,"completion_tokens":2}})";
+
+class Driver {
+public:
+    explicit Driver(const config::EdgeSettings& s = settings()) : edge(s) {}
+
+    void give(std::vector<Input> inputs) {
+        for (auto& o : edge.step(now, std::move(inputs))) {
+            if (auto* call = std::get_if<Call>(&o)) calls.push_back(*call);
+            else if (auto* abort = std::get_if<CallAbort>(&o)) aborted.push_back(abort->call);
+            else if (auto* reply = std::get_if<Reply>(&o)) replies.push_back(*reply);
+            else if (auto* bytes = std::get_if<StreamBytes>(&o)) streamed += bytes->bytes;
+            else if (std::get_if<StreamBegin>(&o) != nullptr) streams_begun += 1;
+            else if (std::get_if<StreamEnd>(&o) != nullptr) streams_ended += 1;
+            else if (auto* flow = std::get_if<CallFlow>(&o)) flows.push_back(*flow);
+            else if (auto* note = std::get_if<Note>(&o)) {
+                if (auto* r = std::get_if<observe::RequestRecord>(&note->record)) requests.push_back(*r);
+                if (auto* a = std::get_if<observe::AttemptRecord>(&note->record)) attempts.push_back(*a);
+                if (auto* g = std::get_if<observe::GuardRecord>(&note->record)) guards.push_back(*g);
+                if (auto* s = std::get_if<observe::ServerRecord>(&note->record)) servers.push_back(*s);
+            }
+        }
+    }
+    // Lets time pass, waking the core whenever it asks.
+    void pass(Duration d) {
+        const Time until = now + d;
+        for (auto wake = edge.next_wake(); wake && *wake <= until; wake = edge.next_wake()) {
+            now = std::max(now + Duration(1), *wake);
+            give({});
+        }
+        now = std::max(now, until);
+        give({});
+    }
+    void list(std::vector<ListedServer> servers_listed, ListScope scope = ListScope::complete) {
+        give({ServerList{scope, std::move(servers_listed)}});
+    }
+    void usual_list() { list({listed("r1", "reader"), listed("r2", "reader"), listed("w1", "writer"), listed("w2", "writer")}); }
+
+    void ask(const std::string& model = "m", const std::string& more = R"(,"stream":true)", http::Headers headers = {},
+             std::uint64_t client = 1) {
+        http::Request r;
+        r.method = "POST";
+        r.target = "/v1/chat/completions";
+        r.headers = std::move(headers);
+        r.body = R"({"model":")" + model + R"(","messages":[{"role":"user","content":"Is the jollof ready?"}],"max_tokens":20)" + more + "}";
+        give({ClientRequest{{client}, std::move(r)}});
+    }
+    // The attempts sent so far.
+    [[nodiscard]] std::vector<Call> sent() const {
+        std::vector<Call> out;
+        for (const auto& c : calls)
+            if (c.kind == CallKind::attempt) out.push_back(c);
+        return out;
+    }
+    [[nodiscard]] std::vector<Call> releases() const {
+        std::vector<Call> out;
+        for (const auto& c : calls)
+            if (c.kind == CallKind::release) out.push_back(c);
+        return out;
+    }
+    void answer_read(CallId call) {
+        now += 20ms;
+        give({CallSent{call}, CallHead{call, 200, {}}, CallBody{call, kReadAnswer}, CallDone{call}});
+    }
+    void head(CallId call, int status = 200, http::Headers headers = {}) { give({CallSent{call}, CallHead{call, status, std::move(headers)}}); }
+    void body(CallId call, const std::string& bytes) { give({CallBody{call, bytes}}); }
+    // Asks, and takes it through the read: the write is out then.
+    CallId to_write(const std::string& model = "m", const std::string& more = R"(,"stream":true)", http::Headers headers = {}) {
+        ask(model, more, std::move(headers));
+        EXPECT_EQ(sent().size(), 1U);
+        answer_read(sent().back().call);
+        EXPECT_EQ(sent().size(), 2U);
+        return sent().back().call;
+    }
+    [[nodiscard]] bool was_aborted(CallId call) const { return std::find(aborted.begin(), aborted.end(), call) != aborted.end(); }
+
+    Time now{1000s};
+    Edge edge;
+    std::vector<Call> calls;
+    std::vector<CallId> aborted;
+    std::vector<Reply> replies;
+    std::vector<CallFlow> flows;
+    std::vector<observe::RequestRecord> requests;
+    std::vector<observe::AttemptRecord> attempts;
+    std::vector<observe::GuardRecord> guards;
+    std::vector<observe::ServerRecord> servers;
+    std::string streamed;
+    int streams_begun = 0;
+    int streams_ended = 0;
+};
+
+// Nothing is left of anything.
+inline void expect_empty(const Driver& d) {
+    const auto g = d.edge.gauges();
+    EXPECT_EQ(g.open_requests, 0U);
+    EXPECT_EQ(g.started_streams, 0U);
+    EXPECT_EQ(g.states_held, 0U);
+    EXPECT_EQ(g.tracked_by_module, 0U);
+    EXPECT_TRUE(d.guards.empty());
+}
+
+}  // namespace chalksail::core::testing
--- /dev/null
+++ b/tests/core/edge_test.cpp
@@ -0,0 +1,513 @@
+// One request's life in the core, and what ends it in every stage.
+#include <gtest/gtest.h>
+
+#include "base/json.hpp"
+#include "core/driver.hpp"
+
+namespace chalksail::core::testing {
+namespace {
+
+json::Document parsed(const std::string& text) {
+    json::Document out;
+    EXPECT_TRUE(json::parse(text, out)) << text;
+    return out;
+}
+
+// ---- the ordinary path ----
+
+TEST(Edge, ReadsAtAPrefillServerThenStreamsFromADecodeServer) {
+    Driver d;
+    d.usual_list();
+    d.ask("m", R"(,"stream":true,"top_k": 7.50,"kv_transfer_params":{"evil":1})");
+    ASSERT_EQ(d.sent().size(), 1U);
+    const Call read = d.sent()[0];
+    EXPECT_EQ(read.server[0], 'r');
+    const auto read_body = parsed(read.body);
+    EXPECT_EQ(read_body["max_tokens"].GetInt(), 1);
+    EXPECT_FALSE(read_body["stream"].GetBool());
+    EXPECT_TRUE(read_body["kv_transfer_params"]["do_remote_decode"].GetBool());
+    EXPECT_FALSE(read_body["kv_transfer_params"].HasMember("evil"));
+    EXPECT_NE(read.body.find(R"("top_k": 7.50)"), std::string::npos);  // unknown fields stay to the byte
+    d.answer_read(read.call);
+    ASSERT_EQ(d.sent().size(), 2U);
+    const Call write = d.sent()[1];
+    EXPECT_EQ(write.server[0], 'w');
+    const auto write_body = parsed(write.body);
+    EXPECT_EQ(write_body["max_tokens"].GetInt(), 20);
+    EXPECT_TRUE(write_body["stream"].GetBool());
+    EXPECT_EQ(write_body["kv_transfer_params"]["remote_engine_id"], "r");
+    EXPECT_EQ(write.headers.get("x-request-id"), read.headers.get("x-request-id"));
+    EXPECT_EQ(read.headers.get("x-request-attempt"), "0");
+    EXPECT_EQ(write.headers.get("x-request-attempt"), "1");
+    d.head(write.call);
+    d.body(write.call, chunk("yes") + chunk(" now") + chat::format_event(kUsage) + chat::format_event("[DONE]"));
+    EXPECT_EQ(d.streams_begun, 1);
+    EXPECT_EQ(d.streams_ended, 1);
+    EXPECT_EQ(d.streamed, chunk("yes") + chunk(" now") + chat::format_event("[DONE]"));  // usage was not asked for
+    ASSERT_EQ(d.requests.size(), 1U);
+    EXPECT_EQ(d.requests[0].fate, observe::Fate::served);
+    EXPECT_EQ(d.requests[0].prompt_tokens_told, 40);
+    EXPECT_TRUE(d.releases().empty());  // the writer has fetched the state
+    expect_empty(d);
+}
+
+TEST(Edge, UsageChunkGoesToWhoeverAskedForIt) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write("m", R"(,"stream":true,"stream_options":{"include_usage":true})");
+    d.head(write);
+    d.body(write, chunk("a") + chat::format_event(kUsage) + chat::format_event("[DONE]"));
+    EXPECT_NE(d.streamed.find("completion_tokens"), std::string::npos);
+}
+
+TEST(Edge, WholeAnswerIsPutTogetherWhereNoStreamIsWanted) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write("m", "");
+    d.head(write);
+    d.body(write, chunk("yes") + chunk(" now"));
+    EXPECT_TRUE(d.replies.empty());
+    d.body(write, chat::format_event(kUsage) + chat::format_event("[DONE]"));
+    ASSERT_EQ(d.replies.size(), 1U);
+    const auto answer = parsed(d.replies[0].body);
+    EXPECT_EQ(answer["object"], "chat.completion");
+    EXPECT_EQ(answer["choices"][0]["message"]["content"], "yes now");
+    EXPECT_EQ(answer["usage"]["prompt_tokens"].GetInt(), 40);
+    expect_empty(d);
+}
+
+TEST(Edge, AnySplitOfTheEnginesBytesGivesTheSameStream) {
+    const std::string all = chunk("one") + chunk("two") + chat::format_event(kUsage) + chat::format_event("[DONE]");
+    for (std::size_t cut = 1; cut < all.size(); cut += 7) {
+        Driver d;
+        d.usual_list();
+        const auto write = d.to_write();
+        d.head(write);
+        d.body(write, all.substr(0, cut));
+        d.body(write, all.substr(cut));
+        EXPECT_EQ(d.streamed, chunk("one") + chunk("two") + chat::format_event("[DONE]")) << cut;
+    }
+}
+
+// ---- the client goes away ----
+
+TEST(Edge, ClientGoneBeforeTheReadIsNeverSent) {
+    Driver d;  // no list: it is held
+    d.ask();
+    d.give({ClientClosed{{1}}});
+    d.usual_list();
+    d.pass(5s);
+    EXPECT_TRUE(d.sent().empty());
+    EXPECT_TRUE(d.replies.empty());
+    expect_empty(d);
+}
+
+TEST(Edge, ClientGoneDuringTheReadCallsItOffAndLetsGoOfWhatMayBeThere) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const auto read = d.sent()[0].call;
+    d.give({CallSent{read}});
+    d.give({ClientClosed{{1}}});
+    EXPECT_TRUE(d.was_aborted(read));
+    // The read may have ended as it was called off: its state is let go by the request's number.
+    ASSERT_EQ(d.releases().size(), 1U);
+    EXPECT_EQ(d.releases()[0].server, d.sent()[0].server);
+    d.pass(5s);
+    EXPECT_EQ(d.sent().size(), 1U);
+    expect_empty(d);
+}
+
+TEST(Edge, ClientGoneWhileTheStateWaitsLetsItGoAtOnce) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const auto read = d.sent()[0].call;
+    d.list({listed("w1", "writer", ServerState::draining), listed("w2", "writer", ServerState::draining)}, ListScope::changes);
+    d.answer_read(read);
+    ASSERT_EQ(d.sent().size(), 1U);
+    EXPECT_EQ(d.edge.gauges().states_held, 1U);
+    d.give({ClientClosed{{1}}});
+    ASSERT_EQ(d.releases().size(), 1U);
+    EXPECT_NE(d.releases()[0].body.find("remote_block_ids"), std::string::npos);
+    expect_empty(d);
+}
+
+TEST(Edge, ClientGoneMidStreamEndsTheEnginesStream) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.body(write, chunk("yes"));
+    d.give({ClientClosed{{1}}});
+    EXPECT_TRUE(d.was_aborted(write));
+    d.body(write, chunk("late"));  // what was on the way
+    EXPECT_EQ(d.streamed, chunk("yes"));
+    EXPECT_EQ(d.requests.back().fate, observe::Fate::client_gone);
+    expect_empty(d);
+}
+
+// ---- servers fail ----
+
+TEST(Edge, WriterDyingAfterTheFirstTokenIsAnErrorEventAndNoDone) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.body(write, chunk("yes"));
+    d.give({CallFailed{write, engine::Ending::closed, "closed by the server"}});
+    EXPECT_NE(d.streamed.find("\"error\""), std::string::npos);
+    EXPECT_EQ(d.streamed.find("[DONE]"), std::string::npos);
+    EXPECT_EQ(d.streams_ended, 1);
+    d.pass(5s);
+    EXPECT_EQ(d.sent().size(), 2U);  // a started stream is not sent again
+    EXPECT_EQ(d.requests.back().fate, observe::Fate::failed);
+    expect_empty(d);
+}
+
+TEST(Edge, ReaderDyingWithTheStateIsReadAnewElsewhere) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    const std::string reader = d.sent()[0].server;
+    http::Headers headers;
+    headers.add("X-Engine-Not-Run", "no-state");
+    d.head(write, 503, headers);
+    d.give({CallDone{write}});
+    ASSERT_EQ(d.sent().size(), 3U);
+    EXPECT_EQ(d.sent()[2].server[0], 'r');
+    // The reader may still have it, unreachable for the writer only.
+    ASSERT_EQ(d.releases().size(), 1U);
+    EXPECT_EQ(d.releases()[0].server, reader);
+}
+
+TEST(Edge, EmptyAnswerIsAnErrorAndGoesElsewhere) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.give({CallDone{write}});
+    ASSERT_EQ(d.attempts.size(), 2U);
+    EXPECT_EQ(d.attempts[1].outcome, "error");
+    EXPECT_EQ(d.sent().size(), 3U);
+    EXPECT_TRUE(d.replies.empty());
+}
+
+TEST(Edge, ReadAnswerWithoutTheStatesParametersIsAnError) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const auto read = d.sent()[0].call;
+    d.head(read);
+    d.body(read, R"({"id":"x","choices":[]})");
+    d.give({CallDone{read}});
+    EXPECT_EQ(d.attempts[0].outcome, "error");
+}
+
+TEST(Edge, OversizedAnswersAreBounded) {
+    auto s = settings();
+    s.limits.answer_bytes = 1000;
+    s.limits.event_bytes = 1000;
+    Driver d(s);
+    d.usual_list();
+    d.ask();
+    const auto read = d.sent()[0].call;
+    d.head(read);
+    d.body(read, std::string(2000, 'x'));
+    EXPECT_TRUE(d.was_aborted(read));
+    EXPECT_EQ(d.attempts[0].outcome, "error");
+    ASSERT_EQ(d.sent().size(), 2U);
+    d.answer_read(d.sent()[1].call);
+    const auto write = d.sent()[2].call;
+    d.head(write);
+    d.body(write, "data: " + std::string(2000, 'x'));
+    EXPECT_TRUE(d.was_aborted(write));
+}
+
+TEST(Edge, AnswerAfterItsCancelIsPassedOver) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.give({ClientClosed{{1}}});
+    ASSERT_TRUE(d.was_aborted(write));
+    d.head(write);
+    d.body(write, chunk("late") + chat::format_event("[DONE]"));
+    d.give({CallDone{write}, CallFailed{write, engine::Ending::closed, ""}});
+    EXPECT_TRUE(d.streamed.empty());
+    expect_empty(d);
+}
+
+TEST(Edge, EnginesVerdictOnTheRequestGoesToTheClient) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const auto read = d.sent()[0].call;
+    d.head(read, 400);
+    d.body(read, R"({"error":{"message":"context too long"}})");
+    d.give({CallDone{read}});
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 400);
+    EXPECT_NE(d.replies[0].body.find("context too long"), std::string::npos);
+    d.pass(5s);
+    EXPECT_EQ(d.sent().size(), 1U);
+    expect_empty(d);
+}
+
+// ---- effects ----
+
+TEST(Edge, OnceThatMayHaveRunFailsAndSaysNotToTryAgain) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write("once");
+    d.give({CallSent{write}, CallFailed{write, engine::Ending::closed, ""}});
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 502);
+    EXPECT_EQ(d.replies[0].headers.get("x-should-retry"), "false");
+    d.pass(5s);
+    EXPECT_EQ(d.sent().size(), 2U);
+    expect_empty(d);
+}
+
+TEST(Edge, OnceGoesAgainWhereNoByteWentOut) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write("once");
+    d.give({CallFailed{write, engine::Ending::dial_failed, "refused"}});
+    EXPECT_EQ(d.sent().size(), 3U);
+}
+
+TEST(Edge, OnceGoesAgainAfterTheEnginesWordThatItDidNotRun) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write("once");
+    http::Headers headers;
+    headers.add("X-Engine-Not-Run", "full");
+    d.head(write, 503, headers);
+    d.give({CallDone{write}});
+    d.pass(100ms);
+    EXPECT_EQ(d.sent().size(), 3U);
+}
+
+TEST(Edge, KeyedNeedsItsKey) {
+    Driver d;
+    d.usual_list();
+    d.ask("keyed");
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 400);
+    EXPECT_NE(d.replies[0].body.find("Idempotency-Key"), std::string::npos);
+    http::Headers headers;
+    headers.add("Idempotency-Key", "k1");
+    d.ask("keyed", "", headers, 2);
+    ASSERT_EQ(d.sent().size(), 1U);
+    EXPECT_EQ(d.sent()[0].headers.get("idempotency-key"), "k1");
+}
+
+// ---- time ----
+
+TEST(Edge, DeadlineEndsAnAttemptAndIsAnsweredInTime) {
+    Driver d;
+    d.usual_list();
+    const Time asked = d.now;
+    const auto write = d.to_write("once");
+    d.give({CallSent{write}});
+    while (d.replies.empty() && d.now < asked + 6s) d.pass(1ms);
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 504);
+    EXPECT_LE(d.now, asked + 4s);
+    EXPECT_TRUE(d.was_aborted(write));
+    d.pass(5s);
+    EXPECT_EQ(d.sent().size(), 2U);
+    expect_empty(d);
+}
+
+TEST(Edge, HeldRequestIsRefusedWithAdviceBeforeItsDeadline) {
+    Driver d;
+    const Time asked = d.now;
+    http::Headers headers;
+    headers.add("X-Request-Timeout-Ms", "500");
+    d.ask("m", "", headers);
+    while (d.replies.empty() && d.now < asked + 2s) d.pass(1ms);
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_LE(d.now, asked + 500ms);
+    EXPECT_EQ(d.replies[0].status, 503);
+    EXPECT_FALSE(d.replies[0].headers.get("retry-after").empty());
+    EXPECT_EQ(d.replies[0].headers.get("x-should-retry"), "true");
+    expect_empty(d);
+}
+
+// Guards against an answer put together past the client's time: it waits for the whole, not for a first token.
+TEST(Edge, WholeAnswerKeepsItsDeadlineAfterTheFirstChunk) {
+    Driver d;
+    d.usual_list();
+    const Time asked = d.now;
+    const auto write = d.to_write("m", "");
+    d.head(write);
+    while (d.replies.empty() && d.now < asked + 6s) {
+        d.body(write, chunk("more"));
+        d.pass(100ms);
+    }
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 504);
+    EXPECT_LE(d.now, asked + 4s + 100ms);
+    expect_empty(d);
+}
+
+TEST(Edge, ClockJumpsAreSurvived) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.body(write, chunk("a"));
+    const Time then = d.now;
+    d.now = then - 100s;  // back: time stands still
+    d.body(write, chunk("b"));
+    d.now = then + 10ms;
+    d.body(write, chunk("c"));
+    EXPECT_EQ(d.streamed, chunk("a") + chunk("b") + chunk("c"));
+    d.ask("m", "", {}, 2);
+    d.now = then + 3600s;  // an hour ahead: all that was open is overdue, and is answered
+    d.give({});
+    d.pass(1s);
+    EXPECT_EQ(d.requests.size(), 2U);
+    expect_empty(d);
+}
+
+TEST(Edge, SilentStreamIsEnded) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.body(write, chunk("a"));
+    d.pass(4s);
+    d.body(write, chunk("b"));
+    d.pass(4s);
+    EXPECT_EQ(d.streams_ended, 0);
+    d.pass(2s);
+    EXPECT_EQ(d.streams_ended, 1);
+    EXPECT_NE(d.streamed.find("\"error\""), std::string::npos);
+    expect_empty(d);
+}
+
+TEST(Edge, SlowClientStopsTheReadingOfItsEngineAndIsNotCalledSilent) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.head(write);
+    d.body(write, chunk("a"));
+    d.give({ClientBacklog{{1}, true}});
+    ASSERT_EQ(d.flows.size(), 1U);
+    EXPECT_TRUE(d.flows[0].paused);
+    d.pass(20s);
+    EXPECT_EQ(d.streams_ended, 0);
+    d.give({ClientBacklog{{1}, false}});
+    EXPECT_FALSE(d.flows.back().paused);
+    d.body(write, chat::format_event("[DONE]"));
+    EXPECT_EQ(d.requests.back().fate, observe::Fate::served);
+}
+
+// ---- the list ----
+
+TEST(Edge, WhatWaitsForAConnectionStaysWhenItsServerDrains) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const Call read = d.sent()[0];
+    d.list({listed(read.server, "reader", ServerState::draining)}, ListScope::changes);
+    EXPECT_TRUE(d.was_aborted(read.call));
+    ASSERT_EQ(d.sent().size(), 2U);
+    EXPECT_NE(d.sent()[1].server, read.server);
+    EXPECT_EQ(d.attempts[0].outcome, "connect_failed");  // proved not to have run
+}
+
+TEST(Edge, WhatWasSentGoesOnWhenItsServerDrains) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const Call read = d.sent()[0];
+    d.give({CallSent{read.call}});
+    d.list({listed(read.server, "reader", ServerState::draining)}, ListScope::changes);
+    EXPECT_FALSE(d.was_aborted(read.call));
+    d.answer_read(read.call);
+    EXPECT_EQ(d.sent().size(), 2U);
+}
+
+TEST(Edge, WhatWaitsForAConnectionStaysWhenItsServerHasStartedAnew) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    const Call read = d.sent()[0];
+    auto again = listed(read.server, "reader");
+    again.entry.born = d.now;
+    d.list({again}, ListScope::changes);
+    EXPECT_TRUE(d.was_aborted(read.call));
+}
+
+// ---- this machine's own trouble ----
+
+TEST(Edge, NoFileDescriptorsIsRefusedAndNoServersFault) {
+    Driver d;
+    d.usual_list();
+    d.ask("once");
+    d.give({CallFailed{d.sent()[0].call, engine::Ending::no_resources, "EMFILE"}});
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 503);
+    EXPECT_EQ(d.attempts[0].outcome, "moot");
+    d.ask("m", "", {}, 2);  // the server is in good standing
+    EXPECT_EQ(d.sent().size(), 2U);
+}
+
+TEST(Edge, OverTheLimitOfOpenRequestsIsRefusedAtOnce) {
+    Driver d;
+    for (std::uint64_t i = 1; i <= 51; ++i) d.ask("m", "", {}, i);
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 503);
+    EXPECT_EQ(d.edge.gauges().open_requests, 50U);
+}
+
+TEST(Edge, DrainingRefusesNewAndFinishesOld) {
+    Driver d;
+    d.usual_list();
+    const auto write = d.to_write();
+    d.give({DrainBegins{}});
+    d.ask("m", "", {}, 2);
+    ASSERT_EQ(d.replies.size(), 1U);
+    EXPECT_EQ(d.replies[0].status, 503);
+    EXPECT_EQ(d.replies[0].headers.get("connection"), "close");
+    d.head(write);
+    d.body(write, chunk("a") + chat::format_event("[DONE]"));
+    EXPECT_EQ(d.requests.back().fate, observe::Fate::served);
+}
+
+// An engine without the let-go call is asked once, counted and noted.
+TEST(Edge, EngineWithoutLetGoIsNoted) {
+    Driver d;
+    d.usual_list();
+    d.ask();
+    d.give({CallSent{d.sent()[0].call}, ClientClosed{{1}}});
+    ASSERT_EQ(d.releases().size(), 1U);
+    const auto call = d.releases()[0].call;
+    d.give({CallHead{call, 404, {}}, CallDone{call}});
+    EXPECT_EQ(d.servers.back().what, "release");
+    EXPECT_EQ(d.servers.back().detail, "none");
+}
+
+TEST(Edge, BadRequestsNameTheFieldAtFault) {
+    Driver d;
+    const auto status = [&](const std::string& body) {
+        http::Request r;
+        r.method = "POST";
+        r.target = "/v1/chat/completions";
+        r.body = body;
+        d.give({ClientRequest{{1}, std::move(r)}});
+        return std::pair(d.replies.back().status, d.replies.back().body);
+    };
+    EXPECT_EQ(status("{").first, 400);
+    EXPECT_NE(status(R"({"model":"m"})").second.find("\"param\":\"messages\""), std::string::npos);
+    EXPECT_NE(status(R"({"model":"m","messages":[{"role":1}]})").second.find("messages[0].role"), std::string::npos);
+    EXPECT_NE(status(R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1})").second.find("max_tokens"), std::string::npos);
+    EXPECT_EQ(status(std::string(100'000, '[')).first, 400);  // depth costs no stack
+    expect_empty(d);
+}
+
+}  // namespace
+}  // namespace chalksail::core::testing
