--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -33,6 +33,12 @@
         headers.all().back().value.append(at, length);
         return true;
     }
+    // http-parser leaves the white space after a value, which is no part of it (RFC 9112, 5).
+    Headers take() {
+        for (auto& h : headers.all())
+            while (!h.value.empty() && (h.value.back() == ' ' || h.value.back() == '\t')) h.value.pop_back();
+        return std::exchange(headers, {});
+    }
 };
 
 std::string parser_says(http_parser& parser) {
@@ -100,8 +106,7 @@
         callbacks.on_headers_complete = [](http_parser* p) {
             State& s = of(p);
             s.head_done = true;
-            s.request.headers = std::move(s.head.headers);
-            s.head.headers = {};
+            s.request.headers = s.head.take();
             s.request.method = http_method_str(static_cast<http_method>(p->method));
             s.request.http_1_0 = p->http_major == 1 && p->http_minor == 0;
             s.request.keep_alive = http_should_keep_alive(p) != 0;
@@ -199,7 +204,7 @@
         callbacks.on_headers_complete = [](http_parser* p) {
             State& s = of(p);
             if (p->status_code >= 200)
-                s.pieces.emplace_back(ResponseHead{static_cast<int>(p->status_code), std::move(s.head.headers)});
+                s.pieces.emplace_back(ResponseHead{static_cast<int>(p->status_code), s.head.take()});
             s.head = {};
             return 0;
         };
--- /dev/null
+++ b/tests/http/message_test.cpp
@@ -0,0 +1,145 @@
+// HTTP reading: any split gives the same, limits hold, bad bytes are errors.
+#include <gtest/gtest.h>
+
+#include "http/message.hpp"
+
+namespace chalksail::http {
+namespace {
+
+struct Read {
+    std::vector<Request> requests;
+    std::optional<Fault> fault;
+    int continues = 0;
+};
+Read read(const std::string& bytes, std::size_t step, Limits limits = {}) {
+    Read out;
+    RequestReader reader(limits);
+    std::string ahead;
+    for (std::size_t at = 0; at < bytes.size() && !out.fault; at += step) {
+        ahead += bytes.substr(at, step);
+        for (bool more = true; more && !ahead.empty();) {
+            std::string_view rest = ahead;
+            auto progress = reader.feed(rest);
+            ahead.erase(0, ahead.size() - rest.size());
+            more = false;
+            if (auto* r = std::get_if<Request>(&progress)) {
+                out.requests.push_back(std::move(*r));
+                more = true;
+            } else if (auto* f = std::get_if<Fault>(&progress)) {
+                out.fault = *f;
+            } else if (std::get<RequestReader::NeedMore>(progress).send_continue) {
+                out.continues += 1;
+            }
+        }
+    }
+    return out;
+}
+
+const std::string kTwo =
+    "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: a\r\nX-Two:  b c \r\nContent-Length: 5\r\n\r\nhello"
+    "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+    "GET /c HTTP/1.0\r\n\r\n";
+
+TEST(HttpRequest, AnySplitAndPipelining) {
+    for (std::size_t step = 1; step < kTwo.size() + 1; ++step) {
+        const auto out = read(kTwo, step);
+        ASSERT_FALSE(out.fault) << step << out.fault->text;
+        ASSERT_EQ(out.requests.size(), 3U) << step;
+        EXPECT_EQ(out.requests[0].path(), "/v1/chat/completions");
+        EXPECT_EQ(out.requests[0].body, "hello");
+        EXPECT_EQ(out.requests[0].headers.get("x-two"), "b c");
+        EXPECT_EQ(out.requests[1].body, "abcde");
+        EXPECT_TRUE(out.requests[1].keep_alive);
+        EXPECT_FALSE(out.requests[2].keep_alive);
+    }
+}
+
+TEST(HttpRequest, ExpectContinueIsSaidOnce) {
+    const auto out = read("POST / HTTP/1.1\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\nok", 1);
+    EXPECT_EQ(out.continues, 1);
+    EXPECT_EQ(out.requests.at(0).body, "ok");
+    EXPECT_EQ(read("POST / HTTP/1.1\r\nExpect: magic\r\nContent-Length: 2\r\n\r\nok", 9).fault->status, 417);
+}
+
+TEST(HttpRequest, LimitsHoldBeforeTheBytesAreStored) {
+    const Limits limits{200, 10};
+    EXPECT_EQ(read("GET /" + std::string(1000, 'a') + " HTTP/1.1\r\n\r\n", 7, limits).fault->status, 431);
+    EXPECT_EQ(read("GET / HTTP/1.1\r\nA: " + std::string(1000, 'a') + "\r\n\r\n", 7, limits).fault->status, 431);
+    EXPECT_EQ(read("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", 7, limits).fault->status, 413);
+    EXPECT_EQ(read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n", 7, limits).fault->status, 413);
+}
+
+TEST(HttpRequest, BadBytesAreFaults) {
+    for (const std::string bad : {"\x16\x03\x01", "GET\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+                                  "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+                                  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "GET / HTTP/3.9\r\n\r\n", "GET / HTTP/1.1\r\n:x\r\n\r\n"})
+        EXPECT_TRUE(read(bad, 3).fault) << bad;
+}
+
+struct Answer {
+    int status = 0;
+    std::string body;
+    bool ended = false;
+    bool keep = false;
+    std::optional<Fault> fault;
+};
+Answer answer(const std::string& bytes, std::size_t step, bool close = false, Limits limits = {}) {
+    Answer out;
+    ResponseReader reader(limits);
+    const auto take = [&](std::vector<ResponsePiece> pieces) {
+        for (auto& p : pieces) {
+            if (auto* h = std::get_if<ResponseHead>(&p)) out.status = h->status;
+            if (auto* b = std::get_if<BodyPiece>(&p)) out.body += b->bytes;
+            if (auto* e = std::get_if<ResponseEnd>(&p)) {
+                out.ended = true;
+                out.keep = e->keep_alive;
+            }
+            if (auto* f = std::get_if<Fault>(&p)) out.fault = *f;
+        }
+    };
+    for (std::size_t at = 0; at < bytes.size() && !out.fault; at += step) take(reader.feed(std::string_view(bytes).substr(at, step)));
+    if (close && !out.fault) take(reader.close());
+    return out;
+}
+
+TEST(HttpResponse, AnySplit) {
+    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    for (std::size_t step = 1; step < text.size() + 1; ++step) {
+        const auto out = answer(text, step);
+        EXPECT_EQ(out.status, 200);
+        EXPECT_EQ(out.body, "abcde");
+        EXPECT_TRUE(out.ended && out.keep) << step;
+    }
+}
+
+TEST(HttpResponse, EndsAndCuts) {
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\n\r\nuntil the close", 5, true).ended);
+    EXPECT_FALSE(answer("HTTP/1.1 200 OK\r\n\r\nuntil the close", 5, true).keep);
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 5, true).fault);
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha", 5, true).fault);   // half a chunk
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 5).fault);         // a bad chunk length
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", 99).keep);
+    EXPECT_FALSE(answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage", 99).keep);  // more than was asked for
+    EXPECT_TRUE(answer("220 smtp.example\r\n", 4).fault);
+}
+
+TEST(HttpResponse, EndlessHeadIsCutAtTheLimit) {
+    Limits limits{1000, 0};
+    ResponseReader reader(limits);
+    (void)reader.feed("HTTP/1.1 200 OK\r\nA: ");
+    std::size_t fed = 0;
+    const std::string part(100, 'a');
+    for (bool fault = false; !fault; fed += part.size()) {
+        ASSERT_LT(fed, 2000U);
+        for (const auto& p : reader.feed(part)) fault = fault || std::holds_alternative<Fault>(p);
+    }
+}
+
+TEST(HttpWrite, NoLineBreakGetsIntoAHead) {
+    Headers headers;
+    headers.add("X", "a\r\nSet-Cookie: b");
+    EXPECT_EQ(format_response_head(200, headers), "HTTP/1.1 200 OK\r\nX: a  Set-Cookie: b\r\n\r\n");
+}
+
+}  // namespace
+}  // namespace chalksail::http
