--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -124,7 +124,11 @@
 }
 
 void VirtualDay::step(Gateway& g) {
-    for (auto& output : g.edge->step(now_, std::exchange(g.inputs, {}))) carry_out(g, output);
+    auto inputs = std::exchange(g.inputs, {});
+    if (tampering_.before) tampering_.before(inputs);
+    auto outputs = g.edge->step(now_, std::move(inputs));
+    if (tampering_.after) tampering_.after(outputs);
+    for (auto& output : outputs) carry_out(g, output);
     const auto wake = g.edge->next_wake();
     if (!wake || (g.wake && *g.wake <= *wake && *g.wake > now_)) return;
     g.wake = std::max(*wake, now_ + Duration(1));
--- a/lab/virtual/day.hpp
+++ b/lab/virtual/day.hpp
@@ -25,8 +25,15 @@
     std::size_t fell = 0;
 };
 
+// For tests of the checker: a gateway that is broken on purpose, by changing what its core hears and says.
+struct Tampering {
+    std::function<void(std::vector<core::Input>&)> before;
+    std::function<void(std::vector<core::Output>&)> after;
+};
+
 class VirtualDay {
 public:
+    void tamper(Tampering tampering) { tampering_ = std::move(tampering); }
     // Plays `scenario` (its length is of virtual time); troubles as on sockets, but for the edges' own processes.
     explicit VirtualDay(Scenario scenario);
     ~VirtualDay();
@@ -83,6 +90,7 @@
     double heavy_part_ = 0;
     double heavy_factor_ = 1;
     double give_up_ = 0;
+    Tampering tampering_;
 };
 
 }  // namespace chalksail::lab
--- a/tests/lab/virtual_day_test.cpp
+++ b/tests/lab/virtual_day_test.cpp
@@ -1,40 +1,12 @@
 // Bad days in virtual time: the real core, the stand-ins' models, and the checker of the rules. The same on each run.
 #include <gtest/gtest.h>
 
+#include "lab/scenarios.hpp"
 #include "virtual/day.hpp"
 
 namespace chalksail::lab {
 namespace {
 
-constexpr const char* kFleet = R"(
-edges 2
-clients 60
-length "30s"
-list-lag "700ms"
-zone "ikeja"
-zone "lekki"
-zone "apapa"
-edge {
-    class "once" { when model="once"; aim "2s"; deadline "8s"; effect "once"; worth 3; }
-    class "keyed" { when model="keyed"; aim "1.5s"; deadline "6s"; effect "by-key"; group "zone"; window "5s"; }
-    class "chat" { aim "1.2s"; aim-per-1000-tokens "40ms"; deadline "5s"; }
-    kind "prefill" { role "prefill"; memory-tokens 220000; }
-    kind "decode" { role "decode"; memory-tokens 150000; }
-    rules { cold-for "8s"; }
-}
-engines "prefill" kind="prefill" count=4 { slots 7; queue 30; read-pace 20000; }
-engines "decode" kind="decode" count=5 { slots 40; queue 20; token-interval "20ms"; read-pace 6000; }
-traffic "chat" { model "chat"; share 70; system-bytes 6000; turn-bytes 1500; max-tokens 60; }
-traffic "once" { model "once"; share 20; system-bytes 3000; turn-bytes 1500; max-tokens 40; }
-traffic "keyed" { model "keyed"; share 10; system-bytes 3000; turn-bytes 1500; max-tokens 40; }
-)";
-
-Scenario scenario(const std::string& more, std::uint64_t seed) {
-    auto out = parse_scenario(std::string(kFleet) + more + "\nseed " + std::to_string(seed), "day");
-    if (!out) throw std::runtime_error(format(out.error().front()));
-    return std::move(*out);
-}
-
 std::string told(const Verdict5& v) {
     std::string out;
     for (std::size_t i = 0; i < v.breaches.size() && i < 5; ++i) out += format(v.breaches[i]) + "\n";
@@ -77,6 +49,40 @@
                give_up at="1s" for="28s" part=0.2)"),
         ::testing::Values(1, 2, 3)));
 
+// Twenty engines come back cold at once, into a full load: none is pushed over by gateways that have been told.
+TEST(VirtualDay, TwentyEnginesComeBackColdAtOnce) {
+    constexpr const char* large = R"(
+        edges 4
+        clients 320
+        length "30s"
+        list-lag "500ms"
+        zone "ikeja"
+        zone "lekki"
+        edge {
+            class "chat" { aim "1.2s"; aim-per-1000-tokens "40ms"; deadline "5s"; }
+            kind "prefill" { role "prefill"; memory-tokens 220000; }
+            kind "decode" { role "decode"; memory-tokens 150000; }
+        }
+        engines "prefill" kind="prefill" count=12 { slots 7; queue 30; read-pace 20000; }
+        engines "decode" kind="decode" count=16 { slots 40; queue 20; token-interval "20ms"; read-pace 6000; }
+        traffic "chat" { model "chat"; system-bytes 6000; turn-bytes 1500; max-tokens 60; }
+        troubles {
+            crash at="6s" for="3s" engines="prefill" share=0.66
+            crash at="6s" for="3s" engines="decode" share=0.75
+        }
+    )";
+    for (const int seed : {1, 2}) {
+        auto s = parse_scenario(std::string(large) + "\nseed " + std::to_string(seed), "cold");
+        ASSERT_TRUE(s) << format(s.error().front());
+        VirtualDay day(std::move(*s));
+        const auto v = day.run();
+        EXPECT_EQ(v.breaches.size(), 0U) << told(v);
+        EXPECT_EQ(day.figures().fell, 0U);
+        EXPECT_EQ(day.figures().open_at_end, 0U);
+        EXPECT_GT(v.served, v.asked / 2);
+    }
+}
+
 TEST(VirtualDay, SameSeedSameBytes) {
     const auto play = [](std::uint64_t seed) {
         VirtualDay day(scenario(R"(troubles { crash at="3s" for="4s" share=0.3; give_up at="1s" for="9s" part=0.3; })", seed));
