--- a/tests/lab/virtual_day_test.cpp
+++ b/tests/lab/virtual_day_test.cpp
@@ -13,10 +13,14 @@
     return out;
 }
 
-class BadDay : public ::testing::TestWithParam<std::tuple<const char*, std::uint64_t>> {};
+struct Kind {
+    const char* name;
+    const char* troubles;
+};
+class BadDay : public ::testing::TestWithParam<std::tuple<Kind, std::uint64_t>> {};
 
 TEST_P(BadDay, KeepsTheRulesAndLeavesNothingOpen) {
-    VirtualDay day(scenario(std::string("troubles {\n") + std::get<0>(GetParam()) + "\n}", std::get<1>(GetParam())));
+    VirtualDay day(scenario(std::string("troubles {\n") + std::get<0>(GetParam()).troubles + "\n}", std::get<1>(GetParam())));
     const auto v = day.run();
     EXPECT_EQ(v.breaches.size(), 0U) << told(v);
     EXPECT_EQ(v.unanswered, 0U);
@@ -33,21 +37,28 @@
     Troubles, BadDay,
     ::testing::Combine(
         ::testing::Values(
-            "", R"(crash at="5s" for="6s" engines="decode" share=0.4)", R"(crash at="5s" for="6s" engines="prefill" share=0.5)",
-            R"(vanish at="5s" for="8s" engines="prefill" share=0.25
-               vanish at="15s" for="6s" engines="decode" share=0.2)",
-            R"(hang at="5s" for="3s" share=0.3)", R"(slow at="5s" for="10s" engines="decode" share=0.4 factor=5)",
-            R"(fast_errors at="5s" for="8s" engines="decode" share=0.4 part=0.7)", R"(answer_lost at="5s" for="8s" share=0.3 part=0.5)",
-            R"(origin_slow at="5s" for="10s" factor=20)", R"(preempt at="5s" for="6s" engines="decode" share=0.4 notice="2s")",
-            R"(discovery_stale at="2s" for="20s" lag="6s"
-               crash at="5s" for="3s" share=0.3)",
-            R"(zone_loss at="6s" for="8s" zone="apapa")", R"(burst at="5s" for="8s" factor=4)",
-            R"(heavy_tail at="5s" for="10s" part=0.1 factor=20)", R"(give_up at="1s" for="28s" part=0.5)",
-            R"(zone_loss at="4s" for="5s" zone="apapa"
-               zone_loss at="6s" for="5s" zone="lekki"
-               zone_loss at="8s" for="5s" zone="ikeja"
-               give_up at="1s" for="28s" part=0.2)"),
-        ::testing::Values(1, 2, 3)));
+            Kind{"quiet", ""}, Kind{"writers_crash", R"(crash at="5s" for="6s" engines="decode" share=0.4)"},
+            Kind{"readers_crash", R"(crash at="5s" for="6s" engines="prefill" share=0.5)"},
+            Kind{"vanish", R"(vanish at="5s" for="8s" engines="prefill" share=0.25
+                              vanish at="15s" for="6s" engines="decode" share=0.2)"},
+            Kind{"hang", R"(hang at="5s" for="3s" share=0.3)"},
+            Kind{"slow", R"(slow at="5s" for="10s" engines="decode" share=0.4 factor=5)"},
+            Kind{"fast_errors", R"(fast_errors at="5s" for="8s" engines="decode" share=0.4 part=0.7)"},
+            Kind{"answer_lost", R"(answer_lost at="5s" for="8s" share=0.3 part=0.5)"},
+            Kind{"origin_slow", R"(origin_slow at="5s" for="10s" factor=20)"},
+            Kind{"preempt", R"(preempt at="5s" for="6s" engines="decode" share=0.4 notice="2s")"},
+            Kind{"stale_list", R"(discovery_stale at="2s" for="20s" lag="6s"
+                                  crash at="5s" for="3s" share=0.3)"},
+            Kind{"zone_loss", R"(zone_loss at="6s" for="8s" zone="apapa")"},
+            Kind{"burst", R"(burst at="5s" for="8s" factor=4)"},
+            Kind{"heavy_tail", R"(heavy_tail at="5s" for="10s" part=0.1 factor=20)"},
+            Kind{"give_up", R"(give_up at="1s" for="28s" part=0.5)"},
+            Kind{"all_zones", R"(zone_loss at="4s" for="5s" zone="apapa"
+                                 zone_loss at="6s" for="5s" zone="lekki"
+                                 zone_loss at="8s" for="5s" zone="ikeja"
+                                 give_up at="1s" for="28s" part=0.2)"}),
+        ::testing::Values(1, 2, 3)),
+    [](const auto& info) { return std::get<0>(info.param).name + std::string("_") + std::to_string(std::get<1>(info.param)); });
 
 // Twenty engines come back cold at once, into a full load: none is pushed over by gateways that have been told.
 TEST(VirtualDay, TwentyEnginesComeBackColdAtOnce) {
--- a/tests/net/socket_test.cpp
+++ b/tests/net/socket_test.cpp
@@ -73,7 +73,12 @@
                       std::pair("closed at once", std::string()),
                       std::pair("no DONE", kStreamHead + chunked(token("a")) + "0\r\n\r\n"),
                       std::pair("error event", kStreamHead + chunked("data: {\"error\":{\"message\":\"oom\"}}\n\n") + "0\r\n\r\n"),
-                      std::pair("large head", "HTTP/1.1 200 OK\r\nX: " + std::string(1'000'000, 'a'))));
+                      std::pair("large head", "HTTP/1.1 200 OK\r\nX: " + std::string(1'000'000, 'a'))),
+    [](const auto& info) {
+        std::string name = info.param.first;
+        std::replace(name.begin(), name.end(), ' ', '_');
+        return name;
+    });
 
 // 100 MB of head: the edge stops at its limit, and closes.
 TEST_F(Rig, EndlessHeadIsNotTaken) {
