--- /dev/null
+++ b/tests/fuzz/edge_fuzz.cpp
@@ -0,0 +1,191 @@
+// Fuzz of the core: the bytes say what clients, engines, list and clock do, in any order. Whatever they do: each
+// request has at most one final answer, nothing is written to a client after it, no guard has to step in, and in the
+// end nothing is left.
+#include <cstdint>
+#include <cstdlib>
+#include <map>
+#include <string>
+
+#include "chat/sse.hpp"
+#include "core/edge.hpp"
+
+namespace {
+
+using namespace chalksail;
+using namespace chalksail::core;
+
+void must(bool so) {
+    if (!so) std::abort();
+}
+
+const config::EdgeSettings& settings() {
+    static const auto parsed = config::parse_settings(R"(
+        name "e"
+        seed 1
+        class "once" { when model="o"; aim "1s"; deadline "4s"; effect "once"; }
+        class "keyed" { when model="k"; aim "1s"; deadline "4s"; effect "by-key"; group "cell"; }
+        class "chat" { aim "1s"; deadline "4s"; }
+        kind "r" { role "prefill"; memory-tokens 20000; }
+        kind "w" { role "decode"; memory-tokens 10000; not-run-status 503; }
+        kind "m" { role "mixed"; memory-tokens 10000; release #false; }
+        limits { open-requests 20; stream-idle "3s"; event "2KiB"; answer "4KiB"; }
+    )", "f");
+    return *parsed;
+}
+
+class World {
+public:
+    explicit World(std::string_view script) : script_(script), edge_(settings()) {}
+
+    void run() {
+        while (!script_.empty()) {
+            act(next());
+        }
+        // All clients go; then all calls end; then nothing is left.
+        std::vector<Input> end;
+        for (const auto& [client, open] : clients_)
+            if (open) end.push_back(ClientClosed{{client}});
+        give(std::move(end));
+        for (int i = 0; i < 50; ++i) {
+            now_ += std::chrono::seconds(1);
+            std::vector<Input> failures;
+            for (const auto& [id, call] : calls_) failures.push_back(CallFailed{{id}, engine::Ending::closed, ""});
+            calls_.clear();
+            give(std::move(failures));
+        }
+        const auto g = edge_.gauges();
+        must(g.open_requests == 0 && g.started_streams == 0 && g.states_held == 0 && g.tracked_by_module == 0 && g.calls == calls_.size());  // a probe may be out
+    }
+
+private:
+    std::uint8_t next() {
+        if (script_.empty()) return 0;
+        const auto out = static_cast<std::uint8_t>(script_.front());
+        script_.remove_prefix(1);
+        return out;
+    }
+    std::uint64_t some_call() {
+        if (calls_.empty()) return next();
+        auto it = calls_.begin();
+        std::advance(it, next() % calls_.size());
+        return it->first;
+    }
+    std::uint64_t some_client() { return next() % 8U + 1; }
+
+    void act(std::uint8_t what) {
+        switch (what % 12) {
+            case 0: {
+                const std::uint64_t client = some_client();
+                if (clients_[client]) return;  // a shell gives one request at a time
+                http::Request r;
+                r.method = "POST";
+                r.target = "/v1/chat/completions";
+                r.headers.add("Idempotency-Key", "k");
+                const char* const models[] = {"o", "k", "c"};
+                r.body = std::string(R"({"model":")") + models[next() % 3] + R"(","messages":[{"role":"user","content":"hi"}],"stream":)" + (next() % 2 ? "true" : "false") + "}";
+                clients_[client] = true;
+                begun_[client] = false;
+                return give({ClientRequest{{client}, std::move(r)}});
+            }
+            case 1: {
+                const std::uint64_t client = some_client();
+                clients_[client] = false;
+                return give({ClientClosed{{client}}});
+            }
+            case 2: return give({ClientBacklog{{some_client()}, next() % 2 == 0}});
+            case 3: return give({CallSent{{some_call()}}});
+            case 4: {
+                const int statuses[] = {200, 200, 200, 400, 500, 503, 429, 204};
+                http::Headers headers;
+                if (const auto word = next() % 4; word == 1) headers.add("X-Engine-Not-Run", "full");
+                else if (word == 2) headers.add("X-Engine-Not-Run", "no-state");
+                return give({CallHead{{some_call()}, statuses[next() % 8], headers}});
+            }
+            case 5: {
+                static const std::string bodies[] = {
+                    R"({"kv_transfer_params":{"a":1},"usage":{"prompt_tokens":5}})", chat::format_event(R"({"choices":[{"index":0,"delta":{"content":"x"}}]})"),
+                    "data: [DONE]\n\n", chat::format_event(R"({"error":{}})"), chat::format_event(R"({"choices":[],"usage":{"prompt_tokens":1e9}})"), "data: {", "\n\n",
+                    std::string(3000, 'x')};
+                return give({CallBody{{some_call()}, bodies[next() % 8]}});
+            }
+            case 6: {
+                const auto call = some_call();
+                calls_.erase(call);
+                return give({CallDone{{call}}});
+            }
+            case 7: {
+                const engine::Ending endings[] = {engine::Ending::dial_failed, engine::Ending::no_resources, engine::Ending::closed, engine::Ending::bad_answer};
+                const auto call = some_call();
+                calls_.erase(call);
+                return give({CallFailed{{call}, endings[next() % 4], "f"}});
+            }
+            case 8: {
+                ServerList list;
+                list.scope = next() % 3 == 0 ? ListScope::complete : ListScope::changes;
+                for (int n = next() % 4; n >= 0; --n) {
+                    ListedServer s;
+                    const auto which = next() % 6;
+                    s.entry.id = {"s" + std::to_string(which)};
+                    s.entry.kind = which < 2 ? "r" : which < 5 ? "w" : "m";
+                    s.entry.zone = which % 2 ? "a" : "b";
+                    s.entry.cell = which % 3;
+                    s.entry.state = static_cast<ServerState>(next() % 3);
+                    s.entry.born = next() % 4 == 0 ? now_ : Time{};
+                    s.address = {"127.0.0.1", 1};
+                    list.servers.push_back(std::move(s));
+                }
+                return give({std::move(list)});
+            }
+            case 9: now_ += std::chrono::milliseconds(next()); return give({});
+            case 10: now_ += std::chrono::milliseconds(20 * next()); return give({});
+            case 11: {  // a good server: the call does what it is asked
+                const auto call = some_call();
+                if (!calls_.contains(call)) return;
+                const bool read = calls_[call];
+                calls_.erase(call);
+                return give({CallSent{{call}}, CallHead{{call}, 200, {}},
+                             CallBody{{call}, read ? R"({"kv_transfer_params":{}})" : chat::format_event(R"({"choices":[{"index":0,"delta":{"content":"x"}}]})") + "data: [DONE]\n\n"},
+                             CallDone{{call}}});
+            }
+        }
+    }
+
+    void give(std::vector<Input> inputs) {
+        for (const auto& o : edge_.step(now_, std::move(inputs))) {
+            if (const auto* call = std::get_if<Call>(&o)) {
+                calls_[call->call.value] = call->body.find("do_remote_decode\":true") != std::string::npos;
+            } else if (const auto* abort = std::get_if<CallAbort>(&o)) {
+                calls_.erase(abort->call.value);
+            } else if (const auto* settled = std::get_if<CallSettled>(&o)) {
+                calls_.erase(settled->call.value);
+            } else if (const auto* reply = std::get_if<Reply>(&o)) {
+                must(clients_[reply->client.value] && !begun_[reply->client.value]);
+                clients_[reply->client.value] = false;
+            } else if (const auto* begin = std::get_if<StreamBegin>(&o)) {
+                must(clients_[begin->client.value] && !begun_[begin->client.value]);
+                begun_[begin->client.value] = true;
+            } else if (const auto* bytes = std::get_if<StreamBytes>(&o)) {
+                must(clients_[bytes->client.value] && begun_[bytes->client.value]);
+            } else if (const auto* end = std::get_if<StreamEnd>(&o)) {
+                must(clients_[end->client.value] && begun_[end->client.value]);
+                clients_[end->client.value] = false;
+            } else if (const auto* note = std::get_if<Note>(&o)) {
+                must(!std::holds_alternative<observe::GuardRecord>(note->record));
+            }
+        }
+    }
+
+    std::string_view script_;
+    Edge edge_;
+    Time now_{std::chrono::seconds(100)};
+    std::map<std::uint64_t, bool> clients_;  // is its request open?
+    std::map<std::uint64_t, bool> begun_;
+    std::map<std::uint64_t, bool> calls_;    // is it a read?
+};
+
+}  // namespace
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    World({reinterpret_cast<const char*>(data), size}).run();
+    return 0;
+}
--- a/tests/net/rig.hpp
+++ b/tests/net/rig.hpp
@@ -111,6 +111,7 @@
         bool gone = false;
         std::size_t written = 0;  // bytes that the kernel has taken
         void send(std::string bytes) {
+            if (gone) return;
             struct Job {
                 uv_write_t w{};
                 std::string bytes;
