--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -35,21 +35,21 @@
     HttpServer* server = nullptr;
     std::uint64_t id = 0;
     http::RequestReader reader;
-    std::string ahead;   // bytes after the request in hand
-    std::string out;     // gathered, not yet handed to the socket
-    Peer peer = 0;       // 0: no request in hand
+    std::string ahead;  // bytes after the request in hand
+    std::string out;    // gathered, not yet handed to the socket
+    Peer peer = 0;      // 0: no request in hand
     bool reading = false;
     bool keep_alive = true;
     bool head_only = false;
     bool http_1_0 = false;
     bool streaming = false;
-    bool close_after = false;   // once all is written
+    bool close_after = false;  // once all is written
     bool closing = false;
     bool dirty = false;
     bool backlog_told = false;
-    Time begun{};        // of the message being read, or of the wait for one
+    Time begun{};  // of the message being read, or of the wait for one
     bool midway = false;
-    Time last_progress{};  // of writing, while something waits
+    Time last_progress{};         // of writing, while something waits
     std::size_t waiting = 0;      // writes under way
     std::size_t last_queued = 0;  // bytes of them, when last looked at
 
@@ -62,7 +62,8 @@
     sweeper_ = new uv_timer_t;
     uv_timer_init(&loop_, sweeper_);
     sweeper_->data = this;
-    uv_timer_start(sweeper_, [](uv_timer_t* t) { static_cast<HttpServer*>(t->data)->sweep(); }, kSweepMs, kSweepMs);
+    uv_timer_start(
+        sweeper_, [](uv_timer_t* t) { static_cast<HttpServer*>(t->data)->sweep(); }, kSweepMs, kSweepMs);
     uv_unref(reinterpret_cast<uv_handle_t*>(sweeper_));
 }
 
@@ -70,7 +71,8 @@
     close_all();
     stop_listening();
     uv_timer_stop(sweeper_);
-    uv_close(reinterpret_cast<uv_handle_t*>(sweeper_), [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
+    uv_close(reinterpret_cast<uv_handle_t*>(sweeper_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
 }
 
 Address HttpServer::listen(const Address& address) {
@@ -80,9 +82,10 @@
     const auto where = to_sockaddr(address);
     int error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
     if (error == 0)
-        error = uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* s, int status) {
-            if (status == 0) static_cast<HttpServer*>(s->data)->accept();
-        });
+        error =
+            uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* s, int status) {
+                if (status == 0) static_cast<HttpServer*>(s->data)->accept();
+            });
     if (error != 0) {
         stop_listening();
         throw std::runtime_error("can't listen on " + format_address(address) + ": " + uv_strerror(error));
@@ -98,7 +101,8 @@
 
 void HttpServer::stop_listening() {
     if (listener_ == nullptr) return;
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
     listener_ = nullptr;
 }
 
@@ -109,7 +113,8 @@
     uv_tcp_init(&loop_, &c->socket);
     c->socket.data = c;
     if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), c->stream()) != 0) {
-        uv_close(reinterpret_cast<uv_handle_t*>(&c->socket), [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+        uv_close(reinterpret_cast<uv_handle_t*>(&c->socket),
+                 [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
     }
     uv_tcp_nodelay(&c->socket, 1);
@@ -341,7 +346,8 @@
         c.peer = 0;
         handler_.on_closed(peer);
     }
-    uv_close(reinterpret_cast<uv_handle_t*>(&c.socket), [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
+    uv_close(reinterpret_cast<uv_handle_t*>(&c.socket),
+             [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
 }
 
 void HttpServer::drain() {
@@ -358,7 +364,8 @@
     for (auto* c : all) close(*c);
 }
 
-// Time-outs are seconds long: looking a few times a second is exact enough, and costs no timer for each connection.
+// Time-outs are seconds long: looking a few times a second is exact enough, and costs no timer for each
+// connection.
 void HttpServer::sweep() {
     const Time now = uv_now_time();
     std::vector<Connection*> stalled;
@@ -372,7 +379,8 @@
             c->last_queued = queued;
             if (now - c->last_progress > limits_.stall_timeout) stalled.push_back(c);
         } else if (c->peer == 0 && c->midway) {
-            if (now - c->begun > limits_.head_timeout + (c->reader.in_body() ? limits_.body_timeout : Duration{}))
+            if (now - c->begun >
+                limits_.head_timeout + (c->reader.in_body() ? limits_.body_timeout : Duration{}))
                 slow.push_back(c);
         } else if (c->peer == 0 && now - c->begun > (draining_ ? Duration{} : limits_.idle_timeout)) {
             idle.push_back(c);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,9 +1,10 @@
-// HTTP/1.1 on a listening socket, on a libuv loop: requests come out whole, one at a time for each connection;
-// answers go in whole or as chunks. Thin: what to answer is the owner's.
+// HTTP/1.1 on a listening socket, on a libuv loop: requests come out whole, one at a time for each
+// connection; answers go in whole or as chunks. Thin: what to answer is the owner's.
 //
-// Owns its sockets; one loop, one thread. The handler's calls never re-enter it: they come from the loop only.
-// Limits are the settings'; a peer over one is answered (408, 413, 431) or closed. A half-close of a client counts as
-// hanging up. Errors: listen() throws std::runtime_error; all else is the peer's trouble and ends its connection.
+// Owns its sockets; one loop, one thread. The handler's calls never re-enter it: they come from the loop
+// only. Limits are the settings'; a peer over one is answered (408, 413, 431) or closed. A half-close of a
+// client counts as hanging up. Errors: listen() throws std::runtime_error; all else is the peer's trouble and
+// ends its connection.
 #pragma once
 
 #include <uv.h>
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -47,10 +47,19 @@
             .done();
     }
     std::string operator()(const ServerRecord& r) const {
-        return json::ObjectWriter().text("event", "server").text("server", r.server).text("what", r.what).text("detail", r.detail).done();
+        return json::ObjectWriter()
+            .text("event", "server")
+            .text("server", r.server)
+            .text("what", r.what)
+            .text("detail", r.detail)
+            .done();
     }
     std::string operator()(const GuardRecord& r) const {
-        return json::ObjectWriter().text("event", "guard").text("request", r.request).text("what", r.what).done();
+        return json::ObjectWriter()
+            .text("event", "guard")
+            .text("request", r.request)
+            .text("what", r.what)
+            .done();
     }
 };
 
@@ -58,7 +67,8 @@
     if (std::holds_alternative<GuardRecord>(record)) return spdlog::level::err;
     if (std::holds_alternative<AttemptRecord>(record)) return spdlog::level::debug;
     if (const auto* server = std::get_if<ServerRecord>(&record))
-        return server->what == "probe" || server->what == "release" ? spdlog::level::debug : spdlog::level::info;
+        return server->what == "probe" || server->what == "release" ? spdlog::level::debug
+                                                                    : spdlog::level::info;
     return spdlog::level::info;
 }
 
@@ -78,7 +88,8 @@
 std::string format_json(const Record& record) { return std::visit(Formatter{}, record); }
 
 Log::Log(const std::string& who, const std::string& level)
-    : who_(who), logger_(std::make_shared<spdlog::logger>(who, std::make_shared<spdlog::sinks::stderr_sink_mt>())) {
+    : who_(who),
+      logger_(std::make_shared<spdlog::logger>(who, std::make_shared<spdlog::sinks::stderr_sink_mt>())) {
     logger_->set_level(spdlog::level::from_str(level));
     logger_->flush_on(spdlog::level::warn);
     logger_->set_pattern(R"({"time":"%Y-%m-%dT%H:%M:%S.%e%z","level":"%l","who":"%n","data":%v})");
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -29,7 +29,8 @@
     explicit Families(const std::string& name)
         : requests(prometheus::BuildCounter()
                        .Name("chalksail_requests_total")
-                       .Help("Requests that ended, by class, fate (served, refused, failed, client_gone, rejected) and reason")
+                       .Help("Requests that ended, by class, fate (served, refused, failed, client_gone, "
+                             "rejected) and reason")
                        .Labels({{"gateway", name}})
                        .Register(registry)),
           attempts(prometheus::BuildCounter()
@@ -39,7 +40,8 @@
                        .Register(registry)),
           servers(prometheus::BuildCounter()
                       .Name("chalksail_server_events_total")
-                      .Help("List changes, probes and let-go calls, by server; release/none: the engine lets go of nothing")
+                      .Help("List changes, probes and let-go calls, by server; release/none: the engine lets "
+                            "go of nothing")
                       .Labels({{"gateway", name}})
                       .Register(registry)),
           guards(prometheus::BuildCounter()
@@ -66,16 +68,20 @@
 void Metrics::count(const Record& record) {
     Families& f = *families_;
     if (const auto* r = std::get_if<RequestRecord>(&record)) {
-        f.requests.Add({{"class", r->class_name}, {"fate", std::string(name(r->fate))}, {"reason", r->reason}}).Increment();
+        f.requests
+            .Add({{"class", r->class_name}, {"fate", std::string(name(r->fate))}, {"reason", r->reason}})
+            .Increment();
         if (r->first_token > Duration::zero())
             f.first_token.Add({{"class", r->class_name}}, kSeconds).Observe(seconds(r->first_token));
     } else if (const auto* a = std::get_if<AttemptRecord>(&record)) {
         const std::string stage = a->read ? "read" : "write";
-        f.attempts.Add({{"server", a->server}, {"stage", stage}, {"outcome", std::string(a->outcome)}}).Increment();
+        f.attempts.Add({{"server", a->server}, {"stage", stage}, {"outcome", std::string(a->outcome)}})
+            .Increment();
         f.attempt_seconds.Add({{"stage", stage}}, kSeconds).Observe(seconds(a->taken));
     } else if (const auto* s = std::get_if<ServerRecord>(&record)) {
         const bool call = s->what == "probe" || s->what == "release";
-        f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}}).Increment();
+        f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}})
+            .Increment();
     } else {
         f.guards.Add({{"what", std::get<GuardRecord>(record).what}}).Increment();
     }
@@ -84,10 +90,15 @@
 void Metrics::set(const std::string& gauge, double value) {
     auto& family = families_->gauges[gauge];
     if (family == nullptr)
-        family = &prometheus::BuildGauge().Name("chalksail_" + gauge).Help("See docs/operators/gateway.md").Register(families_->registry);
+        family = &prometheus::BuildGauge()
+                      .Name("chalksail_" + gauge)
+                      .Help("See docs/operators/gateway.md")
+                      .Register(families_->registry);
     family->Add({{"gateway", families_->gateway}}).Set(value);
 }
 
-std::string Metrics::page() const { return prometheus::TextSerializer().Serialize(families_->registry.Collect()); }
+std::string Metrics::page() const {
+    return prometheus::TextSerializer().Serialize(families_->registry.Collect());
+}
 
 }  // namespace chalksail::observe
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -1,5 +1,5 @@
-// Counters, gauges and histograms, made of the same records as the logs, on prometheus-cpp. Each is documented where it
-// is defined (metrics.cpp) and on its page.
+// Counters, gauges and histograms, made of the same records as the logs, on prometheus-cpp. Each is
+// documented where it is defined (metrics.cpp) and on its page.
 #pragma once
 
 #include <map>
--- a/src/observe/record.hpp
+++ b/src/observe/record.hpp
@@ -1,5 +1,5 @@
-// What the core tells of itself: plain values, one for each thing that ended. Logs and metrics are both made of them,
-// so that the two can't disagree. No I/O.
+// What the core tells of itself: plain values, one for each thing that ended. Logs and metrics are both made
+// of them, so that the two can't disagree. No I/O.
 #pragma once
 
 #include <chalksail/chalksail.hpp>
@@ -17,7 +17,7 @@
     std::string server;
     bool read = false;
     std::string_view outcome;
-    int status = 0;       // of the engine's answer; 0: none
+    int status = 0;  // of the engine's answer; 0: none
     bool sent = false;
     bool started = false;
     Duration taken{};
@@ -35,10 +35,10 @@
     std::string tenant;
     Fate fate = Fate::served;
     int status = 0;
-    std::string reason;          // a word for a counter: held, deadline, attempts, engine, limit, ...
+    std::string reason;  // a word for a counter: held, deadline, attempts, engine, limit, ...
     Duration total{};
-    Duration first_token{};      // zero: none
-    double prompt_tokens = 0;    // as estimated; with the engine's figure beside it, 0 if not told
+    Duration first_token{};    // zero: none
+    double prompt_tokens = 0;  // as estimated; with the engine's figure beside it, 0 if not told
     double prompt_tokens_told = 0;
     double completion_tokens = 0;
     std::int64_t chunks = 0;
--- a/tests/chat/chat_test.cpp
+++ b/tests/chat/chat_test.cpp
@@ -11,11 +11,14 @@
 namespace {
 
 TEST(ChatRequest, MembersCoverTheirBytes) {
-    const std::string body = R"( { "a" : [1, {"b":2}] ,"c":"x\"}," , "d":-1.50e2,"e":null, "f" : {"g":[[]]} } )";
+    const std::string body =
+        R"( { "a" : [1, {"b":2}] ,"c":"x\"}," , "d":-1.50e2,"e":null, "f" : {"g":[[]]} } )";
     const auto members = members_of(body);
     ASSERT_TRUE(members);
     ASSERT_EQ(members->size(), 5U);
-    const auto text = [&](std::size_t i) { return body.substr((*members)[i].begin, (*members)[i].end - (*members)[i].begin); };
+    const auto text = [&](std::size_t i) {
+        return body.substr((*members)[i].begin, (*members)[i].end - (*members)[i].begin);
+    };
     EXPECT_EQ(text(0), R"("a" : [1, {"b":2}])");
     EXPECT_EQ(text(1), R"("c":"x\"},")");
     EXPECT_EQ(text(2), R"("d":-1.50e2)");
@@ -26,18 +29,21 @@
 
 TEST(ChatRequest, RewriteKeepsEveryOtherByte) {
     const std::string body = R"({"model":"m","n" : 1.0,"stream":true,"x":{"y": [1,2.50]},"stream":false})";
-    const auto out = rewrite(body, *members_of(body), {{"stream", "true"}, {"n", std::nullopt}, {"new", "[]"}});
+    const auto out =
+        rewrite(body, *members_of(body), {{"stream", "true"}, {"n", std::nullopt}, {"new", "[]"}});
     EXPECT_EQ(out, R"({"model":"m","x":{"y": [1,2.50]},"stream":true,"new":[]})");
     EXPECT_EQ(rewrite("{}", *members_of("{}"), {{"a", "1"}}), R"({"a":1})");
 }
 
 TEST(ChatRequest, NotOneObjectIsRefused) {
-    for (const char* bad : {"", "[]", "1", "{", "{}x", "{\"a\":}", "\"x\"", "{\"a\":\"\xff\"}"}) EXPECT_FALSE(members_of(bad)) << bad;
+    for (const char* bad : {"", "[]", "1", "{", "{}x", "{\"a\":}", "\"x\"", "{\"a\":\"\xff\"}"})
+        EXPECT_FALSE(members_of(bad)) << bad;
     EXPECT_FALSE(members_of("{\"a\":" + std::string(100, '[') + std::string(100, ']') + "}", 64));
 }
 
 TEST(ChatRequest, WhatTheModuleIsTold) {
-    const std::string body = R"({"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":5,"max_completion_tokens":9,
+    const std::string body =
+        R"({"model":"m","stream":true,"stream_options":{"include_usage":true},"max_tokens":5,"max_completion_tokens":9,
         "user":"u","prompt_cache_key":"s1","messages":[{"role":"system","content":"be kind"},{"role":"user","content":"hi"}]})";
     const auto r = parse_request(body);
     ASSERT_TRUE(r);
@@ -48,7 +54,9 @@
     EXPECT_GT(r->prompt_bytes, r->prefix_bytes);
     // The same leading text is the same prefix, whatever follows; other leading text is another.
     const auto with = [](const std::string& system, const std::string& user) {
-        return parse_request(R"({"model":"m","messages":[{"role":"system","content":")" + system + R"("},{"role":"user","content":")" + user + R"("}]})")->prefix;
+        return parse_request(R"({"model":"m","messages":[{"role":"system","content":")" + system +
+                             R"("},{"role":"user","content":")" + user + R"("}]})")
+            ->prefix;
     };
     EXPECT_EQ(with("be kind", "a"), with("be kind", "b"));
     EXPECT_NE(with("be kind", "a"), with("be brief", "a"));
@@ -57,13 +65,15 @@
 
 TEST(ChatRequest, FieldAtFault) {
     const auto param = [](const std::string& more) {
-        const auto r = parse_request(R"({"model":"m","messages":[{"role":"user","content":"x"}])" + more + "}");
+        const auto r =
+            parse_request(R"({"model":"m","messages":[{"role":"user","content":"x"}])" + more + "}");
         return r ? std::string("none") : r.error().param;
     };
     EXPECT_EQ(param(""), "none");
     EXPECT_EQ(param(R"(,"stream":1)"), "stream");
     EXPECT_EQ(param(R"(,"stream_options":{})"), "stream_options");
-    EXPECT_EQ(param(R"(,"stream":true,"stream_options":{"include_usage":2})"), "stream_options.include_usage");
+    EXPECT_EQ(param(R"(,"stream":true,"stream_options":{"include_usage":2})"),
+              "stream_options.include_usage");
     EXPECT_EQ(param(R"(,"max_tokens":0)"), "max_tokens");
     EXPECT_EQ(param(R"(,"max_tokens":1.5)"), "max_tokens");
     EXPECT_EQ(param(R"(,"user":5)"), "user");
@@ -71,7 +81,8 @@
 }
 
 TEST(Sse, AnySplitGivesTheSameEvents) {
-    const std::string bytes = ": note\r\ndata: one\r\n\r\ndata:two\ndata: three\n\nevent: x\ndata: four\r\rdata: [DONE]\n\n";
+    const std::string bytes =
+        ": note\r\ndata: one\r\n\r\ndata:two\ndata: three\n\nevent: x\ndata: four\r\rdata: [DONE]\n\n";
     const std::vector<std::string> wanted = {"one", "two\nthree", "four", "[DONE]"};
     for (std::size_t step = 1; step <= bytes.size(); ++step) {
         SseReader reader(1000);
@@ -103,9 +114,12 @@
 
 TEST(Collect, ToolCallsLogprobsAndUnknownFieldsComeTogether) {
     Collector c(10'000);
-    EXPECT_TRUE(c.add(R"({"id":"x","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"","reasoning_content":"th"}}],"system_fingerprint":"f"})"));
-    EXPECT_TRUE(c.add(R"({"id":"x","choices":[{"index":0,"delta":{"content":"he","reasoning_content":"ink","tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"price","arguments":"{\"a\""}}]},"logprobs":{"content":[{"token":"he"}]}}]})"));
-    EXPECT_TRUE(c.add(R"({"id":"x","choices":[{"index":0,"delta":{"content":"llo","tool_calls":[{"index":1,"id":"c2","function":{"name":"b","arguments":""}},{"index":0,"function":{"arguments":":1}"}}]},"logprobs":{"content":[{"token":"llo"}]},"finish_reason":"tool_calls"}]})"));
+    EXPECT_TRUE(c.add(
+        R"({"id":"x","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"role":"assistant","content":"","reasoning_content":"th"}}],"system_fingerprint":"f"})"));
+    EXPECT_TRUE(c.add(
+        R"({"id":"x","choices":[{"index":0,"delta":{"content":"he","reasoning_content":"ink","tool_calls":[{"index":0,"id":"c1","type":"function","function":{"name":"price","arguments":"{\"a\""}}]},"logprobs":{"content":[{"token":"he"}]}}]})"));
+    EXPECT_TRUE(c.add(
+        R"({"id":"x","choices":[{"index":0,"delta":{"content":"llo","tool_calls":[{"index":1,"id":"c2","function":{"name":"b","arguments":""}},{"index":0,"function":{"arguments":":1}"}}]},"logprobs":{"content":[{"token":"llo"}]},"finish_reason":"tool_calls"}]})"));
     EXPECT_TRUE(c.add(R"({"id":"x","choices":[{"index":1,"delta":{"content":"second"}}]})"));
     EXPECT_TRUE(c.add(R"({"id":"x","choices":[],"usage":{"prompt_tokens":3}})"));
     json::Document d;
@@ -130,7 +144,9 @@
     Collector c(100);
     EXPECT_TRUE(c.add(R"({"choices":[]})"));
     EXPECT_FALSE(c.add(std::string(200, ' ')));
-    for (const char* bad : {"[]", "{", R"({"choices":1})", R"({"choices":[1]})", R"({"choices":[{"index":"a"}]})"}) EXPECT_FALSE(Collector(1000).add(bad)) << bad;
+    for (const char* bad :
+         {"[]", "{", R"({"choices":1})", R"({"choices":[1]})", R"({"choices":[{"index":"a"}]})"})
+        EXPECT_FALSE(Collector(1000).add(bad)) << bad;
 }
 
 }  // namespace
--- a/tests/config/kdl_test.cpp
+++ b/tests/config/kdl_test.cpp
@@ -1,11 +1,11 @@
 // The KDL 2 reader: the grammar's corners, and errors with their places.
+#include "config/kdl/kdl.hpp"
+
 #include <gtest/gtest.h>
 #include <rapidcheck.h>
 
 #include <cmath>
 
-#include "config/kdl/kdl.hpp"
-
 namespace chalksail::kdl {
 namespace {
 
@@ -25,7 +25,9 @@
 std::string fails(std::string_view text) {
     auto out = parse(text);
     EXPECT_FALSE(out) << text;
-    return out ? "" : std::to_string(out.error().place.line) + ":" + std::to_string(out.error().place.column) + " " + out.error().text;
+    return out ? ""
+               : std::to_string(out.error().place.line) + ":" + std::to_string(out.error().place.column) +
+                     " " + out.error().text;
 }
 
 TEST(Kdl, NodesArgumentsPropertiesChildren) {
@@ -50,12 +52,15 @@
     EXPECT_EQ(std::get<std::int64_t>(value("-9223372036854775808")), INT64_MIN);
     EXPECT_TRUE(std::isnan(std::get<double>(value("#nan"))));
     EXPECT_EQ(std::get<double>(value("#-inf")), -INFINITY);
-    for (const char* bad : {"1.", "1__x", "0x", "0xg", "1e", "1.5.2", "99999999999999999999", "1e999", "_1x\" "}) fails(std::string("n ") + bad);
+    for (const char* bad :
+         {"1.", "1__x", "0x", "0xg", "1e", "1.5.2", "99999999999999999999", "1e999", "_1x\" "})
+        fails(std::string("n ") + bad);
 }
 
 TEST(Kdl, Strings) {
-    EXPECT_EQ(std::get<std::string>(value(R"("a\n\t\"\\\s\u{1F600}b")")), "a\n\t\"\\ \xF0\x9F\x98\x80"
-                                                                         "b");
+    EXPECT_EQ(std::get<std::string>(value(R"("a\n\t\"\\\s\u{1F600}b")")),
+              "a\n\t\"\\ \xF0\x9F\x98\x80"
+              "b");
     EXPECT_EQ(std::get<std::string>(value("\"a\\   \n   b\"")), "ab");
     EXPECT_EQ(std::get<std::string>(value(R"(#"a\n"b"#)")), "a\\n\"b");
     EXPECT_EQ(std::get<std::string>(value("##\"x\"#y\"##")), "x\"#y");
@@ -65,7 +70,8 @@
 }
 
 TEST(Kdl, CommentsAndSlashdash) {
-    const auto d = good("/* a /* nested */ */ n /-1 2 /-x=3 /-{ gone } { kept } // end\n/-m 1 { x }\nlast \\ // goes on\n 5");
+    const auto d = good(
+        "/* a /* nested */ */ n /-1 2 /-x=3 /-{ gone } { kept } // end\n/-m 1 { x }\nlast \\ // goes on\n 5");
     ASSERT_EQ(d.nodes.size(), 2U);
     EXPECT_EQ(d.nodes[0].arguments.size(), 1U);
     EXPECT_TRUE(d.nodes[0].properties.empty());
@@ -85,8 +91,10 @@
     EXPECT_EQ(fails("a\nb {\n  c \"x\n}").substr(0, 4), "3:7 ");
     EXPECT_EQ(fails("n true").substr(0, 4), "1:3 ");
     EXPECT_EQ(fails("é }").substr(0, 4), "1:3 ");  // columns count characters, not bytes
-    for (const char* bad : {"}", "a {", "n \"open", "n #\"open\"", "/* open", "n \"\\q\"", "n #maybe", "n a=", "n 1 { } 2", "n\"x\" \"y\"z",
-                            "1a", "n \"\\u{110000}\"", "n \"\\u{d800}\"", "\xff", "n \xc0\x80", "n \"\"\"x\n\"\"\"", "n \"\"\"\n a\n  \"\"\"", "(n", "n /-"})
+    for (const char* bad :
+         {"}", "a {", "n \"open", "n #\"open\"", "/* open", "n \"\\q\"", "n #maybe", "n a=", "n 1 { } 2",
+          "n\"x\" \"y\"z", "1a", "n \"\\u{110000}\"", "n \"\\u{d800}\"", "\xff", "n \xc0\x80",
+          "n \"\"\"x\n\"\"\"", "n \"\"\"\n a\n  \"\"\"", "(n", "n /-"})
         fails(bad);
     std::string deep;
     for (int i = 0; i < 100; ++i) deep += "a {";
@@ -108,7 +116,8 @@
 TEST(Kdl, ChildrenKeepTheirText) {
     const std::string text = "a { b 1; c }";
     const auto d = good(text);
-    EXPECT_EQ(text.substr(d.nodes[0].children_begin, d.nodes[0].children_end - d.nodes[0].children_begin), " b 1; c ");
+    EXPECT_EQ(text.substr(d.nodes[0].children_begin, d.nodes[0].children_end - d.nodes[0].children_begin),
+              " b 1; c ");
 }
 
 }  // namespace
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -1,8 +1,8 @@
 // The settings' schema: what is refused, with place and suggestion.
-#include <gtest/gtest.h>
-
 #include "config/settings.hpp"
 
+#include <gtest/gtest.h>
+
 namespace chalksail::config {
 namespace {
 
@@ -29,8 +29,12 @@
 
 TEST(Settings, UnknownNamesAreRefusedWithPlaceAndSuggestion) {
     const auto said = problems(std::string(kLeast) + "limits {\n  dial-queu 5\n}\nsever \"x\" kind=\"r\"\n");
-    EXPECT_NE(said.find("edge.kdl:5:3: unknown setting 'dial-queu' in 'limits'; did you mean 'dial-queue'?"), std::string::npos) << said;
-    EXPECT_NE(said.find("edge.kdl:7:1: unknown setting 'sever' in the settings; did you mean 'server'?"), std::string::npos) << said;
+    EXPECT_NE(said.find("edge.kdl:5:3: unknown setting 'dial-queu' in 'limits'; did you mean 'dial-queue'?"),
+              std::string::npos)
+        << said;
+    EXPECT_NE(said.find("edge.kdl:7:1: unknown setting 'sever' in the settings; did you mean 'server'?"),
+              std::string::npos)
+        << said;
 }
 
 TEST(Settings, AllProblemsAreSaidAtOnce) {
@@ -43,9 +47,11 @@
 tick 4
 rules { tick "fast"; max-attempts 0; }
 )");
-    for (const char* wanted : {"within the deadline", "'effect' wants one of repeatable by-key once", "'when' wants", "'is' goes with",
-                               "needs 'aim'", "class 'chat' is given twice", "'role' wants one of", "unknown kind 'q'", "needs address=",
-                               "server 'a' is given twice", "has no 'color'", "unknown setting 'tick'", "a time such as", "from 1 to 16"})
+    for (const char* wanted :
+         {"within the deadline", "'effect' wants one of repeatable by-key once", "'when' wants",
+          "'is' goes with", "needs 'aim'", "class 'chat' is given twice", "'role' wants one of",
+          "unknown kind 'q'", "needs address=", "server 'a' is given twice", "has no 'color'",
+          "unknown setting 'tick'", "a time such as", "from 1 to 16"})
         EXPECT_NE(said.find(wanted), std::string::npos) << wanted << " in\n" << said;
 }
 
@@ -58,11 +64,14 @@
 TEST(Settings, UnitsAreChecked) {
     EXPECT_EQ(parse_duration("1.5s"), std::chrono::milliseconds(1500));
     EXPECT_EQ(parse_duration("250us"), std::chrono::microseconds(250));
-    for (const char* bad : {"", "5", "s", "-1s", "1e3s", "nans", "infs", "99999999h", "5 s"}) EXPECT_FALSE(parse_duration(bad)) << bad;
+    for (const char* bad : {"", "5", "s", "-1s", "1e3s", "nans", "infs", "99999999h", "5 s"})
+        EXPECT_FALSE(parse_duration(bad)) << bad;
     EXPECT_EQ(parse_size("2KiB"), 2048U);
     for (const char* bad : {"", "KiB", "-1", "5kb", "1e30"}) EXPECT_FALSE(parse_size(bad)) << bad;
     EXPECT_TRUE(parse_address("[::1]:80"));
-    for (const char* bad : {"", "localhost:80", "1.2.3.4", "1.2.3.4:", "1.2.3.4:70000", "[::1]", ":80", "1.2.3:80"}) EXPECT_FALSE(parse_address(bad)) << bad;
+    for (const char* bad :
+         {"", "localhost:80", "1.2.3.4", "1.2.3.4:", "1.2.3.4:70000", "[::1]", ":80", "1.2.3:80"})
+        EXPECT_FALSE(parse_address(bad)) << bad;
 }
 
 }  // namespace
--- a/tests/core/driver.hpp
+++ b/tests/core/driver.hpp
@@ -29,7 +29,8 @@
     return std::move(*out);
 }
 
-inline ListedServer listed(const std::string& name, const std::string& kind, ServerState state = ServerState::up) {
+inline ListedServer listed(const std::string& name, const std::string& kind,
+                           ServerState state = ServerState::up) {
     ListedServer s;
     s.entry.id = {name};
     s.entry.kind = kind;
@@ -42,9 +43,12 @@
 inline constexpr const char* kReadAnswer =
     R"({"id":"x","usage":{"prompt_tokens":40,"completion_tokens":1},"kv_transfer_params":{"remote_engine_id":"r","remote_block_ids":[1,2]}})";
 inline std::string chunk(const std::string& text) {
-    return chat::format_event(R"({"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":")" + text + R"("}}]})");
+    return chat::format_event(
+        R"({"id":"x","object":"chat.completion.chunk","choices":[{"index":0,"delta":{"content":")" + text +
+        R"("}}]})");
 }
-inline constexpr const char* kUsage = R"({"id":"x","choices":[],"usage":{"prompt_tokens":40,"completion_tokens":2}})";
+inline constexpr const char* kUsage =
+    R"({"id":"x","choices":[],"usage":{"prompt_tokens":40,"completion_tokens":2}})";
 
 class Driver {
 public:
@@ -80,15 +84,20 @@
     void list(std::vector<ListedServer> servers_listed, ListScope scope = ListScope::complete) {
         give({ServerList{scope, std::move(servers_listed)}});
     }
-    void usual_list() { list({listed("r1", "reader"), listed("r2", "reader"), listed("w1", "writer"), listed("w2", "writer")}); }
+    void usual_list() {
+        list(
+            {listed("r1", "reader"), listed("r2", "reader"), listed("w1", "writer"), listed("w2", "writer")});
+    }
 
-    void ask(const std::string& model = "m", const std::string& more = R"(,"stream":true)", http::Headers headers = {},
-             std::uint64_t client = 1) {
+    void ask(const std::string& model = "m", const std::string& more = R"(,"stream":true)",
+             http::Headers headers = {}, std::uint64_t client = 1) {
         http::Request r;
         r.method = "POST";
         r.target = "/v1/chat/completions";
         r.headers = std::move(headers);
-        r.body = R"({"model":")" + model + R"(","messages":[{"role":"user","content":"Is the jollof ready?"}],"max_tokens":20)" + more + "}";
+        r.body = R"({"model":")" + model +
+                 R"(","messages":[{"role":"user","content":"Is the jollof ready?"}],"max_tokens":20)" + more +
+                 "}";
         give({ClientRequest{{client}, std::move(r)}});
     }
     // The attempts sent so far.
@@ -108,17 +117,22 @@
         now += 20ms;
         give({CallSent{call}, CallHead{call, 200, {}}, CallBody{call, kReadAnswer}, CallDone{call}});
     }
-    void head(CallId call, int status = 200, http::Headers headers = {}) { give({CallSent{call}, CallHead{call, status, std::move(headers)}}); }
+    void head(CallId call, int status = 200, http::Headers headers = {}) {
+        give({CallSent{call}, CallHead{call, status, std::move(headers)}});
+    }
     void body(CallId call, const std::string& bytes) { give({CallBody{call, bytes}}); }
     // Asks, and takes it through the read: the write is out then.
-    CallId to_write(const std::string& model = "m", const std::string& more = R"(,"stream":true)", http::Headers headers = {}) {
+    CallId to_write(const std::string& model = "m", const std::string& more = R"(,"stream":true)",
+                    http::Headers headers = {}) {
         ask(model, more, std::move(headers));
         EXPECT_EQ(sent().size(), 1U);
         answer_read(sent().back().call);
         EXPECT_EQ(sent().size(), 2U);
         return sent().back().call;
     }
-    [[nodiscard]] bool was_aborted(CallId call) const { return std::find(aborted.begin(), aborted.end(), call) != aborted.end(); }
+    [[nodiscard]] bool was_aborted(CallId call) const {
+        return std::find(aborted.begin(), aborted.end(), call) != aborted.end();
+    }
 
     Time now{1000s};
     Edge edge;
--- a/tests/core/edge_test.cpp
+++ b/tests/core/edge_test.cpp
@@ -40,10 +40,12 @@
     EXPECT_EQ(read.headers.get("x-request-attempt"), "0");
     EXPECT_EQ(write.headers.get("x-request-attempt"), "1");
     d.head(write.call);
-    d.body(write.call, chunk("yes") + chunk(" now") + chat::format_event(kUsage) + chat::format_event("[DONE]"));
+    d.body(write.call,
+           chunk("yes") + chunk(" now") + chat::format_event(kUsage) + chat::format_event("[DONE]"));
     EXPECT_EQ(d.streams_begun, 1);
     EXPECT_EQ(d.streams_ended, 1);
-    EXPECT_EQ(d.streamed, chunk("yes") + chunk(" now") + chat::format_event("[DONE]"));  // usage was not asked for
+    EXPECT_EQ(d.streamed,
+              chunk("yes") + chunk(" now") + chat::format_event("[DONE]"));  // usage was not asked for
     ASSERT_EQ(d.requests.size(), 1U);
     EXPECT_EQ(d.requests[0].fate, observe::Fate::served);
     EXPECT_EQ(d.requests[0].prompt_tokens_told, 40);
@@ -77,7 +79,8 @@
 }
 
 TEST(Edge, AnySplitOfTheEnginesBytesGivesTheSameStream) {
-    const std::string all = chunk("one") + chunk("two") + chat::format_event(kUsage) + chat::format_event("[DONE]");
+    const std::string all =
+        chunk("one") + chunk("two") + chat::format_event(kUsage) + chat::format_event("[DONE]");
     for (std::size_t cut = 1; cut < all.size(); cut += 7) {
         Driver d;
         d.usual_list();
@@ -123,7 +126,8 @@
     d.usual_list();
     d.ask();
     const auto read = d.sent()[0].call;
-    d.list({listed("w1", "writer", ServerState::draining), listed("w2", "writer", ServerState::draining)}, ListScope::changes);
+    d.list({listed("w1", "writer", ServerState::draining), listed("w2", "writer", ServerState::draining)},
+           ListScope::changes);
     d.answer_read(read);
     ASSERT_EQ(d.sent().size(), 1U);
     EXPECT_EQ(d.edge.gauges().states_held, 1U);
@@ -335,7 +339,8 @@
     expect_empty(d);
 }
 
-// Guards against an answer put together past the client's time: it waits for the whole, not for a first token.
+// Guards against an answer put together past the client's time: it waits for the whole, not for a first
+// token.
 TEST(Edge, WholeAnswerKeepsItsDeadlineAfterTheFirstChunk) {
     Driver d;
     d.usual_list();
@@ -503,8 +508,11 @@
     };
     EXPECT_EQ(status("{").first, 400);
     EXPECT_NE(status(R"({"model":"m"})").second.find("\"param\":\"messages\""), std::string::npos);
-    EXPECT_NE(status(R"({"model":"m","messages":[{"role":1}]})").second.find("messages[0].role"), std::string::npos);
-    EXPECT_NE(status(R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1})").second.find("max_tokens"), std::string::npos);
+    EXPECT_NE(status(R"({"model":"m","messages":[{"role":1}]})").second.find("messages[0].role"),
+              std::string::npos);
+    EXPECT_NE(status(R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_tokens":-1})")
+                  .second.find("max_tokens"),
+              std::string::npos);
     EXPECT_EQ(status(std::string(100'000, '[')).first, 400);  // depth costs no stack
     expect_empty(d);
 }
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -7,8 +7,9 @@
 namespace chalksail::engine {
 namespace {
 
-constexpr Ending kEndings[] = {Ending::answered, Ending::dial_failed, Ending::no_resources, Ending::withdrawn,
-                               Ending::closed, Ending::bad_answer, Ending::timed_out, Ending::cancelled};
+constexpr Ending kEndings[] = {Ending::answered,  Ending::dial_failed, Ending::no_resources,
+                               Ending::withdrawn, Ending::closed,      Ending::bad_answer,
+                               Ending::timed_out, Ending::cancelled};
 
 TEST(Outcome, NothingThatWasSentIsProvedNotToHaveRunButByTheEnginesWord) {
     for (const auto ending : kEndings)
@@ -17,7 +18,8 @@
                 for (const bool whole : {false, true})
                     for (const int status : {0, 200, 204, 301, 400, 404, 408, 422, 429, 500, 503}) {
                         Facts f{ending, true, read, started, whole, status, NotRun::not_said, false};
-                        EXPECT_FALSE(proves_not_run(judge(f).outcome)) << static_cast<int>(ending) << ' ' << status;
+                        EXPECT_FALSE(proves_not_run(judge(f).outcome))
+                            << static_cast<int>(ending) << ' ' << status;
                     }
 }
 
@@ -31,7 +33,8 @@
 }
 
 TEST(Outcome, Table) {
-    const auto of = [](Ending ending, bool read, bool started, bool whole, int status, NotRun word = NotRun::not_said, bool by_settings = false) {
+    const auto of = [](Ending ending, bool read, bool started, bool whole, int status,
+                       NotRun word = NotRun::not_said, bool by_settings = false) {
         return judge({ending, true, read, started, whole, status, word, by_settings});
     };
     EXPECT_EQ(of(Ending::answered, true, false, true, 200).outcome, Outcome::read);
@@ -52,15 +55,21 @@
 }
 
 TEST(Protocol, LoadFiguresByPublishedNames) {
-    const auto text = parse_load_header("TEXT num_requests_running=3, num_requests_waiting=2 ,kv_cache_usage_perc=0.25");
+    const auto text =
+        parse_load_header("TEXT num_requests_running=3, num_requests_waiting=2 ,kv_cache_usage_perc=0.25");
     EXPECT_EQ(text.report(), (std::vector<double>{5, 0.25}));
-    const auto object = parse_load_header(R"(JSON {"named_metrics":{"vllm:num_requests_running":1,"kv_cache_usage_perc":0.5}})");
+    const auto object = parse_load_header(
+        R"(JSON {"named_metrics":{"vllm:num_requests_running":1,"kv_cache_usage_perc":0.5}})");
     EXPECT_EQ(object.report(), (std::vector<double>{1, 0.5}));
-    for (const char* bad : {"", "TEXT", "JSON {", "TEXT num_requests_running=x", "TEXT kv_cache_usage_perc=-1", "TEXT num_requests_running=nan,kv_cache_usage_perc=nan"})
+    for (const char* bad :
+         {"", "TEXT", "JSON {", "TEXT num_requests_running=x", "TEXT kv_cache_usage_perc=-1",
+          "TEXT num_requests_running=nan,kv_cache_usage_perc=nan"})
         EXPECT_TRUE(parse_load_header(bad).report().empty()) << bad;
     const auto page = parse_metrics_page(
-        "# HELP vllm:num_requests_running x\nvllm:num_requests_running{engine=\"0\",m=\"a b}\"} 2.0\nvllm:num_requests_running{engine=\"1\"} 3\n"
-        "vllm:gpu_cache_usage_perc{engine=\"0\"} 0.2\nvllm:gpu_cache_usage_perc{engine=\"1\"} 0.4 1700000000\nother 9\nbroken{\n");
+        "# HELP vllm:num_requests_running x\nvllm:num_requests_running{engine=\"0\",m=\"a b}\"} "
+        "2.0\nvllm:num_requests_running{engine=\"1\"} 3\n"
+        "vllm:gpu_cache_usage_perc{engine=\"0\"} 0.2\nvllm:gpu_cache_usage_perc{engine=\"1\"} 0.4 "
+        "1700000000\nother 9\nbroken{\n");
     ASSERT_EQ(page.report().size(), 2U);
     EXPECT_EQ(page.report()[0], 5);
     EXPECT_NEAR(page.report()[1], 0.3, 1e-9);
@@ -69,7 +78,9 @@
 TEST(Protocol, ChunksAreKnownWithoutReadingEach) {
     EXPECT_EQ(read_chunk("[DONE]").kind, ChunkKind::done);
     EXPECT_EQ(read_chunk(R"({"choices":[{"delta":{"content":"\"usage\":{"}}]})").kind, ChunkKind::chunk);
-    EXPECT_EQ(read_chunk(R"({"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":2}})").usage->prompt_tokens, 4);
+    EXPECT_EQ(read_chunk(R"({"choices":[],"usage":{"prompt_tokens":4,"completion_tokens":2}})")
+                  .usage->prompt_tokens,
+              4);
     EXPECT_EQ(read_chunk(R"({"choices":[{"delta":{}}],"usage":null})").kind, ChunkKind::chunk);
     EXPECT_EQ(read_chunk(R"({"error":{"message":"out of memory"}})").kind, ChunkKind::error);
     EXPECT_EQ(read_chunk("half").kind, ChunkKind::broken);
@@ -77,18 +88,22 @@
 }
 
 TEST(Protocol, ReadAnswers) {
-    const auto a = parse_read_answer(R"({"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}},"kv_transfer_params":{"remote_block_ids":[1],"x":null}})");
+    const auto a = parse_read_answer(
+        R"({"usage":{"prompt_tokens":9,"prompt_tokens_details":{"cached_tokens":4}},"kv_transfer_params":{"remote_block_ids":[1],"x":null}})");
     ASSERT_TRUE(a);
     EXPECT_EQ(a->prompt_tokens, 9);
     EXPECT_EQ(a->cached_tokens, 4);
     EXPECT_EQ(a->kv_params, R"({"remote_block_ids":[1],"x":null})");
-    for (const char* bad : {"", "{}", "[]", R"({"kv_transfer_params":null})", R"({"kv_transfer_params":[]})"}) EXPECT_FALSE(parse_read_answer(bad)) << bad;
+    for (const char* bad : {"", "{}", "[]", R"({"kv_transfer_params":null})", R"({"kv_transfer_params":[]})"})
+        EXPECT_FALSE(parse_read_answer(bad)) << bad;
 }
 
 TEST(Protocol, ReadBodyAsksForOneToken) {
-    const std::string body = R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_completion_tokens":50,"min_tokens":5,"n":2,"seed":1})";
+    const std::string body =
+        R"({"model":"m","messages":[{"role":"user","content":"x"}],"max_completion_tokens":50,"min_tokens":5,"n":2,"seed":1})";
     EXPECT_EQ(read_body(body, *chat::parse_request(body)).find("min_tokens"), std::string::npos);
-    EXPECT_NE(read_body(body, *chat::parse_request(body)).find(R"("max_completion_tokens":1)"), std::string::npos);
+    EXPECT_NE(read_body(body, *chat::parse_request(body)).find(R"("max_completion_tokens":1)"),
+              std::string::npos);
     EXPECT_NE(write_body(body, *chat::parse_request(body), "").find(R"("n":2)"), std::string::npos);
 }
 
--- a/tests/fuzz/codecs_fuzz.cpp
+++ b/tests/fuzz/codecs_fuzz.cpp
@@ -1,5 +1,5 @@
-// Fuzz of all that reads bytes from outside without sockets. The first byte picks the reader. What must hold, holds
-// whatever the bytes: no crash, bounded memory, and the same result for any split.
+// Fuzz of all that reads bytes from outside without sockets. The first byte picks the reader. What must hold,
+// holds whatever the bytes: no crash, bounded memory, and the same result for any split.
 #include <cstdint>
 #include <cstdlib>
 #include <string_view>
@@ -30,11 +30,13 @@
     const auto take = [&](const std::vector<http::ResponsePiece>& pieces) {
         bool end = false;
         for (const auto& p : pieces) {
-            if (const auto* h = std::get_if<http::ResponseHead>(&p)) out += "H" + std::to_string(h->status) + ";";
+            if (const auto* h = std::get_if<http::ResponseHead>(&p))
+                out += "H" + std::to_string(h->status) + ";";
             if (const auto* b = std::get_if<http::BodyPiece>(&p)) out += b->bytes;
             if (std::holds_alternative<http::ResponseEnd>(p)) out += ";E";
             if (std::holds_alternative<http::Fault>(p)) out += ";F";
-            end = end || std::holds_alternative<http::Fault>(p) || std::holds_alternative<http::ResponseEnd>(p);
+            end =
+                end || std::holds_alternative<http::Fault>(p) || std::holds_alternative<http::ResponseEnd>(p);
         }
         return end;
     };
--- a/tests/fuzz/edge_fuzz.cpp
+++ b/tests/fuzz/edge_fuzz.cpp
@@ -1,6 +1,6 @@
-// Fuzz of the core: the bytes say what clients, engines, list and clock do, in any order. Whatever they do: each
-// request has at most one final answer, nothing is written to a client after it, no guard has to step in, and in the
-// end nothing is left.
+// Fuzz of the core: the bytes say what clients, engines, list and clock do, in any order. Whatever they do:
+// each request has at most one final answer, nothing is written to a client after it, no guard has to step
+// in, and in the end nothing is left.
 #include <cstdint>
 #include <cstdlib>
 #include <map>
@@ -29,7 +29,8 @@
         kind "w" { role "decode"; memory-tokens 10000; not-run-status 503; }
         kind "m" { role "mixed"; memory-tokens 10000; release #false; }
         limits { open-requests 20; stream-idle "3s"; event "2KiB"; answer "4KiB"; }
-    )", "f");
+    )",
+                                                      "f");
     return *parsed;
 }
 
@@ -49,12 +50,14 @@
         for (int i = 0; i < 50; ++i) {
             now_ += std::chrono::seconds(1);
             std::vector<Input> failures;
-            for (const auto& [id, call] : calls_) failures.push_back(CallFailed{{id}, engine::Ending::closed, ""});
+            for (const auto& [id, call] : calls_)
+                failures.push_back(CallFailed{{id}, engine::Ending::closed, ""});
             calls_.clear();
             give(std::move(failures));
         }
         const auto g = edge_.gauges();
-        must(g.open_requests == 0 && g.started_streams == 0 && g.states_held == 0 && g.tracked_by_module == 0 && g.calls == calls_.size());  // a probe may be out
+        must(g.open_requests == 0 && g.started_streams == 0 && g.states_held == 0 &&
+             g.tracked_by_module == 0 && g.calls == calls_.size());  // a probe may be out
     }
 
 private:
@@ -82,7 +85,9 @@
                 r.target = "/v1/chat/completions";
                 r.headers.add("Idempotency-Key", "k");
                 const char* const models[] = {"o", "k", "c"};
-                r.body = std::string(R"({"model":")") + models[next() % 3] + R"(","messages":[{"role":"user","content":"hi"}],"stream":)" + (next() % 2 ? "true" : "false") + "}";
+                r.body = std::string(R"({"model":")") + models[next() % 3] +
+                         R"(","messages":[{"role":"user","content":"hi"}],"stream":)" +
+                         (next() % 2 ? "true" : "false") + "}";
                 clients_[client] = true;
                 begun_[client] = false;
                 return give({ClientRequest{{client}, std::move(r)}});
@@ -103,8 +108,13 @@
             }
             case 5: {
                 static const std::string bodies[] = {
-                    R"({"kv_transfer_params":{"a":1},"usage":{"prompt_tokens":5}})", chat::format_event(R"({"choices":[{"index":0,"delta":{"content":"x"}}]})"),
-                    "data: [DONE]\n\n", chat::format_event(R"({"error":{}})"), chat::format_event(R"({"choices":[],"usage":{"prompt_tokens":1e9}})"), "data: {", "\n\n",
+                    R"({"kv_transfer_params":{"a":1},"usage":{"prompt_tokens":5}})",
+                    chat::format_event(R"({"choices":[{"index":0,"delta":{"content":"x"}}]})"),
+                    "data: [DONE]\n\n",
+                    chat::format_event(R"({"error":{}})"),
+                    chat::format_event(R"({"choices":[],"usage":{"prompt_tokens":1e9}})"),
+                    "data: {",
+                    "\n\n",
                     std::string(3000, 'x')};
                 return give({CallBody{{some_call()}, bodies[next() % 8]}});
             }
@@ -114,7 +124,8 @@
                 return give({CallDone{{call}}});
             }
             case 7: {
-                const engine::Ending endings[] = {engine::Ending::dial_failed, engine::Ending::no_resources, engine::Ending::closed, engine::Ending::bad_answer};
+                const engine::Ending endings[] = {engine::Ending::dial_failed, engine::Ending::no_resources,
+                                                  engine::Ending::closed, engine::Ending::bad_answer};
                 const auto call = some_call();
                 calls_.erase(call);
                 return give({CallFailed{{call}, endings[next() % 4], "f"}});
@@ -144,7 +155,11 @@
                 const bool read = calls_[call];
                 calls_.erase(call);
                 return give({CallSent{{call}}, CallHead{{call}, 200, {}},
-                             CallBody{{call}, read ? R"({"kv_transfer_params":{}})" : chat::format_event(R"({"choices":[{"index":0,"delta":{"content":"x"}}]})") + "data: [DONE]\n\n"},
+                             CallBody{{call},
+                                      read ? R"({"kv_transfer_params":{}})"
+                                           : chat::format_event(
+                                                 R"({"choices":[{"index":0,"delta":{"content":"x"}}]})") +
+                                                 "data: [DONE]\n\n"},
                              CallDone{{call}}});
             }
         }
@@ -180,7 +195,7 @@
     Time now_{std::chrono::seconds(100)};
     std::map<std::uint64_t, bool> clients_;  // is its request open?
     std::map<std::uint64_t, bool> begun_;
-    std::map<std::uint64_t, bool> calls_;    // is it a read?
+    std::map<std::uint64_t, bool> calls_;  // is it a read?
 };
 
 }  // namespace
--- a/tests/http/message_test.cpp
+++ b/tests/http/message_test.cpp
@@ -1,8 +1,8 @@
 // HTTP reading: any split gives the same, limits hold, bad bytes are errors.
-#include <gtest/gtest.h>
-
 #include "http/message.hpp"
 
+#include <gtest/gtest.h>
+
 namespace chalksail::http {
 namespace {
 
@@ -37,7 +37,8 @@
 
 const std::string kTwo =
     "POST /v1/chat/completions?x=1 HTTP/1.1\r\nHost: a\r\nX-Two:  b c \r\nContent-Length: 5\r\n\r\nhello"
-    "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
+    "POST /b HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: "
+    "chunked\r\n\r\n3\r\nabc\r\n2;e=1\r\nde\r\n0\r\nTrailer: t\r\n\r\n"
     "GET /c HTTP/1.0\r\n\r\n";
 
 TEST(HttpRequest, AnySplitAndPipelining) {
@@ -64,15 +65,20 @@
 TEST(HttpRequest, LimitsHoldBeforeTheBytesAreStored) {
     const Limits limits{200, 10};
     EXPECT_EQ(read("GET /" + std::string(1000, 'a') + " HTTP/1.1\r\n\r\n", 7, limits).fault->status, 431);
-    EXPECT_EQ(read("GET / HTTP/1.1\r\nA: " + std::string(1000, 'a') + "\r\n\r\n", 7, limits).fault->status, 431);
+    EXPECT_EQ(read("GET / HTTP/1.1\r\nA: " + std::string(1000, 'a') + "\r\n\r\n", 7, limits).fault->status,
+              431);
     EXPECT_EQ(read("POST / HTTP/1.1\r\nContent-Length: 11\r\n\r\n", 7, limits).fault->status, 413);
-    EXPECT_EQ(read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n", 7, limits).fault->status, 413);
+    EXPECT_EQ(read("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nb\r\nhello world\r\n", 7, limits)
+                  .fault->status,
+              413);
 }
 
 TEST(HttpRequest, BadBytesAreFaults) {
-    for (const std::string bad : {"\x16\x03\x01", "GET\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
-                                  "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
-                                  "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "GET / HTTP/3.9\r\n\r\n", "GET / HTTP/1.1\r\n:x\r\n\r\n"})
+    for (const std::string bad :
+         {"\x16\x03\x01", "GET\r\n\r\n", "POST / HTTP/1.1\r\nContent-Length: -1\r\n\r\n",
+          "POST / HTTP/1.1\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n",
+          "POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "GET / HTTP/3.9\r\n\r\n",
+          "GET / HTTP/1.1\r\n:x\r\n\r\n"})
         EXPECT_TRUE(read(bad, 3).fault) << bad;
 }
 
@@ -97,13 +103,16 @@
             if (auto* f = std::get_if<Fault>(&p)) out.fault = *f;
         }
     };
-    for (std::size_t at = 0; at < bytes.size() && !out.fault; at += step) take(reader.feed(std::string_view(bytes).substr(at, step)));
+    for (std::size_t at = 0; at < bytes.size() && !out.fault; at += step)
+        take(reader.feed(std::string_view(bytes).substr(at, step)));
     if (close && !out.fault) take(reader.close());
     return out;
 }
 
 TEST(HttpResponse, AnySplit) {
-    const std::string text = "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    const std::string text =
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nTransfer-Encoding: "
+        "chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
     for (std::size_t step = 1; step < text.size() + 1; ++step) {
         const auto out = answer(text, step);
         EXPECT_EQ(out.status, 200);
@@ -116,10 +125,13 @@
     EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\n\r\nuntil the close", 5, true).ended);
     EXPECT_FALSE(answer("HTTP/1.1 200 OK\r\n\r\nuntil the close", 5, true).keep);
     EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nhalf", 5, true).fault);
-    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha", 5, true).fault);   // half a chunk
-    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 5).fault);         // a bad chunk length
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nha", 5, true)
+                    .fault);  // half a chunk
+    EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nxyz\r\n", 5)
+                    .fault);  // a bad chunk length
     EXPECT_TRUE(answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na", 99).keep);
-    EXPECT_FALSE(answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage", 99).keep);  // more than was asked for
+    EXPECT_FALSE(
+        answer("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nagarbage", 99).keep);  // more than was asked for
     EXPECT_TRUE(answer("220 smtp.example\r\n", 4).fault);
 }
 
--- a/tests/lab/checker_test.cpp
+++ b/tests/lab/checker_test.cpp
@@ -1,4 +1,5 @@
-// Each rule's checker catches a gateway that breaks it: the real core, with a shell that is broken on purpose.
+// Each rule's checker catches a gateway that breaks it: the real core, with a shell that is broken on
+// purpose.
 #include <gtest/gtest.h>
 
 #include <algorithm>
@@ -29,14 +30,19 @@
 
 TEST(Checker, Rule1AnAnswerIsLost) {
     int seen = 0;
-    const auto found = breaches("", {{}, [&](std::vector<core::Output>& outputs) {
-        std::erase_if(outputs, [&](const core::Output& o) { return std::holds_alternative<core::Reply>(o) && ++seen % 10 == 0; });
-    }});
+    const auto found =
+        breaches("", {{}, [&](std::vector<core::Output>& outputs) {
+                          std::erase_if(outputs, [&](const core::Output& o) {
+                              return std::holds_alternative<core::Reply>(o) && ++seen % 10 == 0;
+                          });
+                      }});
     EXPECT_GT(found.count(1), 0U);
 }
 
 TEST(Checker, Rule1SentAfterTheClientWentAway) {
-    const auto found = breaches(R"(give_up at="1s" for="28s" part=0.6)", {[](std::vector<core::Input>& inputs) { drop<core::ClientClosed>(inputs); }, {}});
+    const auto found =
+        breaches(R"(give_up at="1s" for="28s" part=0.6)",
+                 {[](std::vector<core::Input>& inputs) { drop<core::ClientClosed>(inputs); }, {}});
     EXPECT_GT(found.count(1), 0U);
 }
 
@@ -44,24 +50,27 @@
     // What it says is kept back, and comes out all at once every four thousand steps.
     int steps = 0;
     std::vector<core::Output> kept;
-    const auto found = breaches(R"(vanish at="5s" for="8s" share=0.5)", {{}, [&](std::vector<core::Output>& outputs) {
-        for (auto& o : outputs) kept.push_back(std::move(o));
-        outputs.clear();
-        if (++steps % 4000 == 0) outputs.swap(kept);
-    }});
+    const auto found =
+        breaches(R"(vanish at="5s" for="8s" share=0.5)", {{}, [&](std::vector<core::Output>& outputs) {
+                                                              for (auto& o : outputs)
+                                                                  kept.push_back(std::move(o));
+                                                              outputs.clear();
+                                                              if (++steps % 4000 == 0) outputs.swap(kept);
+                                                          }});
     EXPECT_GT(found.count(1), 0U);
 }
 
 TEST(Checker, Rule2TwoAttemptsOut) {
     const auto found = breaches("", {{}, [](std::vector<core::Output>& outputs) {
-        for (std::size_t i = 0, n = outputs.size(); i < n; ++i) {
-            const auto* call = std::get_if<core::Call>(&outputs[i]);
-            if (call == nullptr || call->kind != core::CallKind::attempt) continue;
-            core::Call copy = *call;
-            copy.call.value += 1'000'000'000;
-            outputs.push_back(std::move(copy));
-        }
-    }});
+                                         for (std::size_t i = 0, n = outputs.size(); i < n; ++i) {
+                                             const auto* call = std::get_if<core::Call>(&outputs[i]);
+                                             if (call == nullptr || call->kind != core::CallKind::attempt)
+                                                 continue;
+                                             core::Call copy = *call;
+                                             copy.call.value += 1'000'000'000;
+                                             outputs.push_back(std::move(copy));
+                                         }
+                                     }});
     EXPECT_GT(found.count(2), 0U);
 }
 
@@ -69,39 +78,48 @@
     // A shell that says "no connection" of breaks, and hides that anything was sent.
     const auto found = breaches(R"(origin_slow at="2s" for="20s" factor=60
         crash at="5s" for="2s" engines="decode" share=0.8
-        crash at="10s" for="2s" engines="decode" share=0.8)", {[](std::vector<core::Input>& inputs) {
-        drop<core::CallSent>(inputs);
-        for (auto& i : inputs)
-            if (auto* f = std::get_if<core::CallFailed>(&i)) f->ending = engine::Ending::dial_failed;
-    }, {}});
+        crash at="10s" for="2s" engines="decode" share=0.8)",
+                                {[](std::vector<core::Input>& inputs) {
+                                     drop<core::CallSent>(inputs);
+                                     for (auto& i : inputs)
+                                         if (auto* f = std::get_if<core::CallFailed>(&i))
+                                             f->ending = engine::Ending::dial_failed;
+                                 },
+                                 {}});
     EXPECT_GT(found.count(2), 0U);
 }
 
 TEST(Checker, Rule3SentToADrainingServer) {
-    const auto found = breaches(R"(preempt at="5s" for="6s" engines="decode" share=0.6 notice="5s")", {[](std::vector<core::Input>& inputs) {
-        for (auto& i : inputs)
-            if (auto* list = std::get_if<core::ServerList>(&i))
-                for (auto& s : list->servers) s.entry.state = ServerState::up;
-    }, {}});
+    const auto found = breaches(R"(preempt at="5s" for="6s" engines="decode" share=0.6 notice="5s")",
+                                {[](std::vector<core::Input>& inputs) {
+                                     for (auto& i : inputs)
+                                         if (auto* list = std::get_if<core::ServerList>(&i))
+                                             for (auto& s : list->servers) s.entry.state = ServerState::up;
+                                 },
+                                 {}});
     EXPECT_GT(found.count(3), 0U);
 }
 
 TEST(Checker, Rule4AColdServerIsPushedOver) {
     // Once told that a reader has started anew, this gateway sends it every read.
     VirtualDay day(scenario(R"(troubles { crash at="3s" for="2s" server="prefill-2"; }
-        clients 150)", 4));
+        clients 150)",
+                            4));
     std::string cold;
     core::ListedServer entry;
     day.tamper({[&](std::vector<core::Input>& inputs) {
                     for (auto& i : inputs)
                         if (auto* list = std::get_if<core::ServerList>(&i))
                             for (auto& s : list->servers)
-                                if (s.entry.born != Time{} && s.entry.state == ServerState::up) cold = s.entry.id.value;
+                                if (s.entry.born != Time{} && s.entry.state == ServerState::up)
+                                    cold = s.entry.id.value;
                 },
                 [&](std::vector<core::Output>& outputs) {
                     for (auto& o : outputs)
                         if (auto* call = std::get_if<core::Call>(&o))
-                            if (!cold.empty() && call->server.starts_with("prefill") && call->kind == core::CallKind::attempt) call->server = cold;
+                            if (!cold.empty() && call->server.starts_with("prefill") &&
+                                call->kind == core::CallKind::attempt)
+                                call->server = cold;
                 }});
     int found = 0;
     for (const auto& b : day.run(std::chrono::seconds(10)).breaches) found += b.rule == 4 ? 1 : 0;
@@ -109,12 +127,13 @@
 }
 
 TEST(Checker, Rule5AStateIsLeftBehind) {
-    const auto found = breaches(R"(preempt at="5s" for="6s" engines="decode" share=1 notice="3s")", {{}, [](std::vector<core::Output>& outputs) {
-        std::erase_if(outputs, [](const core::Output& o) {
-            const auto* call = std::get_if<core::Call>(&o);
-            return call != nullptr && call->kind == core::CallKind::release;
-        });
-    }});
+    const auto found = breaches(R"(preempt at="5s" for="6s" engines="decode" share=1 notice="3s")",
+                                {{}, [](std::vector<core::Output>& outputs) {
+                                     std::erase_if(outputs, [](const core::Output& o) {
+                                         const auto* call = std::get_if<core::Call>(&o);
+                                         return call != nullptr && call->kind == core::CallKind::release;
+                                     });
+                                 }});
     EXPECT_GT(found.count(5), 0U);
 }
 
--- a/tests/lab/virtual_day_test.cpp
+++ b/tests/lab/virtual_day_test.cpp
@@ -1,4 +1,5 @@
-// Bad days in virtual time: the real core, the stand-ins' models, and the checker of the rules. The same on each run.
+// Bad days in virtual time: the real core, the stand-ins' models, and the checker of the rules. The same on
+// each run.
 #include <gtest/gtest.h>
 
 #include "lab/scenarios.hpp"
@@ -20,7 +21,8 @@
 class BadDay : public ::testing::TestWithParam<std::tuple<Kind, std::uint64_t>> {};
 
 TEST_P(BadDay, KeepsTheRulesAndLeavesNothingOpen) {
-    VirtualDay day(scenario(std::string("troubles {\n") + std::get<0>(GetParam()).troubles + "\n}", std::get<1>(GetParam())));
+    VirtualDay day(scenario(std::string("troubles {\n") + std::get<0>(GetParam()).troubles + "\n}",
+                            std::get<1>(GetParam())));
     const auto v = day.run();
     EXPECT_EQ(v.breaches.size(), 0U) << told(v);
     EXPECT_EQ(v.unanswered, 0U);
@@ -58,9 +60,12 @@
                                  zone_loss at="8s" for="5s" zone="ikeja"
                                  give_up at="1s" for="28s" part=0.2)"}),
         ::testing::Values(1, 2, 3)),
-    [](const auto& info) { return std::get<0>(info.param).name + std::string("_") + std::to_string(std::get<1>(info.param)); });
+    [](const auto& info) {
+        return std::get<0>(info.param).name + std::string("_") + std::to_string(std::get<1>(info.param));
+    });
 
-// Twenty engines come back cold at once, into a full load: none is pushed over by gateways that have been told.
+// Twenty engines come back cold at once, into a full load: none is pushed over by gateways that have been
+// told.
 TEST(VirtualDay, TwentyEnginesComeBackColdAtOnce) {
     constexpr const char* large = R"(
         edges 4
@@ -96,7 +101,8 @@
 
 TEST(VirtualDay, SameSeedSameBytes) {
     const auto play = [](std::uint64_t seed) {
-        VirtualDay day(scenario(R"(troubles { crash at="3s" for="4s" share=0.3; give_up at="1s" for="9s" part=0.3; })", seed));
+        VirtualDay day(scenario(
+            R"(troubles { crash at="3s" for="4s" share=0.3; give_up at="1s" for="9s" part=0.3; })", seed));
         day.run();
         std::string out;
         for (const auto& r : day.records()) out += format(r) + "\n";
--- a/tests/net/rig.hpp
+++ b/tests/net/rig.hpp
@@ -27,16 +27,18 @@
         state_->connect.data = state_;
         sockaddr_in where{};
         uv_ip4_addr(address.host.c_str(), address.port, &where);
-        const int error = uv_tcp_connect(&state_->connect, &state_->socket, reinterpret_cast<const sockaddr*>(&where), [](uv_connect_t* c, int status) {
-            auto* s = static_cast<State*>(c->data);
-            if (status != 0) {
-                s->closed = true;
-                return;
-            }
-            s->connected = true;
-            if (s->reading) s->read();
-            s->flush();
-        });
+        const int error =
+            uv_tcp_connect(&state_->connect, &state_->socket, reinterpret_cast<const sockaddr*>(&where),
+                           [](uv_connect_t* c, int status) {
+                               auto* s = static_cast<State*>(c->data);
+                               if (status != 0) {
+                                   s->closed = true;
+                                   return;
+                               }
+                               s->connected = true;
+                               if (s->reading) s->read();
+                               s->flush();
+                           });
         if (error != 0) state_->closed = true;  // this machine has no descriptor for it
     }
     ~RawClient() { close(); }
@@ -57,7 +59,8 @@
     }
     void close() {
         if (state_ == nullptr) return;
-        uv_close(reinterpret_cast<uv_handle_t*>(&state_->socket), [](uv_handle_t* h) { delete static_cast<State*>(h->data); });
+        uv_close(reinterpret_cast<uv_handle_t*>(&state_->socket),
+                 [](uv_handle_t* h) { delete static_cast<State*>(h->data); });
         state_ = nullptr;
     }
     [[nodiscard]] const std::string& got() const { return state_->got; }
@@ -94,7 +97,8 @@
             job->bytes.swap(out);
             job->w.data = job;
             uv_buf_t b = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
-            uv_write(&job->w, reinterpret_cast<uv_stream_t*>(&socket), &b, 1, [](uv_write_t* w, int) { delete static_cast<Job*>(w->data); });
+            uv_write(&job->w, reinterpret_cast<uv_stream_t*>(&socket), &b, 1,
+                     [](uv_write_t* w, int) { delete static_cast<Job*>(w->data); });
         }
     };
     State* state_;
@@ -178,9 +182,12 @@
     }
     ~RawServer() {
         for (auto& p : peers) p->close();
-        uv_close(reinterpret_cast<uv_handle_t*>(listener_), [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
+        uv_close(reinterpret_cast<uv_handle_t*>(listener_),
+                 [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
         auto* loop = listener_->loop;
-        while (std::any_of(peers.begin(), peers.end(), [](const auto& p) { return uv_is_active(reinterpret_cast<uv_handle_t*>(&p->socket)) != 0; }))
+        while (std::any_of(peers.begin(), peers.end(), [](const auto& p) {
+            return uv_is_active(reinterpret_cast<uv_handle_t*>(&p->socket)) != 0;
+        }))
             uv_run(loop, UV_RUN_NOWAIT);
         uv_run(loop, UV_RUN_NOWAIT);
     }
@@ -195,21 +202,27 @@
 };
 
 inline std::string sized(int status, const std::string& body, const std::string& more = "") {
-    return "HTTP/1.1 " + std::to_string(status) + " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
+    return "HTTP/1.1 " + std::to_string(status) +
+           " X\r\nContent-Type: application/json\r\nContent-Length: " + std::to_string(body.size()) + "\r\n" +
            more + "\r\n" + body;
 }
-inline const std::string kReadOk =
-    sized(200, R"({"usage":{"prompt_tokens":9},"kv_transfer_params":{"do_remote_prefill":true,"remote_engine_id":"r","remote_block_ids":[1]}})");
-inline const std::string kStreamHead = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
+inline const std::string kReadOk = sized(
+    200,
+    R"({"usage":{"prompt_tokens":9},"kv_transfer_params":{"do_remote_prefill":true,"remote_engine_id":"r","remote_block_ids":[1]}})");
+inline const std::string kStreamHead =
+    "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n";
 inline std::string chunked(const std::string& bytes) { return http::format_chunk(bytes); }
 inline std::string token(const std::string& text) {
     return "data: {\"id\":\"x\",\"choices\":[{\"index\":0,\"delta\":{\"content\":\"" + text + "\"}}]}\n\n";
 }
-inline const std::string kWriteOk = kStreamHead + chunked(token("hello")) + chunked("data: [DONE]\n\n") + "0\r\n\r\n";
+inline const std::string kWriteOk =
+    kStreamHead + chunked(token("hello")) + chunked("data: [DONE]\n\n") + "0\r\n\r\n";
 
 inline std::string post(const std::string& model, const std::string& more = R"(,"stream":true)") {
-    const std::string body = R"({"model":")" + model + R"(","messages":[{"role":"user","content":"hi"}],"max_tokens":9)" + more + "}";
-    return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string body = R"({"model":")" + model +
+                             R"(","messages":[{"role":"user","content":"hi"}],"max_tokens":9)" + more + "}";
+    return "POST /v1/chat/completions HTTP/1.1\r\nHost: a\r\nContent-Length: " + std::to_string(body.size()) +
+           "\r\n\r\n" + body;
 }
 
 class Rig : public ::testing::Test {
@@ -226,7 +239,10 @@
     }
     // A good reader, and a writer that does as it is told.
     void start(std::function<void(RawServer::Peer&)> write, const std::string& more = "") {
-        reader = std::make_unique<RawServer>(loop, [](RawServer::Peer& p) { p.send(p.server->last.find("kv_transfer/release") == std::string::npos ? kReadOk : sized(200, "{}")); });
+        reader = std::make_unique<RawServer>(loop, [](RawServer::Peer& p) {
+            p.send(p.server->last.find("kv_transfer/release") == std::string::npos ? kReadOk
+                                                                                   : sized(200, "{}"));
+        });
         writer = std::make_unique<RawServer>(loop, std::move(write));
         const std::string text = R"(name "t"
             seed 1
@@ -235,8 +251,10 @@
             kind "r" { role "prefill"; }
             kind "w" { role "decode"; }
             log-level "error"
-            server "r1" kind="r" address=")" + format_address(reader->address) + R"("
-            server "w1" kind="w" address=")" + format_address(writer->address) + "\"\n" + more;
+            server "r1" kind="r" address=")" +
+                                 format_address(reader->address) + R"("
+            server "w1" kind="w" address=")" +
+                                 format_address(writer->address) + "\"\n" + more;
         auto parsed = config::parse_settings(text, "t");
         if (!parsed) throw std::runtime_error(format(parsed.error().front()));
         log = std::make_unique<observe::Log>("t", "error");
@@ -255,7 +273,8 @@
     bool served(const std::string& bytes = post("m")) {
         RawClient& c = client();
         c.send(bytes);
-        return until([&] { return c.got().find("0\r\n\r\n") != std::string::npos || c.closed(); }) && c.got().find("[DONE]") != std::string::npos;
+        return until([&] { return c.got().find("0\r\n\r\n") != std::string::npos || c.closed(); }) &&
+               c.got().find("[DONE]") != std::string::npos;
     }
 
     uv_loop_t loop{};
--- a/tests/net/socket_test.cpp
+++ b/tests/net/socket_test.cpp
@@ -21,9 +21,12 @@
     start(good_write);
     RawClient& c = client();
     c.send("GET /v1/models HTTP/1.1\r\n\r\n" + post("m") + "GET /nope HTTP/1.1\r\n\r\n" + post("m", ""));
-    ASSERT_TRUE(until([&] { return c.got().find("chat.completion\"") != std::string::npos || c.got().find("\"content\":\"hello\"},") != std::string::npos; }));
-    const auto models = c.got().find("\"object\":\"list\""), done = c.got().find("[DONE]"), nope = c.got().find("404 Not Found"),
-               last = c.got().find("chat.completion\"");
+    ASSERT_TRUE(until([&] {
+        return c.got().find("chat.completion\"") != std::string::npos ||
+               c.got().find("\"content\":\"hello\"},") != std::string::npos;
+    }));
+    const auto models = c.got().find("\"object\":\"list\""), done = c.got().find("[DONE]"),
+               nope = c.got().find("404 Not Found"), last = c.got().find("chat.completion\"");
     EXPECT_LT(models, done);
     EXPECT_LT(done, nope);
     EXPECT_LT(nope, last);
@@ -33,7 +36,8 @@
 TEST_F(Rig, ContinueIsSaidAndAnyChunkingOfTheBodyTaken) {
     start(good_write);
     RawClient& c = client();
-    c.send("POST /v1/chat/completions HTTP/1.1\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n");
+    c.send(
+        "POST /v1/chat/completions HTTP/1.1\r\nExpect: 100-continue\r\nTransfer-Encoding: chunked\r\n\r\n");
     ASSERT_TRUE(until([&] { return c.got() == "HTTP/1.1 100 Continue\r\n\r\n"; }));
     const std::string body = R"({"model":"m","stream":true,"messages":[{"role":"user","content":"hi"}]})";
     for (const char b : body) c.send(chunked(std::string(1, b)));
@@ -46,11 +50,13 @@
 class BadEngine : public Rig, public ::testing::WithParamInterface<std::pair<const char*, std::string>> {};
 TEST_P(BadEngine, CostsItsOwnRequestOnly) {
     bool bad = true;
-    start([&](RawServer::Peer& p) {
-        if (!bad) return p.send(kWriteOk);
-        p.send(GetParam().second);
-        p.close();
-    }, "rules { max-attempts 2; }");
+    start(
+        [&](RawServer::Peer& p) {
+            if (!bad) return p.send(kWriteOk);
+            p.send(GetParam().second);
+            p.close();
+        },
+        "rules { max-attempts 2; }");
     RawClient& c = client();
     c.send(post("once"));
     ASSERT_TRUE(until([&] { return c.got().find("\"error\"") != std::string::npos; })) << c.got();
@@ -64,16 +70,18 @@
 }
 INSTANTIATE_TEST_SUITE_P(
     Kinds, BadEngine,
-    ::testing::Values(std::pair("half a chunk", kStreamHead + "40\r\ndata: {\"id\""),
-                      std::pair("half a chunk after a token", kStreamHead + chunked(token("a")) + "40\r\ndata"),
-                      std::pair("bad chunk length", kStreamHead + "zz\r\nxx\r\n"),
-                      std::pair("no body", std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
-                      std::pair("body that is no stream", sized(200, "{\"oops\":1}")),
-                      std::pair("not HTTP", std::string("220 mail.example ready\r\n")),
-                      std::pair("closed at once", std::string()),
-                      std::pair("no DONE", kStreamHead + chunked(token("a")) + "0\r\n\r\n"),
-                      std::pair("error event", kStreamHead + chunked("data: {\"error\":{\"message\":\"oom\"}}\n\n") + "0\r\n\r\n"),
-                      std::pair("large head", "HTTP/1.1 200 OK\r\nX: " + std::string(1'000'000, 'a'))),
+    ::testing::Values(
+        std::pair("half a chunk", kStreamHead + "40\r\ndata: {\"id\""),
+        std::pair("half a chunk after a token", kStreamHead + chunked(token("a")) + "40\r\ndata"),
+        std::pair("bad chunk length", kStreamHead + "zz\r\nxx\r\n"),
+        std::pair("no body", std::string("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")),
+        std::pair("body that is no stream", sized(200, "{\"oops\":1}")),
+        std::pair("not HTTP", std::string("220 mail.example ready\r\n")),
+        std::pair("closed at once", std::string()),
+        std::pair("no DONE", kStreamHead + chunked(token("a")) + "0\r\n\r\n"),
+        std::pair("error event",
+                  kStreamHead + chunked("data: {\"error\":{\"message\":\"oom\"}}\n\n") + "0\r\n\r\n"),
+        std::pair("large head", "HTTP/1.1 200 OK\r\nX: " + std::string(1'000'000, 'a'))),
     [](const auto& info) {
         std::string name = info.param.first;
         std::replace(name.begin(), name.end(), ' ', '_');
@@ -82,10 +90,12 @@
 
 // 100 MB of head: the edge stops at its limit, and closes.
 TEST_F(Rig, EndlessHeadIsNotTaken) {
-    start([](RawServer::Peer& p) {
-        p.send("HTTP/1.1 200 OK\r\n");
-        for (int i = 0; i < 100; ++i) p.send("X: " + std::string(1'000'000, 'a') + "\r\n");
-    }, "rules { max-attempts 2; }");
+    start(
+        [](RawServer::Peer& p) {
+            p.send("HTTP/1.1 200 OK\r\n");
+            for (int i = 0; i < 100; ++i) p.send("X: " + std::string(1'000'000, 'a') + "\r\n");
+        },
+        "rules { max-attempts 2; }");
     RawClient& c = client();
     c.send(post("once"));
     ASSERT_TRUE(until([&] { return c.got().find("\"error\"") != std::string::npos; }));
@@ -127,13 +137,21 @@
     start(good_write);
     const std::string deep = "{\"model\":\"m\",\"messages\":" + std::string(200'000, '[');
     for (const std::string& bytes :
-         {std::string("\x16\x03\x01\x02", 4), std::string("GET / HTTP/1.1\r\nA: ") + std::string(200'000, 'x'), std::string("POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"),
-          std::string("POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"), std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n"),
-          std::string(100'000, '\0'), std::string("CONNECT a:1 HTTP/1.1\r\n\r\n"), std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
-          "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " + std::to_string(deep.size()) + "\r\nConnection: close\r\n\r\n" + deep}) {
+         {std::string("\x16\x03\x01\x02", 4),
+          std::string("GET / HTTP/1.1\r\nA: ") + std::string(200'000, 'x'),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 99999999999\r\n\r\n"),
+          std::string("POST / HTTP/1.1\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello!"),
+          std::string("POST / HTTP/1.1\r\nTransfer-Encoding: chunked\r\n\r\nffffffffffffffffff\r\n"),
+          std::string(100'000, '\0'), std::string("CONNECT a:1 HTTP/1.1\r\n\r\n"),
+          std::string("PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n"),
+          "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: " + std::to_string(deep.size()) +
+              "\r\nConnection: close\r\n\r\n" + deep}) {
         RawClient& c = client();
         c.send(bytes);
-        EXPECT_TRUE(until([&] { return c.closed() || c.got().find("HTTP/1.1 4") != std::string::npos || c.got().find("HTTP/1.1 5") != std::string::npos; })) << bytes.substr(0, 60);
+        EXPECT_TRUE(until([&] {
+            return c.closed() || c.got().find("HTTP/1.1 4") != std::string::npos ||
+                   c.got().find("HTTP/1.1 5") != std::string::npos;
+        })) << bytes.substr(0, 60);
     }
     EXPECT_TRUE(served());
 }
@@ -159,7 +177,8 @@
     EXPECT_TRUE(again);
 }
 
-// The engine is read no faster than the client takes: what waits stays within the limits, whatever is on offer.
+// The engine is read no faster than the client takes: what waits stays within the limits, whatever is on
+// offer.
 TEST_F(Rig, SlowReaderStopsTheReadingOfItsEngine) {
     const std::string part = chunked(token(std::string(60'000, 'a')));
     constexpr int parts = 1000;
@@ -185,10 +204,12 @@
 }
 
 TEST_F(Rig, StalledClientIsGivenUp) {
-    start([](RawServer::Peer& p) {
-        p.send(kStreamHead);
-        for (int i = 0; i < 400; ++i) p.send(chunked(token(std::string(60'000, 'a'))));
-    }, R"(limits { stall-timeout "200ms"; })");
+    start(
+        [](RawServer::Peer& p) {
+            p.send(kStreamHead);
+            for (int i = 0; i < 400; ++i) p.send(chunked(token(std::string(60'000, 'a'))));
+        },
+        R"(limits { stall-timeout "200ms"; })");
     RawClient& c = client();
     c.stop_reading();
     c.send(post("m"));
@@ -201,10 +222,12 @@
 TEST_F(Rig, FileDescriptorsRunOutAndComeBack) {
     std::vector<RawServer::Peer*> held;  // writes are answered when the test says
     bool hold = false;
-    start([&](RawServer::Peer& p) {
-        if (hold) held.push_back(&p);
-        else p.send(kWriteOk);
-    }, R"(rules { probes #false; })");
+    start(
+        [&](RawServer::Peer& p) {
+            if (hold) held.push_back(&p);
+            else p.send(kWriteOk);
+        },
+        R"(rules { probes #false; })");
     std::vector<RawClient*> all;
     for (int i = 0; i < 24; ++i) {
         all.push_back(&client());
@@ -217,7 +240,8 @@
     rlimit before{};
     getrlimit(RLIMIT_NOFILE, &before);
     int highest = 0;
-    for (const auto& e : std::filesystem::directory_iterator("/proc/self/fd")) highest = std::max(highest, std::stoi(e.path().filename().string()));
+    for (const auto& e : std::filesystem::directory_iterator("/proc/self/fd"))
+        highest = std::max(highest, std::stoi(e.path().filename().string()));
     rlimit tight = before;
     tight.rlim_cur = static_cast<rlim_t>(highest);  // what is open stays; almost nothing new
     setrlimit(RLIMIT_NOFILE, &tight);
@@ -225,7 +249,9 @@
     for (auto* c : all) c->send(post("m"));
     // What finds a connection goes on; the rest is refused with advice, and no server is blamed.
     EXPECT_TRUE(until([&] {
-        return std::count_if(all.begin(), all.end(), [](const RawClient* c) { return c->got().find("HTTP/1.1 503") != std::string::npos; }) >= 3;
+        return std::count_if(all.begin(), all.end(), [](const RawClient* c) {
+                   return c->got().find("HTTP/1.1 503") != std::string::npos;
+               }) >= 3;
     }));
     for (const auto* c : all) {
         if (c->got().find("HTTP/1.1 503") == std::string::npos) continue;
@@ -261,7 +287,8 @@
 }
 
 TEST_F(Rig, DrainCutsWhatDoesNotEndInTime) {
-    start([](RawServer::Peer& p) { p.send(kStreamHead + chunked(token("a"))); }, R"(limits { drain "100ms"; })");
+    start([](RawServer::Peer& p) { p.send(kStreamHead + chunked(token("a"))); },
+          R"(limits { drain "100ms"; })");
     RawClient& c = client();
     c.send(post("m"));
     ASSERT_TRUE(until([&] { return c.got().find("data: ") != std::string::npos; }));
@@ -276,13 +303,19 @@
     RawClient admin(loop, edge->admin_address());
     const auto ask = [&](const std::string& body) {
         const auto from = admin.got().size();
-        admin.send("POST /servers HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body);
+        admin.send("POST /servers HTTP/1.1\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
+                   body);
         until([&] { return admin.got().find("\r\n\r\n", from) != std::string::npos; });
         return admin.got().substr(from + 9, 3);
     };
-    EXPECT_EQ(ask(R"({"scope":"changes","servers":[{"name":"w1","kind":"w","address":"127.0.0.1:1","state":"gone"}]})"), "400");
-    EXPECT_EQ(ask(R"({"scope":"complete","servers":[{"name":"a","kind":"w","address":"127.0.0.1:1"},{"name":"a","kind":"w","address":"127.0.0.1:1"}]})"), "400");
-    EXPECT_EQ(ask(R"({"scope":"complete","servers":[{"name":"a","kind":"zz","address":"127.0.0.1:1"}]})"), "400");
+    EXPECT_EQ(
+        ask(R"({"scope":"changes","servers":[{"name":"w1","kind":"w","address":"127.0.0.1:1","state":"gone"}]})"),
+        "400");
+    EXPECT_EQ(
+        ask(R"({"scope":"complete","servers":[{"name":"a","kind":"w","address":"127.0.0.1:1"},{"name":"a","kind":"w","address":"127.0.0.1:1"}]})"),
+        "400");
+    EXPECT_EQ(ask(R"({"scope":"complete","servers":[{"name":"a","kind":"zz","address":"127.0.0.1:1"}]})"),
+              "400");
     EXPECT_EQ(ask("nonsense"), "400");
     EXPECT_TRUE(served());  // the last good list goes on
     EXPECT_EQ(ask(R"({"scope":"complete","servers":[]})"), "200");
