What went out in the same turn as a list or a hang-up may have run

Cause: within one turn of the loop the list could be handled before the word that an attempt's bytes had left, and the attempt was taken back as never sent: proof that it had not run, for a request that must not run twice. Found in review.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -96,6 +96,10 @@
     // Guards against a clock that jumps back: time stands still until it has caught up.
     now_ = std::max(now_, now);
     effects_.clear();
+    // What went out counts first, wherever it stands among the rest: a list, a hang-up or a time-out in the same turn
+    // must not take an attempt for one that never left, and so for one that is proved not to have run.
+    for (const auto& input : inputs)
+        if (const auto* sent = std::get_if<CallSent>(&input)) on(*sent);
     for (auto& input : inputs) std::visit([this](auto& in) { on(in); }, input);
     fire_due();
     run_module();
