TLS as a filter over bytes: verified names, resumed sessions, checked material

Need: traffic to engines encrypted and the server's name proved, under the same discipline as the rest: no socket, no clock. TLS 1.2 at least, 1.3 preferred, SAN names by RFC 6125, the operator's bundle only, a CRL, client certificates, sessions kept by name and used once. lab/ca makes certificates at run time.

25 tests: other names, wildcards, self-signed, unknown, expired, early, wrong usage, weak keys, revoked, 100 KB chain, cut at any byte, alerts, stalls, truncation, restarts with new ticket keys. Not yet wired to sockets.

--- /dev/null
+++ b/src/net/tls/sessions.cpp
@@ -0,0 +1,61 @@
+#include "net/tls/sessions.hpp"
+
+#include <openssl/ssl.h>
+
+namespace chalksail::net::tls {
+
+void SessionDeleter::operator()(SSL_SESSION* session) const { SSL_SESSION_free(session); }
+
+void Sessions::drop(const std::string& name) {
+    const auto it = names_.find(name);
+    order_.erase(it->second.place);
+    names_.erase(it);
+}
+
+void Sessions::put(const std::string& name, Session session, std::int64_t unix_now) {
+    if (SSL_SESSION_is_resumable(session.get()) == 0) return;
+    auto it = names_.find(name);
+    if (it == names_.end()) {
+        if (names_.size() >= limits_.names) drop(order_.front());
+        order_.push_back(name);
+        it = names_.emplace(name, Name{{}, std::prev(order_.end())}).first;
+    } else {
+        order_.splice(order_.end(), order_, it->second.place);
+    }
+    auto& kept = it->second.kept;
+    kept.push_back({std::move(session), unix_now});
+    if (kept.size() > limits_.each) kept.pop_front();
+}
+
+Session Sessions::take(const std::string& name, std::int64_t unix_now) {
+    const auto it = names_.find(name);
+    if (it == names_.end()) return nullptr;
+    auto& kept = it->second.kept;
+    while (!kept.empty() && kept.front().since + limits_.seconds <= unix_now) kept.pop_front();
+    if (kept.empty()) {
+        drop(name);
+        return nullptr;
+    }
+    order_.splice(order_.end(), order_, it->second.place);
+    if (SSL_SESSION_get_protocol_version(kept.back().session.get()) < TLS1_3_VERSION) {
+        SSL_SESSION_up_ref(kept.back().session.get());
+        return Session(kept.back().session.get());
+    }
+    Session out = std::move(kept.back().session);
+    kept.pop_back();
+    if (kept.empty()) drop(name);
+    return out;
+}
+
+void Sessions::clear() {
+    names_.clear();
+    order_.clear();
+}
+
+std::size_t Sessions::size() const {
+    std::size_t out = 0;
+    for (const auto& [name, all] : names_) out += all.kept.size();
+    return out;
+}
+
+}  // namespace chalksail::net::tls
--- /dev/null
+++ b/tests/net/tls_test.cpp
@@ -0,0 +1,389 @@
+// The TLS filter, both ends in memory: what is refused, what is resumed, and any cut of the bytes.
+#include <gtest/gtest.h>
+#include <openssl/ssl.h>
+
+#include <functional>
+
+#include "ca/ca.hpp"
+#include "net/tls/filter.hpp"
+
+namespace chalksail::net::tls {
+namespace {
+
+constexpr std::int64_t kNow = 1'800'000'000;
+constexpr std::int64_t kDay = 86'400;
+const std::string kName = "decode-7.lekki.example.org";
+
+lab::CertificateWish good_wish() { return {{kName}, {"127.0.0.1"}, kNow - kDay, kNow + kDay, true, 0, 0}; }
+
+class Tls : public ::testing::Test {
+protected:
+    Tls() : ca("test", kNow - 100 * kDay, kNow + 100 * kDay) {}
+    std::shared_ptr<Context> client_context(const std::string& revocation = "") {
+        auto out = Context::client({ca.certificate(), revocation, "", ""}, kNow);
+        if (!out) throw std::runtime_error(out.error());
+        return *out;
+    }
+    // `now` for the server's own checks of its files, so that bad ones can be served.
+    static std::shared_ptr<Context> server_context(const lab::Issued& issued, std::int64_t now = kNow) {
+        auto out = Context::server({"", "", issued.certificate, issued.key}, now);
+        if (!out) throw std::runtime_error(out.error());
+        return *out;
+    }
+
+    struct Talk {
+        std::string client_got, server_got;
+        std::unique_ptr<Fault> client_fault, server_fault;
+        bool client_connected = false, client_ended = false;
+    };
+    // Carries bytes between the two until nothing moves; `cut` bytes at a time, 0: as they come.
+    static void carry(Filter& client, Filter& server, Step from_client, Step from_server, Talk& talk,
+                      std::size_t cut = 0) {
+        const auto take = [](Step& step, std::string& got, std::unique_ptr<Fault>& fault) {
+            got += step.plain;
+            if (step.fault && !fault) fault = std::move(step.fault);
+        };
+        std::string to_server, to_client;
+        const auto of_client = [&](Step step) {
+            take(step, talk.client_got, talk.client_fault);
+            talk.client_connected = talk.client_connected || step.connected;
+            talk.client_ended = talk.client_ended || step.ended;
+            to_server += step.to_peer;
+        };
+        const auto of_server = [&](Step step) {
+            take(step, talk.server_got, talk.server_fault);
+            to_client += step.to_peer;
+        };
+        of_client(std::move(from_client));
+        of_server(std::move(from_server));
+        while (!to_server.empty() || !to_client.empty()) {
+            const auto part = [&](std::string& all) {
+                const auto n = cut == 0 ? all.size() : std::min(cut, all.size());
+                const std::string out = all.substr(0, n);
+                all.erase(0, n);
+                return out;
+            };
+            if (!to_server.empty()) of_server(server.from_peer(part(to_server)));
+            if (!to_client.empty()) of_client(client.from_peer(part(to_client)));
+        }
+    }
+    // A handshake, a question and an answer.
+    static Talk talk(Filter& client, Filter& server, std::size_t cut = 0) {
+        Talk out;
+        Step first = client.start();
+        Step question = client.send("question");
+        first.to_peer += question.to_peer;
+        carry(client, server, std::move(first), {}, out, cut);
+        if (out.server_got == "question") carry(client, server, {}, server.send("answer"), out, cut);
+        return out;
+    }
+    Talk try_server(const std::shared_ptr<Context>& server, const std::string& name = kName,
+                    Sessions* sessions = nullptr, std::int64_t now = kNow,
+                    std::shared_ptr<Context> context = nullptr) {
+        client = Filter::client(context ? context : client_context(), name, sessions, now);
+        peer = Filter::server(server, now);
+        return talk(*client, *peer);
+    }
+    // Refused, and not one byte of the request had gone out.
+    void expect_refused(const Talk& t, FaultKind kind = FaultKind::verification) {
+        ASSERT_NE(t.client_fault, nullptr);
+        EXPECT_EQ(t.client_fault->kind, kind) << t.client_fault->text;
+        EXPECT_FALSE(t.client_connected);
+        EXPECT_EQ(t.server_got, "");
+    }
+
+    lab::Authority ca;
+    std::unique_ptr<Filter> client, peer;
+};
+
+TEST_F(Tls, VerifiedAndPrefersThePresent) {
+    const auto t = try_server(server_context(ca.issue(good_wish())));
+    EXPECT_EQ(t.server_got, "question");
+    EXPECT_EQ(t.client_got, "answer");
+    const auto facts = client->facts();
+    EXPECT_EQ(facts.protocol, "TLSv1.3");
+    EXPECT_EQ(facts.alpn, "http/1.1");
+    EXPECT_EQ(facts.chain.size(), 1U);
+    EXPECT_FALSE(facts.resumed);
+}
+
+TEST_F(Tls, AnyCutOfTheBytesIsTheSame) {
+    const auto context = server_context(ca.issue(good_wish()));
+    for (const std::size_t cut : {1U, 2U, 3U, 5U, 100U}) {
+        auto c = Filter::client(client_context(), kName, nullptr, kNow);
+        auto s = Filter::server(context, kNow);
+        const auto t = talk(*c, *s, cut);
+        EXPECT_EQ(t.client_got, "answer") << cut;
+    }
+}
+
+TEST_F(Tls, OneByteARecord) {
+    (void)try_server(server_context(ca.issue(good_wish())));
+    Talk t;
+    std::string wanted;
+    for (int i = 0; i < 500; ++i) {
+        const std::string one(1, static_cast<char>('a' + i % 26));
+        wanted += one;
+        carry(*client, *peer, {}, peer->send(one), t);
+    }
+    EXPECT_EQ(t.client_got, wanted);
+}
+
+TEST_F(Tls, LargeStreamsBothWays) {
+    (void)try_server(server_context(ca.issue(good_wish())));
+    Talk t;
+    const std::string big(3'000'000, 'x');
+    carry(*client, *peer, client->send(big), peer->send(big), t);
+    EXPECT_EQ(t.client_got.size(), big.size());
+    EXPECT_EQ(t.server_got.size(), big.size());
+}
+
+// ---- names ----
+
+TEST_F(Tls, AnotherNameIsRefused) {
+    expect_refused(try_server(server_context(ca.issue(good_wish())), "decode-8.lekki.example.org"));
+}
+
+TEST_F(Tls, NamesByTheRules) {
+    const auto connects = [&](const std::vector<std::string>& names,
+                              const std::vector<std::string>& addresses, const std::string& wanted) {
+        auto wish = good_wish();
+        wish.names = names;
+        wish.addresses = addresses;
+        return try_server(server_context(ca.issue(wish)), wanted).client_connected;
+    };
+    EXPECT_TRUE(connects({"*.lekki.example.org"}, {}, kName));
+    EXPECT_FALSE(connects({"*.example.org"}, {}, kName));               // a wildcard is one label
+    EXPECT_FALSE(connects({"decode-*.lekki.example.org"}, {}, kName));  // and a whole one
+    EXPECT_FALSE(connects({"*"}, {}, kName));
+    EXPECT_FALSE(connects({}, {}, "stand-in"));  // the common name does not count
+    EXPECT_TRUE(connects({"DECODE-7.Lekki.Example.ORG"}, {}, kName));
+    EXPECT_TRUE(connects({}, {"10.0.0.7"}, "10.0.0.7"));
+    EXPECT_FALSE(connects({}, {"10.0.0.7"}, "10.0.0.8"));
+    EXPECT_FALSE(connects({"10.0.0.7"}, {}, "10.0.0.7"));  // an address is proved as an address
+    EXPECT_TRUE(connects({}, {"::1"}, "::1"));
+}
+
+// ---- certificates ----
+
+TEST_F(Tls, SelfSignedAndUnknownAuthorities) {
+    expect_refused(try_server(server_context(lab::Authority::self_signed(good_wish()))));
+    lab::Authority other("test", kNow - kDay, kNow + kDay);  // of the same name
+    expect_refused(try_server(server_context(other.issue(good_wish()))));
+}
+
+TEST_F(Tls, TimesCount) {
+    auto wish = good_wish();
+    wish.until = kNow - 1;
+    expect_refused(try_server(server_context(ca.issue(wish), kNow - 10)));
+    wish = good_wish();
+    wish.from = kNow + 100;
+    expect_refused(try_server(server_context(ca.issue(wish), kNow + 200)));
+    // The same certificate, looked at later.
+    const auto context = server_context(ca.issue(good_wish()));
+    EXPECT_TRUE(try_server(context).client_connected);
+    expect_refused(try_server(context, kName, nullptr, kNow + 2 * kDay));
+}
+
+TEST_F(Tls, UsageCounts) {
+    auto wish = good_wish();
+    wish.for_servers = false;
+    expect_refused(try_server(server_context(ca.issue(wish))));
+}
+
+TEST_F(Tls, WeakKeysAreRefused) {
+    auto wish = good_wish();
+    wish.rsa_bits = 1024;
+    const auto issued = ca.issue(wish);
+    EXPECT_FALSE(Context::server({"", "", issued.certificate, issued.key}, kNow));
+    EXPECT_FALSE(Context::client({ca.certificate(), "", issued.certificate, issued.key}, kNow));
+}
+
+TEST_F(Tls, RevokedIsRefused) {
+    const auto issued = ca.issue(good_wish());
+    const auto context = server_context(issued);
+    const auto fresh = ca.revocation({}, kNow - kDay, kNow + kDay);
+    EXPECT_TRUE(try_server(context, kName, nullptr, kNow, client_context(fresh)).client_connected);
+    const auto with = ca.revocation({issued.serial}, kNow - kDay, kNow + kDay);
+    expect_refused(try_server(context, kName, nullptr, kNow, client_context(with)));
+}
+
+TEST_F(Tls, EndlessChainIsRefused) {
+    auto wish = good_wish();
+    wish.padding = 100'000;
+    expect_refused(try_server(server_context(ca.issue(wish))), FaultKind::protocol);
+}
+
+TEST_F(Tls, MaterialIsCheckedWhole) {
+    const auto issued = ca.issue(good_wish()), other = ca.issue(good_wish());
+    const auto error = [&](const Material& m) {
+        const auto out = Context::client(m, kNow);
+        return out ? std::string("good") : out.error();
+    };
+    EXPECT_EQ(error({ca.certificate(), "", issued.certificate, issued.key}), "good");
+    EXPECT_NE(error({ca.certificate(), "", issued.certificate, other.key}).find("do not fit"),
+              std::string::npos);  // one replaced before the other
+    EXPECT_NE(error({"", "", "", ""}).find("trust"), std::string::npos);
+    EXPECT_NE(error({ca.certificate().substr(0, 100), "", "", ""}).find("trust"),
+              std::string::npos);  // half written
+    EXPECT_NE(error({ca.certificate(), "junk", "", ""}).find("revocation"), std::string::npos);
+    EXPECT_NE(error({ca.certificate(), ca.revocation({}, kNow - 9, kNow - 1), "", ""}).find("time is over"),
+              std::string::npos);
+    EXPECT_NE(error({ca.certificate(), "", issued.certificate, issued.key.substr(0, 60)}).find("key"),
+              std::string::npos);
+    auto old = good_wish();
+    old.until = kNow - 1;
+    const auto expired = ca.issue(old);
+    EXPECT_NE(error({ca.certificate(), "", expired.certificate, expired.key}).find("expired"),
+              std::string::npos);
+    EXPECT_EQ((*Context::client({ca.certificate(), "", issued.certificate, issued.key}, kNow))->valid_until(),
+              kNow + kDay);
+}
+
+TEST_F(Tls, ClientsProveThemselvesWhereAsked) {
+    const auto issued = ca.issue(good_wish());
+    const auto server = *Context::server({ca.certificate(), "", issued.certificate, issued.key}, kNow);
+    EXPECT_EQ(try_server(server).server_got, "");  // no certificate
+    const auto own = ca.issue(good_wish());
+    const auto with = *Context::client({ca.certificate(), "", own.certificate, own.key}, kNow);
+    EXPECT_EQ(try_server(server, kName, nullptr, kNow, with).client_got, "answer");
+}
+
+// ---- sessions ----
+
+TEST_F(Tls, SessionsAreResumedOnceEach) {
+    const auto context = server_context(ca.issue(good_wish()));
+    const auto mine = client_context();
+    Sessions sessions;
+    EXPECT_EQ(try_server(context, kName, &sessions, kNow, mine).client_got, "answer");
+    EXPECT_FALSE(client->facts().resumed);
+    const auto before = sessions.size();
+    EXPECT_GT(before, 0U);
+    EXPECT_EQ(try_server(context, kName, &sessions, kNow, mine).client_got, "answer");
+    EXPECT_TRUE(client->facts().resumed);
+    const auto first = sessions.take(kName, kNow), second = sessions.take(kName, kNow);
+    EXPECT_NE(first.get(), second.get());  // none is given twice
+}
+
+TEST_F(Tls, RestartedServerCostsOneFullHandshakeAndNoError) {
+    const auto issued = ca.issue(good_wish());
+    const auto mine = client_context();
+    Sessions sessions;
+    (void)try_server(server_context(issued), kName, &sessions, kNow, mine);
+    EXPECT_EQ(try_server(server_context(issued), kName, &sessions, kNow, mine).client_got,
+              "answer");  // new ticket keys
+    EXPECT_FALSE(client->facts().resumed);
+}
+
+TEST_F(Tls, TicketsStayWithTheirName) {
+    auto wish = good_wish();
+    wish.names = {kName, "decode-8.lekki.example.org"};
+    const auto context = server_context(ca.issue(wish));
+    const auto mine = client_context();
+    Sessions sessions;
+    (void)try_server(context, kName, &sessions, kNow, mine);
+    (void)try_server(context, "decode-8.lekki.example.org", &sessions, kNow, mine);
+    EXPECT_FALSE(client->facts().resumed);
+}
+
+TEST_F(Tls, SessionsAreBoundedAndAged) {
+    const auto context = server_context(ca.issue(good_wish()));
+    Sessions sessions({2, 3, 100});
+    for (int i = 0; i < 10; ++i) (void)try_server(context, kName, &sessions);
+    EXPECT_LE(sessions.size(), 3U);
+    EXPECT_NE(sessions.take(kName, kNow + 99), nullptr);
+    EXPECT_EQ(sessions.take(kName, kNow + 100), nullptr);
+    EXPECT_EQ(sessions.size(), 0U);
+    (void)try_server(context, kName, &sessions);
+    sessions.clear();
+    EXPECT_EQ(sessions.size(), 0U);
+}
+
+// ---- ends ----
+
+TEST_F(Tls, ProperEndAndCut) {
+    const auto context = server_context(ca.issue(good_wish()));
+    (void)try_server(context);
+    Talk t;
+    carry(*client, *peer, {}, peer->close(), t);
+    EXPECT_TRUE(t.client_ended);
+    EXPECT_EQ(client->peer_closed().fault, nullptr);
+    (void)try_server(context);
+    const auto cut = client->peer_closed();
+    ASSERT_NE(cut.fault, nullptr);
+    EXPECT_EQ(cut.fault->kind, FaultKind::truncated);
+}
+
+TEST_F(Tls, CutInTheHandshakeIsAFault) {
+    auto c = Filter::client(client_context(), kName, nullptr, kNow);
+    (void)c->start();
+    EXPECT_EQ(c->peer_closed().fault->kind, FaultKind::truncated);
+}
+
+TEST_F(Tls, GarbageAndAlertsMidStream) {
+    const auto context = server_context(ca.issue(good_wish()));
+    (void)try_server(context);
+    EXPECT_EQ(client->from_peer(std::string("\x17\x03\x03\x00\x20", 5) + std::string(32, 'x')).fault->kind,
+              FaultKind::protocol);
+    EXPECT_EQ(client->from_peer("more").plain, "");  // it is over
+    (void)try_server(context);
+    Step bad = peer->from_peer(std::string("\x17\x03\x03\x00\x20", 5) + std::string(32, 'x'));
+    ASSERT_NE(bad.fault, nullptr);
+    EXPECT_EQ(client->from_peer(bad.to_peer).fault->kind, FaultKind::protocol);  // its alert
+    auto plain = Filter::client(client_context(), kName, nullptr, kNow);
+    (void)plain->start();
+    EXPECT_EQ(plain->from_peer("HTTP/1.1 200 OK\r\n\r\n").fault->kind, FaultKind::protocol);
+}
+
+TEST_F(Tls, StallInAnyStepOfTheHandshakeSendsNothingOfTheRequest) {
+    const auto context = server_context(ca.issue(good_wish()));
+    auto whole = Filter::server(context, kNow);
+    auto first = Filter::client(client_context(), kName, nullptr, kNow);
+    const std::string flight = whole->from_peer(first->start().to_peer).to_peer;
+    ASSERT_GT(flight.size(), 500U);
+    for (std::size_t some = 0; some < flight.size(); some += 37) {
+        auto c = Filter::client(client_context(), kName, nullptr, kNow);
+        auto s = Filter::server(context, kNow);
+        (void)c->send("question");
+        const std::string answer = s->from_peer(c->start().to_peer).to_peer;
+        const Step step = c->from_peer(answer.substr(0, some));
+        EXPECT_FALSE(c->connected());
+        EXPECT_EQ(step.plain, "");
+    }
+}
+
+TEST_F(Tls, OldProtocolsAreRefused) {
+    const auto context = server_context(ca.issue(good_wish()));
+    SSL_CTX_set_security_level(context->raw(), 0);
+    SSL_CTX_set_min_proto_version(context->raw(), TLS1_VERSION);
+    SSL_CTX_set_max_proto_version(context->raw(), TLS1_1_VERSION);
+    expect_refused(try_server(context), FaultKind::protocol);
+}
+
+TEST_F(Tls, TwelveIsTheFloorAndDoesNotRenegotiate) {
+    const auto context = server_context(ca.issue(good_wish()));
+    SSL_CTX_set_max_proto_version(context->raw(), TLS1_2_VERSION);
+    const auto mine = client_context();
+    Sessions sessions;
+    EXPECT_EQ(try_server(context, kName, &sessions, kNow, mine).client_got, "answer");
+    EXPECT_EQ(client->facts().protocol, "TLSv1.2");
+    (void)try_server(context, kName, &sessions, kNow, mine);
+    EXPECT_TRUE(client->facts().resumed);
+    EXPECT_NE(SSL_CTX_get_options(mine->raw()) & SSL_OP_NO_RENEGOTIATION, 0U);
+}
+
+// A replaced context is used by what begins later; what is under way goes on with its own.
+TEST_F(Tls, ReplacedContextLeavesStreamsAlone) {
+    auto old = server_context(ca.issue(good_wish()));
+    (void)try_server(old);
+    old.reset();
+    old = server_context(ca.issue(good_wish()));
+    Talk t;
+    carry(*client, *peer, client->send("more"), {}, t);
+    carry(*client, *peer, {}, peer->send("still here"), t);
+    EXPECT_EQ(t.server_got, "more");
+    EXPECT_EQ(t.client_got, "still here");
+}
+
+}  // namespace
+}  // namespace chalksail::net::tls
