TLS files replaced in service; chalksail-edge tls probe; check verifies the files

Files are read whole and checked; a bad set keeps the last good one, with an error in the log and a count. 50 changes, half of them broken files, with a stream under way: it goes on, new requests are served, 25 refusals for each kind. SIGHUP looks at once, else every five seconds.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -4,6 +4,7 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <ctime>
 #include <fstream>
 #include <iostream>
 #include <iterator>
@@ -12,7 +13,9 @@
 #include "base/json.hpp"
 #include "config/settings.hpp"
 #include "net/edge_shell.hpp"
+#include "net/tls/files.hpp"
 #include "observe/log.hpp"
+#include "tls_probe.hpp"
 
 namespace {
 
@@ -37,6 +40,15 @@
 int check(const std::string& file) {
     const auto settings = read_settings(file);
     if (!settings) return 1;
+    bool good = true;
+    for (const auto& kind : settings->kinds) {
+        if (!kind.tls) continue;
+        chalksail::net::tls::Rotation files(*kind.tls);
+        if (files.look(std::time(nullptr)) == chalksail::net::tls::Rotation::Look::replaced) continue;
+        std::cerr << file << ": kind '" << kind.name << "': " << files.error() << '\n';
+        good = false;
+    }
+    if (!good) return 1;
     std::cout << file << ": good: " << settings->classes.size() << " classes, " << settings->kinds.size()
               << " kinds, " << settings->servers.size() << " servers, " << settings->tenants.size()
               << " tenants\n";
@@ -47,6 +59,7 @@
     chalksail::net::EdgeShell* shell = nullptr;
     uv_signal_t term{};
     uv_signal_t interrupt{};
+    uv_signal_t hang_up{};
 
     void start(uv_loop_t& loop) {
         for (auto [handle, number] : {std::pair{&term, SIGTERM}, std::pair{&interrupt, SIGINT}}) {
@@ -56,8 +69,15 @@
                 handle, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell->drain(); }, number);
             uv_unref(reinterpret_cast<uv_handle_t*>(handle));
         }
+        uv_signal_init(&loop, &hang_up);
+        hang_up.data = this;
+        uv_signal_start(
+            &hang_up, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell->reload_tls(); },
+            SIGHUP);
+        uv_unref(reinterpret_cast<uv_handle_t*>(&hang_up));
     }
     void stop() {
+        uv_close(reinterpret_cast<uv_handle_t*>(&hang_up), nullptr);
         uv_close(reinterpret_cast<uv_handle_t*>(&term), nullptr);
         uv_close(reinterpret_cast<uv_handle_t*>(&interrupt), nullptr);
     }
@@ -108,6 +128,15 @@
     auto* check_command = app.add_subcommand(
         "check", "Check a settings file: exit 0 if it is good, 1 with each problem's place");
     check_command->add_option("settings", file, "The settings, a KDL file")->required();
+    auto* tls_command = app.add_subcommand("tls", "TLS to servers");
+    tls_command->require_subcommand(1);
+    auto* probe_command =
+        tls_command->add_subcommand("probe", "Show what a server presents, and whether it would be taken");
+    std::string server, name, trust;
+    probe_command->add_option("address", server, "IP:PORT of the server")->required();
+    probe_command->add_option("--name", name, "The name that it must prove; else its address");
+    probe_command->add_option("--trust", trust, "PEM bundle of the CAs that may sign for it")->required();
     CLI11_PARSE(app, argc, argv);
+    if (probe_command->parsed()) return tls_probe(server, name, trust);
     return check_command->parsed() ? check(file) : serve(file);
 }
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -13,6 +13,7 @@
 
 constexpr std::size_t kAdminConnections = 64;
 constexpr std::uint64_t kDrainLookMs = 20;
+constexpr std::uint64_t kReloadMs = 5000;  // between looks at TLS files
 
 ServerLimits client_limits(const config::EdgeLimits& l) {
     ServerLimits out;
@@ -83,11 +84,9 @@
     admin_source_ = std::make_unique<AdminSource>(std::move(kinds), offset_now());
     for (const auto& k : settings_.kinds) {
         if (!k.tls) continue;
-        auto context = tls::load_client(*k.tls, std::time(nullptr));
-        if (!context) throw std::runtime_error("kind '" + k.name + "': " + context.error());
-        auto& kept = tls_[k.name];
-        kept.context = std::move(*context);
-        kept.pattern = k.tls->name;
+        auto& rotation = tls_.try_emplace(k.name, *k.tls).first->second;
+        if (rotation.look(std::time(nullptr)) != tls::Rotation::Look::replaced)
+            throw std::runtime_error("kind '" + k.name + "': " + rotation.error());
     }
     clients_ = std::make_unique<HttpServer>(loop_, static_cast<HttpServer::Handler&>(*this),
                                             client_limits(settings_.limits));
@@ -105,6 +104,15 @@
     wake_ = new uv_timer_t;
     uv_timer_init(&loop_, wake_);
     wake_->data = this;
+    if (!tls_.empty()) {
+        reload_timer_ = new uv_timer_t;
+        uv_timer_init(&loop_, reload_timer_);
+        reload_timer_->data = this;
+        uv_timer_start(
+            reload_timer_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->reload_tls(); }, kReloadMs,
+            kReloadMs);
+        uv_unref(reinterpret_cast<uv_handle_t*>(reload_timer_));
+    }
     admin_source_->start(*this);
     settings_source_->start(*this);
     pump();
@@ -155,13 +163,26 @@
     pumping_ = false;
 }
 
+void EdgeShell::reload_tls() {
+    for (auto& [kind, rotation] : tls_) {
+        const auto looked = rotation.look(std::time(nullptr));
+        if (looked == tls::Rotation::Look::replaced)
+            log_.say("info", "tls_replaced", "kind '" + kind + "': new files are in use");
+        if (looked == tls::Rotation::Look::refused) {
+            ++tls_refused_;
+            log_.say("error", "tls_refused",
+                     "kind '" + kind + "': " + rotation.error() + "; the last good files stay in use");
+        }
+    }
+}
+
 Target EdgeShell::target_of(const core::Call& call) {
     Target out(call.address);
     const auto it = tls_.find(call.server_kind);
     if (it == tls_.end()) return out;
-    out.tls = it->second.context;
-    out.tls_name = tls::expected_name(it->second.pattern, call.server);
-    out.sessions = &it->second.sessions;
+    out.tls = it->second.context();
+    out.tls_name = tls::expected_name(it->second.pattern(), call.server);
+    out.sessions = &it->second.sessions();
     return out;
 }
 
@@ -226,12 +247,13 @@
         metrics_.set("server_dials", static_cast<double>(s.dialled));
         metrics_.set("server_dials_failed", static_cast<double>(s.dial_failed));
         metrics_.set("server_connections_reused", static_cast<double>(s.reused));
+        metrics_.set("tls_files_refused", static_cast<double>(tls_refused_));
         metrics_.set("tls_handshakes", static_cast<double>(s.handshakes));
         metrics_.set("tls_handshakes_resumed", static_cast<double>(s.handshakes_resumed));
         metrics_.set("tls_handshakes_failed", static_cast<double>(s.handshakes_failed));
-        for (const auto& [kind, kept] : tls_)
+        for (const auto& [kind, rotation] : tls_)
             metrics_.set("tls_valid_seconds_" + metric_word(kind),
-                         static_cast<double>(kept.context->valid_until() - std::time(nullptr)));
+                         static_cast<double>(rotation.context()->valid_until() - std::time(nullptr)));
         metrics_.set("server_queue", static_cast<double>(s.waiting));
         http::Headers text;
         text.add("Content-Type", "text/plain; version=0.0.4");
@@ -278,6 +300,7 @@
     finished_ = true;
     close_timer(wake_);
     close_timer(drain_timer_);
+    close_timer(reload_timer_);
     uv_check_stop(check_);
     uv_close(reinterpret_cast<uv_handle_t*>(check_),
              [](uv_handle_t* h) { delete reinterpret_cast<uv_check_t*>(h); });
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -15,6 +15,7 @@
 #include "net/admin.hpp"
 #include "net/http_pool.hpp"
 #include "net/http_server.hpp"
+#include "net/tls/files.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
 
@@ -33,6 +34,8 @@
     // Stops accepting; when all is answered, or the drain time is over, closes everything, so that the loop
     // ends.
     void drain();
+    // Looks whether TLS files have changed. Also done by itself every few seconds.
+    void reload_tls();
     [[nodiscard]] core::Gauges gauges() const { return edge_.gauges(); }
 
 private:
@@ -63,12 +66,7 @@
     std::unique_ptr<HttpServer> admin_;
     std::unique_ptr<HttpPool> servers_;
     std::vector<core::Input> inputs_;
-    struct KindTls {
-        std::shared_ptr<tls::Context> context;
-        std::string pattern;
-        tls::Sessions sessions;
-    };
-    std::map<std::string, KindTls> tls_;  // by kind of server
+    std::map<std::string, tls::Rotation> tls_;  // by kind of server
     std::unique_ptr<SettingsSource> settings_source_;
     std::unique_ptr<AdminSource> admin_source_;
     Address address_;
@@ -76,7 +74,9 @@
     uv_check_t* check_ = nullptr;
     uv_timer_t* wake_ = nullptr;
     uv_timer_t* drain_timer_ = nullptr;
+    uv_timer_t* reload_timer_ = nullptr;
     Time drain_until_{};
+    std::uint64_t tls_refused_ = 0;
     bool draining_ = false;
     bool finished_ = false;
     bool pumping_ = false;
--- a/src/net/tls/files.hpp
+++ b/src/net/tls/files.hpp
@@ -9,8 +9,35 @@
 
 namespace chalksail::net::tls {
 
-// Reads the files whole and checks what they hold. Errors name the file.
-[[nodiscard]] Context::Result load_client(const config::TlsConfig& config, std::int64_t unix_now);
+// The files' texts, read whole. Errors name the file.
+[[nodiscard]] tl::expected<Material, std::string> read_files(const config::TlsConfig& config);
+// Checks them. Errors name the file at fault.
+[[nodiscard]] Context::Result load_client(const config::TlsConfig& config, const Material& material,
+                                          std::int64_t unix_now);
+
+// What is in use, and how it is replaced in service. Not a thread of its own: look() is called now and then.
+class Rotation {
+public:
+    explicit Rotation(config::TlsConfig config) : config_(std::move(config)) {}
+    enum class Look { unchanged, replaced, refused };
+    // Reads the files; where they have changed and are good, new connections use them from now on. A bad set
+    // keeps the last good one, and is refused once for each change (error()); key and certificate replaced
+    // one after the other are such a set until both are there.
+    Look look(std::int64_t unix_now);
+    [[nodiscard]] const std::shared_ptr<Context>& context() const {
+        return context_;
+    }  // nullptr: never a good one
+    [[nodiscard]] const std::string& error() const { return error_; }
+    [[nodiscard]] const std::string& pattern() const { return config_.name; }
+    [[nodiscard]] Sessions& sessions() { return sessions_; }
+
+private:
+    config::TlsConfig config_;
+    std::shared_ptr<Context> context_;
+    Sessions sessions_;
+    std::string seen_;  // all texts of the last look
+    std::string error_;
+};
 
 // The name that a server must prove: the pattern with {name} replaced.
 [[nodiscard]] std::string expected_name(const std::string& pattern, const std::string& server);
--- a/tests/net/tls_socket_test.cpp
+++ b/tests/net/tls_socket_test.cpp
@@ -19,6 +19,13 @@
     HttpServer server;
     Address address;
     int requests = 0;
+    bool hold = false;  // keeps the first stream open until finish()
+    HttpServer::Peer held = 0;
+    void finish() {
+        server.stream(held, "data: [DONE]\n\n");
+        server.end_stream(held);
+        server.flush();
+    }
     bool cut = false;  // breaks off after the first chunk, without close_notify
 
 private:
@@ -39,6 +46,11 @@
                 server.abort(peer, true);
                 return;
             }
+            if (hold && held == 0) {
+                held = peer;
+                server.flush();
+                return;
+            }
             server.stream(peer, "data: [DONE]\n\n");
             server.end_stream(peer);
         }
@@ -151,6 +163,32 @@
     EXPECT_EQ(c.got().find("[DONE]"), std::string::npos);
 }
 
+// Files are replaced in service: a good set is used by new connections, a bad one is refused and the last
+// good one stays; a stream under way goes on over all of it.
+TEST_F(TlsRig, FilesAreReplacedInServiceAndBadOnesRefused) {
+    TlsEngine& read = engine("prefill-1.lekki.example.org");
+    TlsEngine& written = engine("decode-7.lekki.example.org");
+    written.hold = true;
+    begin(read, written);
+    RawClient& c = client();
+    c.send(post("m"));
+    ASSERT_TRUE(until([&] { return c.got().find("hello") != std::string::npos; }));
+    const auto good = ca.certificate();
+    for (int i = 0; i < 50; ++i) {
+        write("ca.pem", i % 2 == 0 ? good.substr(0, 40 + static_cast<std::size_t>(i))
+                                   : good + std::string(static_cast<std::size_t>(i), '\n'));
+        edge->reload_tls();
+        if (i % 10 == 0) {
+            ASSERT_TRUE(until([&] { return served(post("m", R"(,"stream":true,"user":"quick")")); }));
+        }
+    }
+    const auto page = metrics();
+    EXPECT_NE(page.find("chalksail_tls_files_refused{gateway=\"t\"} 50\n"), std::string::npos)
+        << page;  // 25 for each kind
+    written.finish();
+    EXPECT_TRUE(until([&] { return c.got().find("[DONE]") != std::string::npos; }));
+}
+
 TEST_F(TlsRig, BadFilesAreRefusedAtTheStart) {
     TlsEngine& one = engine("x");
     const auto s = settings(one, one);
