Handshakes wait at a gate by worth; a server that does not prove its name stays out

A fleet that rejoins was met by a handshake for every waiting request at once, and a server with a wrong certificate was taken out only by the module's ejection, which tries it with real requests.

The wait is in the dial time-out; one kept back by this gateway's own limit says nothing of the server (no_resources), else connect_failed.
What waits takes a connection that becomes free.
- membership/verification: out at once, a handshake without a request after growing pauses (1 s to 5 min), at once when the list entry or the trusted files change; for the module the server drains meanwhile.
Never plain text.
- A server that speaks before the handshake ended the call without a word to its owner; now it is connect_failed.
- Limits that were constants of the shell (look at TLS files, admin connections) are settings now.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -46,6 +46,12 @@
         top.each("kind", 1, [&](const kdl::Node& n) { kind(n); });
         top.each("tenant", 1, [&](const kdl::Node& n) { tenant(n); });
         top.each("server", 1, [&](const kdl::Node& n) { server(n); });
+        std::optional<TlsConfig> all;
+        top.each("tls", 0, [&](const kdl::Node& t) { server_tls(t, all); });
+        if (all)
+            for (auto& k : out_.kinds)
+                if (!k.tls) k.tls = all;  // a kind's own goes before
+        top.each("listener-tls", 0, [&](const kdl::Node& t) { listener_tls(t); });
         top.done();
         whole();
         return std::move(out_);
@@ -135,6 +141,15 @@
         b.duration("server-idle", l.server_idle);
         b.duration("drain", l.drain);
         b.duration("call-timeout", l.release_timeout);
+        b.whole("handshakes", l.handshakes, 1, 1'000'000);
+        b.whole("handshakes-per-server", l.handshakes_per_server, 1, 100'000);
+        b.duration("unverified-pause", l.unverified_pause);
+        b.duration("unverified-longest", l.unverified_longest);
+        b.duration("tls-look", l.tls_look);
+        b.whole("admin-connections", l.admin_connections, 1, 100'000);
+        if (l.unverified_pause <= Duration::zero() || l.unverified_longest < l.unverified_pause)
+            problems_.add({}, "'unverified-pause' must be above 0, and 'unverified-longest' no shorter");
+        if (l.tls_look < std::chrono::milliseconds(10)) problems_.add({}, "'tls-look' must be 10ms or more");
     }
 
     void request_class(const kdl::Node& n) {
@@ -174,6 +189,37 @@
         out_.classes.push_back(std::move(more));
     }
 
+    void server_tls(const kdl::Node& t, std::optional<TlsConfig>& out) {
+        TlsConfig tls;
+        Block inner(t.children, t.place, "'tls'", problems_);
+        inner.text("name", tls.name, kRequired);
+        inner.text("trust", tls.trust, kRequired);
+        inner.text("revocation", tls.revocation);
+        inner.text("certificate", tls.certificate);
+        inner.text("key", tls.key);
+        inner.done();
+        if (tls.certificate.empty() != tls.key.empty())
+            problems_.add(t.place, "'tls' wants both 'certificate' and 'key', or neither");
+        if (out) problems_.add(t.place, "'tls' is given twice");
+        out = std::move(tls);
+    }
+
+    void listener_tls(const kdl::Node& node) {
+        if (out_.listener_tls) problems_.add(node.place, "'listener-tls' is given twice");
+        ListenerTls tls;
+        Block b(node.children, node.place, "'listener-tls'", problems_);
+        b.each("certificate", 1, [&](const kdl::Node& c) {
+            const Properties p(c, {"key"}, 1, problems_);
+            ListenerTls::Pair pair{std::get<std::string>(c.arguments.front().scalar), p.text("key")};
+            if (pair.key.empty()) problems_.add(c.place, "'certificate' wants key=");
+            tls.certificates.push_back(std::move(pair));
+        });
+        b.text("clients", tls.clients);
+        b.done();
+        if (tls.certificates.empty()) problems_.add(node.place, "'listener-tls' wants a 'certificate'");
+        out_.listener_tls = std::move(tls);
+    }
+
     void kind(const kdl::Node& n) {
         Properties(n, {}, 1, problems_);
         KindSettings k;
@@ -187,20 +233,7 @@
         b.real("memory-tokens", k.memory_tokens, 0, 1e12);
         b.wholes("not-run-status", more.not_run_statuses, 400, 599);
         b.flag("release", more.release);
-        b.each("tls", 0, [&](const kdl::Node& t) {
-            TlsConfig tls;
-            Block inner(t.children, t.place, "'tls'", problems_);
-            inner.text("name", tls.name, kRequired);
-            inner.text("trust", tls.trust, kRequired);
-            inner.text("revocation", tls.revocation);
-            inner.text("certificate", tls.certificate);
-            inner.text("key", tls.key);
-            inner.done();
-            if (tls.certificate.empty() != tls.key.empty())
-                problems_.add(t.place, "'tls' wants both 'certificate' and 'key', or neither");
-            if (more.tls) problems_.add(t.place, "'tls' is given twice");
-            more.tls = std::move(tls);
-        });
+        b.each("tls", 0, [&](const kdl::Node& t) { server_tls(t, more.tls); });
         b.done();
         out_.module.kinds.push_back(std::move(k));
         out_.kinds.push_back(std::move(more));
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -42,6 +42,15 @@
     bool release = true;                // it lets go of states when asked
     std::optional<TlsConfig> tls;       // none: in the clear
 };
+// TLS from clients. The first certificate is shown to a client that names none of them.
+struct ListenerTls {
+    struct Pair {
+        std::string certificate;
+        std::string key;
+    };
+    std::vector<Pair> certificates;
+    std::string clients;  // CAs of the certificates that clients must show; empty: none is asked for
+};
 struct TenantConfig {
     std::string name;
     std::vector<std::string> keys;
@@ -77,6 +86,12 @@
     Duration server_idle = std::chrono::seconds(30);     // an unused connection to a server
     Duration drain = std::chrono::seconds(30);           // from SIGTERM to the exit
     Duration release_timeout = std::chrono::seconds(2);  // for a let-go call, and for a probe
+    std::int64_t handshakes = 64;                        // TLS to servers, under way at once, in all
+    std::int64_t handshakes_per_server = 8;
+    Duration unverified_pause = std::chrono::seconds(1);  // until a server is asked again to prove its name
+    Duration unverified_longest = std::chrono::minutes(5);
+    Duration tls_look = std::chrono::seconds(5);  // between looks at TLS files
+    std::int64_t admin_connections = 64;
 };
 
 struct EdgeSettings {
@@ -85,6 +100,7 @@
     std::uint64_t seed = 0;  // 0: drawn at the start
     Address listen{"127.0.0.1", 0};
     Address admin{"127.0.0.1", 0};
+    std::optional<ListenerTls> listener_tls;  // none: clients speak in the clear
     EdgeLimits limits;
     std::vector<ClassConfig> classes;   // beside module.classes, in the same order
     std::vector<KindConfig> kinds;      // beside module.kinds
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 #include <utility>
 
 #include "base/json.hpp"
@@ -14,6 +15,8 @@
 
 namespace {
 
+// A let-go gives back memory that others wait for: before anything that would take some.
+constexpr double kLetGoWorth = std::numeric_limits<double>::max();
 constexpr int kModuleRounds = 64;  // steps of the module within one of ours; it settles in two or three
 
 std::int64_t whole_ms(Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
@@ -90,7 +93,8 @@
 Edge::Edge(const config::EdgeSettings& settings)
     : settings_(settings),
       brain_(settings.module, settings.seed),
-      tokens_(settings.module.classes.size(), settings.tokens_per_byte) {}
+      tokens_(settings.module.classes.size(), settings.tokens_per_byte),
+      verification_({settings.limits.unverified_pause, settings.limits.unverified_longest}) {}
 Edge::~Edge() = default;
 
 std::vector<Output> Edge::step(Time now, std::vector<Input> inputs) {
@@ -105,6 +109,7 @@
     for (auto& input : inputs) std::visit([this](auto& in) { on(in); }, input);
     fire_due();
     run_module();
+    try_verification();
     return std::exchange(effects_, {});
 }
 
@@ -115,11 +120,12 @@
     if (!due_.empty()) want(due_.begin()->first);
     if (!call_due_.empty()) want(call_due_.begin()->first);
     if (!wakes_.empty()) want(wakes_.begin()->first);
+    if (const auto trial = verification_.next()) want(*trial);
     return out;
 }
 
 Gauges Edge::gauges() const {
-    return {unanswered_, started_, calls_.size(), held_, brain_.tracked_requests()};
+    return {unanswered_, started_, calls_.size(), held_, brain_.tracked_requests(), verification_.count()};
 }
 
 std::vector<ListedServer> Edge::listed() const {
@@ -305,8 +311,7 @@
     if (call.kind == CallKind::attempt) return end_attempt(call.id, Ending::bad_answer, "answer too large");
     const Outgoing over = std::move(call);
     calls_.erase(it);
-    over.kind == CallKind::probe ? end_probe(over, Ending::bad_answer)
-                                 : end_release(over, Ending::bad_answer);
+    end_other(over, Ending::bad_answer, "");
 }
 
 void Edge::take_stream(Outgoing& call, std::string_view bytes) {
@@ -390,7 +395,7 @@
     if (it->second.kind == CallKind::attempt) return end_attempt(in.call, Ending::answered, "");
     const Outgoing call = std::move(it->second);
     calls_.erase(it);
-    call.kind == CallKind::probe ? end_probe(call, Ending::answered) : end_release(call, Ending::answered);
+    end_other(call, Ending::answered, "");
 }
 
 void Edge::on(const CallFailed& in) {
@@ -399,7 +404,7 @@
     if (it->second.kind == CallKind::attempt) return end_attempt(in.call, in.ending, in.detail);
     const Outgoing call = std::move(it->second);
     calls_.erase(it);
-    call.kind == CallKind::probe ? end_probe(call, in.ending) : end_release(call, in.ending);
+    end_other(call, in.ending, in.detail);
 }
 
 // The one place where an attempt ends, whatever ended it.
@@ -410,6 +415,7 @@
     const RequestId request = call.request;
     Open& r = *find(request);
     r.call.reset();
+    if (ending == Ending::not_verified) not_verified(call.server, detail);
 
     std::optional<engine::ReadAnswer> read_answer;
     if (call.read && call.status == 200 && ending == Ending::answered && !call.body_overflow)
@@ -490,6 +496,20 @@
     drop_if_over(request);
 }
 
+void Edge::end_other(const Outgoing& call, Ending ending, const std::string& detail) {
+    if (ending == Ending::not_verified) not_verified(call.server, detail);
+    switch (call.kind) {
+        case CallKind::attempt: break;
+        case CallKind::probe: return end_probe(call, ending);
+        case CallKind::release: return end_release(call, ending);
+        case CallKind::verify:
+            std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
+            if (ending == Ending::answered) verified(call.server);
+            else if (ending != Ending::not_verified) verification_.untold(call.server, now_);
+            return;
+    }
+}
+
 void Edge::end_probe(const Outgoing& call, Ending ending) {
     engine::Facts facts;
     facts.ending = ending;
@@ -539,32 +559,90 @@
                                                                              : "up";
             emit(Note{observe::ServerRecord{s.entry.id.value, what, format_address(s.address)}});
         }
+        const bool moved = again || old == servers_.end() || old->second.address != s.address ||
+                           old->second.entry.kind != s.entry.kind;
+        if (moved) verification_.changed(s.entry.id.value, now_);
         servers_[s.entry.id] = s;
         event.entries.push_back(s.entry);
+        if (verification_.out(s.entry.id.value) && s.entry.state == ServerState::up)
+            event.entries.back().state = ServerState::draining;
     }
     events_.emplace_back(std::move(event));
     // What still waits for a connection to a server that drains, is gone, or has started anew does not go
     // out.
-    std::vector<CallId> stay;
-    for (const auto& [id, call] : calls_) {
-        if (call.kind != CallKind::attempt || call.sent) continue;
-        const auto s = servers_.find({call.server});
-        if (s == servers_.end() || s->second.entry.state != ServerState::up ||
-            restarted.contains(call.server))
-            stay.push_back(id);
-    }
-    for (const CallId id : stay) {
-        emit(CallAbort{id});
-        end_attempt(id, Ending::withdrawn, "list");
-    }
+    for (const auto& [id, s] : servers_)
+        if (s.entry.state != ServerState::up) restarted.insert(id.value);
+    keep_back(restarted);
     // Removed servers are forgotten when nothing of theirs is out; states at them keep their own address.
     std::set<std::string> used;
     for (const auto& [id, call] : calls_) used.insert(call.server);
     std::erase_if(servers_, [&](const auto& p) {
-        return p.second.entry.state == ServerState::removed && !used.contains(p.first.value);
+        const bool over = p.second.entry.state == ServerState::removed && !used.contains(p.first.value);
+        if (over) verification_.forget(p.first.value);
+        return over;
     });
 }
 
+void Edge::keep_back(const std::set<std::string>& servers) {
+    std::vector<CallId> stay;
+    for (const auto& [id, call] : calls_)
+        if (call.kind == CallKind::attempt && !call.sent && servers.contains(call.server)) stay.push_back(id);
+    for (const CallId id : stay) {
+        emit(CallAbort{id});
+        end_attempt(id, Ending::withdrawn, "list");
+    }
+}
+
+// ================= servers that prove their name =================
+
+void Edge::not_verified(const std::string& server, const std::string& detail) {
+    if (!verification_.failed(server, now_)) return;
+    emit(Note{observe::ServerRecord{server, "not_verified", detail}});
+    const auto s = servers_.find({server});
+    if (s == servers_.end()) return;
+    if (s->second.entry.state == ServerState::up) {
+        ServerEntry entry = s->second.entry;
+        entry.state = ServerState::draining;
+        events_.emplace_back(ListChanged{ListScope::changes, {std::move(entry)}});
+    }
+    // What still waits for a connection there would fail the same way, and take a handshake each.
+    keep_back({server});
+}
+
+void Edge::verified(const std::string& server) {
+    if (!verification_.proved(server)) return;
+    emit(Note{observe::ServerRecord{server, "verified", ""}});
+    const auto s = servers_.find({server});
+    if (s == servers_.end()) return;
+    events_.emplace_back(ListChanged{ListScope::changes, {s->second.entry}});
+}
+
+void Edge::try_verification() {
+    for (const auto& server : verification_.due(now_)) {
+        const auto s = servers_.find({server});
+        // Guards against trials of a server that is off the list: it is forgotten, not asked.
+        if (s == servers_.end() || s->second.entry.state == ServerState::removed) {
+            verification_.forget(server);
+            continue;
+        }
+        Call call;
+        call.call = {++last_call_};
+        call.kind = CallKind::verify;
+        call.server = server;
+        call.server_kind = s->second.entry.kind;
+        call.address = s->second.address;
+        Outgoing out;
+        out.id = call.call;
+        out.kind = call.kind;
+        out.server = server;
+        out.server_kind = call.server_kind;
+        out.begun = now_;
+        call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
+        calls_.emplace(out.id, std::move(out));
+        emit(std::move(call));
+    }
+}
+
 // ================= the module's actions =================
 
 void Edge::run_module() {
@@ -584,7 +662,8 @@
     if (now_ >= r.deadline) return "send after the deadline";
     const auto s = servers_.find(action.server);
     if (s == servers_.end()) return "unknown server";
-    if (s->second.entry.state != ServerState::up) return "server not in service";
+    if (s->second.entry.state != ServerState::up || verification_.out(action.server.value))
+        return "server not in service";
     if (r.may_have_run && settings_.module.classes[r.in.cls].effect == Effect::once)
         return "once may have run";
     return {};
@@ -612,6 +691,7 @@
     call.address = s.address;
     call.method = "POST";
     call.target = engine::kChatPath;
+    call.worth = settings_.module.classes[r->in.cls].worth;
     call.headers.add("Content-Type", "application/json");
     call.headers.add(std::string(engine::kRequestIdHeader), r->name);
     call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
@@ -691,7 +771,7 @@
 
 void Edge::act(const Probe& action) {
     const auto s = servers_.find(action.server);
-    if (s == servers_.end()) {
+    if (s == servers_.end() || verification_.out(action.server.value)) {
         events_.emplace_back(ProbeEnded{action.server, Outcome::moot, {}, {}});
         return;
     }
@@ -741,8 +821,7 @@
         const Outgoing call = std::move(it->second);
         calls_.erase(it);
         emit(CallAbort{id});
-        call.kind == CallKind::probe ? end_probe(call, Ending::timed_out)
-                                     : end_release(call, Ending::timed_out);
+        end_other(call, Ending::timed_out, "");
     }
     while (!due_.empty() && due_.begin()->first <= now_) {
         const RequestId id = due_.begin()->second;
@@ -865,6 +944,7 @@
     call.address = address;
     call.method = "POST";
     call.target = engine::kReleasePath;
+    call.worth = kLetGoWorth;
     call.headers.add("Content-Type", "application/json");
     call.headers.add(std::string(engine::kRequestIdHeader), r.name);
     call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -34,6 +34,7 @@
 #include "engine/outcome.hpp"
 #include "engine/protocol.hpp"
 #include "http/message.hpp"
+#include "membership/verification.hpp"
 #include "observe/record.hpp"
 
 namespace chalksail::core {
@@ -82,9 +83,10 @@
     ListScope scope = ListScope::complete;
     std::vector<ListedServer> servers;
 };
-struct DrainBegins {};  // no new request is taken from now on
+struct TrustChanged {};  // what servers are verified against is not what it was
+struct DrainBegins {};   // no new request is taken from now on
 using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallHead, CallBody, CallDone,
-                           CallFailed, ServerList, DrainBegins>;
+                           CallFailed, ServerList, TrustChanged, DrainBegins>;
 
 // ---- effects: what the shell is to do ----
 
@@ -105,7 +107,8 @@
 struct StreamEnd {
     ClientId client;
 };
-enum class CallKind { attempt, release, probe };
+// `verify`: only a connection whose server has proved its name; nothing is asked on it. Done, or failed.
+enum class CallKind { attempt, release, probe, verify };
 struct Call {
     CallId call;
     CallKind kind = CallKind::attempt;
@@ -116,6 +119,7 @@
     std::string target;
     http::Headers headers;
     std::string body;
+    double worth = 0;  // of what waits for a handshake, the highest goes first
 };
 struct CallAbort {  // its connection is closed, or it leaves the queue; nothing more is heard of it
     CallId call;
@@ -140,6 +144,7 @@
     std::size_t calls = 0;
     std::size_t states_held = 0;
     std::size_t tracked_by_module = 0;
+    std::size_t unverified_servers = 0;
 };
 
 class Edge {
@@ -176,11 +181,18 @@
     void take_stream(Outgoing& call, std::string_view bytes);
     void take_chunk(Open& open, Outgoing& call, const std::string& data);
     void end_attempt(CallId id, engine::Ending ending, const std::string& detail);
+    void end_other(const Outgoing& call, engine::Ending ending, const std::string& detail);
     void end_probe(const Outgoing& call, engine::Ending ending);
     void end_release(const Outgoing& call, engine::Ending ending);
     // list
     void on(const ServerList& in);
     void on(const DrainBegins&) { draining_ = true; }
+    void on(const TrustChanged&) { verification_.all_changed(now_); }
+    // Servers that did not prove their name: for the module they drain until they do.
+    void not_verified(const std::string& server, const std::string& detail);
+    void verified(const std::string& server);
+    void try_verification();
+    void keep_back(const std::set<std::string>& servers);
     // the module's actions
     void run_module();
     void act(const Send& action);
@@ -227,6 +239,7 @@
     std::unordered_map<std::uint64_t, RequestId> by_client_;         // the same
     std::map<CallId, Outgoing> calls_;
     std::map<ServerId, ListedServer> servers_;
+    membership::Verification verification_;
     std::set<std::pair<Time, RequestId>> due_;
     std::set<std::pair<Time, CallId>> call_due_;  // let-go calls and probes
     std::multimap<Time, TimerId> wakes_;
--- a/src/engine/outcome.cpp
+++ b/src/engine/outcome.cpp
@@ -13,6 +13,7 @@
     switch (f.ending) {
         case Ending::answered: break;
         case Ending::dial_failed:
+        case Ending::not_verified:
         case Ending::withdrawn:
             // Guards against a shell that says "no connection" of bytes that have gone out.
             return {f.sent ? Outcome::reset : Outcome::connect_failed, 0, false};
--- a/src/engine/outcome.hpp
+++ b/src/engine/outcome.hpp
@@ -19,6 +19,7 @@
 enum class Ending {
     answered,      // an answer came to its proper end
     dial_failed,   // refused, unreachable, or not established in time
+    not_verified,  // reached, but it did not prove its name; no byte of a request went out
     no_resources,  // this machine could make no connection (file descriptors, memory)
     withdrawn,     // taken back before any byte was handed to a connection
     closed,        // the connection broke
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -11,9 +11,7 @@
 namespace chalksail::net {
 namespace {
 
-constexpr std::size_t kAdminConnections = 64;
 constexpr std::uint64_t kDrainLookMs = 20;
-constexpr std::uint64_t kReloadMs = 5000;  // between looks at TLS files
 
 ServerLimits client_limits(const config::EdgeLimits& l) {
     ServerLimits out;
@@ -29,7 +27,7 @@
 }
 ServerLimits admin_limits(const config::EdgeLimits& l) {
     ServerLimits out = client_limits(l);
-    out.connections = kAdminConnections;
+    out.connections = static_cast<std::size_t>(l.admin_connections);
     return out;
 }
 PoolLimits pool_limits(const config::EdgeSettings& s) {
@@ -40,6 +38,8 @@
     out.dial_timeout = s.module.dial_timeout;
     out.idle = s.limits.server_idle;
     out.settle = s.limits.release_timeout;
+    out.handshakes = {static_cast<std::size_t>(s.limits.handshakes),
+                      static_cast<std::size_t>(s.limits.handshakes_per_server)};
     return out;
 }
 ClockOffset offset_now() {
@@ -108,9 +108,16 @@
         reload_timer_ = new uv_timer_t;
         uv_timer_init(&loop_, reload_timer_);
         reload_timer_->data = this;
+        const auto look = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<std::chrono::milliseconds>(settings_.limits.tls_look).count());
         uv_timer_start(
-            reload_timer_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->reload_tls(); }, kReloadMs,
-            kReloadMs);
+            reload_timer_,
+            [](uv_timer_t* t) {
+                auto& shell = *static_cast<EdgeShell*>(t->data);
+                shell.reload_tls();
+                shell.pump();
+            },
+            look, look);
         uv_unref(reinterpret_cast<uv_handle_t*>(reload_timer_));
     }
     admin_source_->start(*this);
@@ -168,6 +175,7 @@
         const auto looked = rotation.look(std::time(nullptr));
         if (looked == tls::Rotation::Look::replaced)
             log_.say("info", "tls_replaced", "kind '" + kind + "': new files are in use");
+        if (looked == tls::Rotation::Look::replaced) inputs_.emplace_back(core::TrustChanged{});
         if (looked == tls::Rotation::Look::refused) {
             ++tls_refused_;
             log_.say("error", "tls_refused",
@@ -196,8 +204,10 @@
     } else if (auto* end = std::get_if<core::StreamEnd>(&output)) {
         clients_->end_stream(end->client.value);
     } else if (auto* call = std::get_if<core::Call>(&output)) {
+        if (call->kind == core::CallKind::verify)
+            return servers_->connect(call->call.value, target_of(*call));
         servers_->start(call->call.value, target_of(*call), call->method, call->target,
-                        std::move(call->headers), call->body);
+                        std::move(call->headers), call->body, call->worth);
     } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
         servers_->cancel(abort->call.value);
     } else if (const auto* settled = std::get_if<core::CallSettled>(&output)) {
@@ -247,6 +257,9 @@
         metrics_.set("server_dials", static_cast<double>(s.dialled));
         metrics_.set("server_dials_failed", static_cast<double>(s.dial_failed));
         metrics_.set("server_connections_reused", static_cast<double>(s.reused));
+        metrics_.set("servers_not_verified", static_cast<double>(g.unverified_servers));
+        metrics_.set("tls_handshakes_under_way", static_cast<double>(s.handshakes_under_way));
+        metrics_.set("tls_handshakes_waiting", static_cast<double>(s.handshakes_waiting));
         metrics_.set("tls_files_refused", static_cast<double>(tls_refused_));
         metrics_.set("tls_handshakes", static_cast<double>(s.handshakes));
         metrics_.set("tls_handshakes_resumed", static_cast<double>(s.handshakes_resumed));
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -23,6 +23,11 @@
            error == UV_EADDRNOTAVAIL;
 }
 
+// What the handshakes of one server are counted by.
+std::string gate_key(const std::pair<Address, std::string>& key) {
+    return format_address(key.first) + ' ' + key.second;
+}
+
 struct WriteJob {
     uv_write_t request{};
     std::string bytes;
@@ -39,7 +44,8 @@
     http::ResponseReader reader;
     enum class State { dialling, idle, busy, closing } state = State::dialling;
     Call call = 0;
-    bool settled = false;  // nobody listens to the rest of this answer
+    tls::HandshakeGate::Id shake = 0;  // 0: not at the gate
+    bool settled = false;              // nobody listens to the rest of this answer
     bool paused = false;
     Waiting first;  // to send once connected
     Time since{};   // of the state
@@ -49,7 +55,7 @@
 };
 
 HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
-    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer) {
+    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), gate_(limits.handshakes) {
     sweeper_ = new uv_timer_t;
     uv_timer_init(&loop_, sweeper_);
     sweeper_->data = this;
@@ -66,7 +72,7 @@
 }
 
 void HttpPool::start(Call call, const Target& to, std::string_view method, std::string_view target,
-                     http::Headers headers, std::string_view body) {
+                     http::Headers headers, std::string_view body, double worth) {
     http::Headers all;
     all.add("Host", to.tls ? to.tls_name : format_address(to.address));
     for (auto& h : headers.all()) all.add(std::move(h.name), std::move(h.value));
@@ -81,7 +87,7 @@
         counts_.reused += 1;
         return send(c, call, std::move(bytes));
     }
-    Waiting waiting{call, uv_now_time(), std::move(bytes), std::make_shared<Target>(to)};
+    Waiting waiting{call, uv_now_time(), std::move(bytes), std::make_shared<Target>(to), worth};
     if (host.connections < limits_.per_server) return dial(to, host, std::move(waiting));
     if (host.waiting.size() >= limits_.queue)
         return handler_.on_failed(call, Ending::no_resources, "queue full");
@@ -89,6 +95,14 @@
     host.waiting.push_back(std::move(waiting));
 }
 
+void HttpPool::connect(Call call, const Target& to) {
+    Host& host = hosts_[to.key()];
+    // Its connections are all in use: that many are verified already, or will tell.
+    if (host.connections >= limits_.per_server)
+        return handler_.on_failed(call, Ending::no_resources, "connections are at their limit");
+    dial(to, host, {call, uv_now_time(), "", std::make_shared<Target>(to), 0});
+}
+
 void HttpPool::dial(const Target& target, Host& host, Waiting first) {
     auto* c = new Connection(limits_.message, target);
     const Address& address = c->target.address;
@@ -125,8 +139,20 @@
     uv_tcp_nodelay(&c.socket, 1);
     start_reading(c);
     if (!c.target.tls) return ready(c);
-    // The handshake is part of the dialling, and in its time-out: no byte of a request goes out before its
-    // end.
+    // The handshake is part of the dialling, and in its time-out, and so is the wait at the gate: no byte of
+    // a request goes out before its end. It waits connected, so that a server that can't be reached takes no
+    // place.
+    c.shake = ++last_shake_;
+    at_gate_.emplace(c.shake, &c);
+    gate_.enter(c.shake, gate_key(c.target.key()), c.first.worth);
+    open_gate();
+}
+
+void HttpPool::open_gate() {
+    while (const auto id = gate_.next()) shake(*at_gate_.at(*id));
+}
+
+void HttpPool::shake(Connection& c) {
     counts_.handshakes += 1;
     c.filter = tls::Filter::client(c.target.tls, c.target.tls_name, c.target.sessions, std::time(nullptr));
     if (!write(c, c.filter->start().to_peer)) broke(c, Ending::dial_failed, "closed by the server");
@@ -137,6 +163,11 @@
     dialling_.erase(&c);
     const Call call = c.call;
     busy_.erase(call);
+    if (c.first.bytes.empty()) {
+        c.call = 0;
+        rest(c);
+        return handler_.on_done(call);
+    }
     send(c, call, std::move(c.first.bytes));
 }
 
@@ -181,12 +212,20 @@
 }
 
 void HttpPool::took(Connection& c, std::string_view bytes) {
-    if (!c.filter) return plain(c, bytes);
+    if (!c.filter) {
+        if (!c.target.tls) return plain(c, bytes);
+        // Guards against a server that speaks first: it can only be one in the clear.
+        counts_.dial_failed += 1;
+        return broke(c, Ending::dial_failed, "TLS: spoke before the handshake");
+    }
     auto step = c.filter->from_peer(bytes);
     write(c, std::move(step.to_peer));
     if (step.connected) {
-        counts_.handshakes_resumed += c.filter->facts().resumed ? 1 : 0;
+        counts_.handshakes_resumed += c.filter->resumed() ? 1 : 0;
+        gate_.leave(c.shake);
+        at_gate_.erase(std::exchange(c.shake, 0));
         ready(c);
+        open_gate();
     }
     if (!step.plain.empty() && c.state != Connection::State::closing) plain(c, step.plain);
     if (c.state == Connection::State::closing) return;
@@ -207,8 +246,9 @@
     if (c.state != Connection::State::dialling) return broke(c, Ending::closed, "TLS: " + fault.text);
     counts_.dial_failed += 1;
     counts_.handshakes_failed += 1;
-    broke(c, Ending::dial_failed,
-          (fault.kind == tls::FaultKind::verification ? "TLS, not verified: " : "TLS: ") + fault.text);
+    const bool unproved = fault.kind == tls::FaultKind::verification;
+    broke(c, unproved ? Ending::not_verified : Ending::dial_failed,
+          (unproved ? "TLS, not verified: " : "TLS: ") + fault.text);
 }
 
 void HttpPool::plain(Connection& c, std::string_view bytes) {
@@ -251,6 +291,11 @@
     busy_.erase(c.call);
     c.call = 0;
     if (!keep || c.paused) return close(c);
+    rest(c);
+}
+
+// It waits for the next call, or is given what waits.
+void HttpPool::rest(Connection& c) {
     c.state = Connection::State::idle;
     c.since = uv_now_time();
     const Key key = c.target.key();
@@ -272,6 +317,11 @@
     c.state = Connection::State::closing;
     all_.erase(&c);
     dialling_.erase(&c);
+    const bool at_gate = c.shake != 0;
+    if (at_gate) {
+        gate_.leave(c.shake);
+        at_gate_.erase(std::exchange(c.shake, 0));
+    }
     if (c.filter && c.filter->connected()) {
         std::string bye = c.filter->close().to_peer;  // if it goes out at once; nobody waits for it
         uv_buf_t buffer = uv_buf_init(bye.data(), static_cast<unsigned>(bye.size()));
@@ -287,10 +337,27 @@
     if (const auto it = hosts_.find(key);
         it != hosts_.end() && it->second.connections == 0 && it->second.waiting.empty())
         hosts_.erase(it);
+    if (at_gate) open_gate();
 }
 
 // Gives what waits for this server to a connection, if one is there or may be made.
 void HttpPool::next(const Key& key) {
+    // What waits for a handshake takes a connection that has become free: one handshake less for the server.
+    for (;;) {
+        const auto it = hosts_.find(key);
+        if (it == hosts_.end() || it->second.idle.empty()) break;
+        const auto id = gate_.waiting_for(gate_key(key));
+        if (!id || at_gate_.at(*id)->first.bytes.empty()) break;
+        Connection& late = *at_gate_.at(*id);
+        Connection& c = *it->second.idle.back();
+        it->second.idle.pop_back();
+        const Call call = std::exchange(late.call, 0);
+        std::string bytes = std::move(late.first.bytes);
+        busy_.erase(call);
+        close(late);
+        counts_.reused += 1;
+        send(c, call, std::move(bytes));
+    }
     const auto it = hosts_.find(key);
     if (it == hosts_.end()) return;
     Host& host = it->second;
@@ -367,6 +434,11 @@
     }
     for (Connection* c : late)
         if (c->state == Connection::State::dialling) {
+            // Kept waiting by this gateway's own limit: no word on the server.
+            if (gate_.waits_for_all(c->shake)) {
+                broke(*c, Ending::no_resources, "no handshake in time: all places are taken");
+                continue;
+            }
             counts_.dial_failed += 1;
             broke(*c, Ending::dial_failed, "no connection in time");
         }
@@ -400,6 +472,8 @@
     Counts out = counts_;
     out.connections = all_.size();
     out.waiting = queued_.size();
+    out.handshakes_under_way = gate_.under_way();
+    out.handshakes_waiting = gate_.waiting();
     return out;
 }
 
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -1,5 +1,6 @@
 // HTTP/1.1 calls to servers over kept connections, on a libuv loop. One call at a time on a connection; calls
-// wait while a server has its most connections, and the wait counts in the dial time-out. Thin: where, what
+// wait while a server has its most connections, and connections while the handshake gate says so; both waits
+// count in the dial time-out. Thin: where, what
 // and whether again is the owner's; nothing is sent twice here. A call on a kept connection that the server
 // has closed meanwhile ends as "closed" like any other break: it may have run.
 //
@@ -24,6 +25,7 @@
 #include "engine/outcome.hpp"
 #include "http/message.hpp"
 #include "net/tls/filter.hpp"
+#include "net/tls/gate.hpp"
 
 namespace chalksail::net {
 
@@ -33,6 +35,7 @@
     std::size_t queue = 4096;  // calls waiting for one server
     Duration dial_timeout = std::chrono::milliseconds(250);
     Duration idle = std::chrono::seconds(30);
+    tls::HandshakeGate::Limits handshakes;
     Duration settle = std::chrono::seconds(2);  // for the end of an answer of which all that matters is here
 };
 
@@ -66,9 +69,13 @@
     HttpPool(const HttpPool&) = delete;
     HttpPool& operator=(const HttpPool&) = delete;
 
-    // Sends the request; Host, Content-Length and Connection are added.
+    // Sends the request; Host, Content-Length and Connection are added. `worth` orders what waits for a
+    // handshake.
     void start(Call call, const Target& to, std::string_view method, std::string_view target,
-               http::Headers headers, std::string_view body);
+               http::Headers headers, std::string_view body, double worth = 0);
+    // Only makes a connection, verified where the target says so, and keeps it for later calls: done, or
+    // failed.
+    void connect(Call call, const Target& to);
     // Closes its connection, or takes it out of the queue. Nothing more is heard of it.
     void cancel(Call call);
     // Nothing more of its answer is wanted: its connection is kept once the answer has ended.
@@ -80,6 +87,8 @@
         std::uint64_t handshakes = 0;
         std::uint64_t handshakes_resumed = 0;
         std::uint64_t handshakes_failed = 0;
+        std::size_t handshakes_under_way = 0;
+        std::size_t handshakes_waiting = 0;
         std::uint64_t dialled = 0;
         std::uint64_t dial_failed = 0;
         std::uint64_t reused = 0;
@@ -93,8 +102,9 @@
     struct Waiting {
         Call call = 0;
         Time since{};
-        std::string bytes;
+        std::string bytes;  // empty: only the connection is wanted
         std::shared_ptr<Target> target;
+        double worth = 0;
     };
     struct Host {
         std::size_t connections = 0;
@@ -105,6 +115,9 @@
     using Key = std::pair<Address, std::string>;  // address, and the name proved there
     void dial(const Target& target, Host& host, Waiting first);
     void connected(Connection& c, int status);
+    void open_gate();
+    void shake(Connection& c);
+    void rest(Connection& c);
     static void start_reading(Connection& c);
     void ready(Connection& c);
     void send(Connection& c, Call call, std::string bytes);
@@ -131,6 +144,9 @@
     std::unordered_map<Call, Key> queued_;
     std::set<Connection*> all_;
     std::set<Connection*> dialling_;
+    tls::HandshakeGate gate_;
+    std::unordered_map<tls::HandshakeGate::Id, Connection*> at_gate_;  // waiting or in their handshake
+    tls::HandshakeGate::Id last_shake_ = 0;
     std::uint64_t sweeps_ = 0;
     Counts counts_;
 };
--- a/src/net/tls/filter.cpp
+++ b/src/net/tls/filter.cpp
@@ -328,6 +328,8 @@
     return step;
 }
 
+bool Filter::resumed() const { return SSL_session_reused(ssl_) == 1; }
+
 PeerFacts Filter::facts() const {
     PeerFacts out;
     out.protocol = SSL_get_version(ssl_);
@@ -336,7 +338,7 @@
     unsigned length = 0;
     SSL_get0_alpn_selected(ssl_, &alpn, &length);
     if (alpn != nullptr) out.alpn.assign(reinterpret_cast<const char*>(alpn), length);
-    out.resumed = SSL_session_reused(ssl_) == 1;
+    out.resumed = resumed();
     if (const auto* chain = SSL_get_peer_cert_chain(ssl_))
         for (int i = 0; i < sk_X509_num(chain); ++i) out.chain.push_back(subject(sk_X509_value(chain, i)));
     return out;
--- a/src/net/tls/filter.hpp
+++ b/src/net/tls/filter.hpp
@@ -108,6 +108,7 @@
     [[nodiscard]] Step close();        // close_notify
     [[nodiscard]] Step peer_closed();  // its stream ended
     [[nodiscard]] bool connected() const { return connected_; }
+    [[nodiscard]] bool resumed() const;
     [[nodiscard]] PeerFacts facts() const;
 
 private:
--- /dev/null
+++ b/tests/net/gate_test.cpp
@@ -0,0 +1,110 @@
+// Which handshakes begin: caps, worth, order, and that no place is ever lost.
+#include "net/tls/gate.hpp"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <random>
+#include <vector>
+
+namespace chalksail::net::tls {
+namespace {
+
+std::vector<HandshakeGate::Id> all_next(HandshakeGate& gate) {
+    std::vector<HandshakeGate::Id> out;
+    while (const auto id = gate.next()) out.push_back(*id);
+    return out;
+}
+using Ids = std::vector<HandshakeGate::Id>;
+
+TEST(Gate, MostWorthyFirstThenFirstCome) {
+    HandshakeGate gate({2, 2});
+    gate.enter(1, "a", 1);
+    gate.enter(2, "b", 5);
+    gate.enter(3, "a", 5);
+    gate.enter(4, "b", 1);
+    EXPECT_EQ(all_next(gate), (Ids{2, 3}));
+    gate.leave(2);
+    EXPECT_EQ(all_next(gate), (Ids{1}));
+    gate.leave(3);
+    EXPECT_EQ(all_next(gate), (Ids{4}));
+}
+
+TEST(Gate, OneServersStormTakesNoMoreThanItsCap) {
+    HandshakeGate gate({8, 3});
+    for (HandshakeGate::Id id = 1; id <= 20; ++id) gate.enter(id, "back", 9);
+    gate.enter(21, "other", 0);
+    EXPECT_EQ(all_next(gate), (Ids{1, 2, 3, 21}));  // the less worthy one goes past them
+    EXPECT_FALSE(gate.waits_for_all(4));            // it is its server that is busy
+    gate.leave(5);                                  // given up while it waited
+    gate.leave(1);
+    EXPECT_EQ(all_next(gate), (Ids{4}));
+    gate.leave(2);
+    EXPECT_EQ(all_next(gate), (Ids{6}));
+    EXPECT_EQ(gate.under_way(), 4U);
+    EXPECT_EQ(gate.waiting(), 14U);
+}
+
+TEST(Gate, SaysWhoseLimitHoldsOneBack) {
+    HandshakeGate gate({1, 1});
+    gate.enter(1, "a", 1);
+    gate.enter(2, "b", 1);
+    gate.enter(3, "a", 1);
+    EXPECT_EQ(all_next(gate), (Ids{1}));
+    EXPECT_TRUE(gate.waits_for_all(2));
+    EXPECT_FALSE(gate.waits_for_all(3));
+    EXPECT_FALSE(gate.waits_for_all(1));
+    EXPECT_EQ(gate.waiting_for("a"), 3U);
+    EXPECT_EQ(gate.waiting_for("c"), std::nullopt);
+}
+
+// Against a plain model of the same rules: entries in one list, searched whole each time.
+TEST(Gate, AgreesWithThePlainModelOverRandomDays) {
+    for (std::uint64_t seed = 1; seed <= 50; ++seed) {
+        std::mt19937_64 random(seed);
+        const HandshakeGate::Limits limits{1 + random() % 6, 1 + random() % 3};
+        HandshakeGate gate(limits);
+        struct One {
+            HandshakeGate::Id id;
+            std::string server;
+            double worth;
+            bool begun;
+        };
+        std::vector<One> model;
+        HandshakeGate::Id last = 0;
+        for (int step = 0; step < 400; ++step) {
+            const auto what = random() % 3;
+            if (what == 0) {
+                One one{++last, std::string(1, static_cast<char>('a' + random() % 4)),
+                        static_cast<double>(random() % 3), false};
+                gate.enter(one.id, one.server, one.worth);
+                model.push_back(one);
+            } else if (what == 1 && !model.empty()) {
+                const auto at = static_cast<std::ptrdiff_t>(random() % model.size());
+                gate.leave(model[static_cast<std::size_t>(at)].id);
+                model.erase(model.begin() + at);
+            } else {
+                const auto busy = [&](const std::string& server) {
+                    return static_cast<std::size_t>(std::count_if(
+                        model.begin(), model.end(),
+                        [&](const One& o) { return o.begun && (server.empty() || o.server == server); }));
+                };
+                One* best = nullptr;
+                if (busy("") < limits.in_all)
+                    for (auto& o : model)
+                        if (!o.begun && busy(o.server) < limits.per_server &&
+                            (best == nullptr || o.worth > best->worth))
+                            best = &o;
+                const auto got = gate.next();
+                ASSERT_EQ(got.has_value(), best != nullptr) << "seed " << seed;
+                if (best == nullptr) continue;
+                ASSERT_EQ(*got, best->id) << "seed " << seed;
+                best->begun = true;
+            }
+            ASSERT_EQ(gate.under_way() + gate.waiting(), model.size());
+        }
+    }
+}
+
+}  // namespace
+}  // namespace chalksail::net::tls
