TLS on the client listener, with SNI; sessions end with the certificate they were verified by

Clients can be served over TLS (listener-tls): the same filter, the certificate chosen by SNI, files replaced in service, client certificates if wanted. An own chain that does not hold together is refused when the files are read.

Found while testing a certificate that runs out mid-run: a resumed handshake does not look at the certificate's times again, so an expired server was taken for up to an hour. Sessions are kept no longer than their certificate; the test fails without it. They now outlive a trust bundle that only grows, and go when it narrows or the revocation list or own certificate changes.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -48,6 +48,13 @@
         std::cerr << file << ": kind '" << kind.name << "': " << files.error() << '\n';
         good = false;
     }
+    if (settings->listener_tls) {
+        chalksail::net::tls::Rotation files(*settings->listener_tls);
+        if (files.look(std::time(nullptr)) != chalksail::net::tls::Rotation::Look::replaced) {
+            std::cerr << file << ": listener: " << files.error() << '\n';
+            good = false;
+        }
+    }
     if (!good) return 1;
     std::cout << file << ": good: " << settings->classes.size() << " classes, " << settings->kinds.size()
               << " kinds, " << settings->servers.size() << " servers, " << settings->tenants.size()
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -88,12 +88,19 @@
         if (rotation.look(std::time(nullptr)) != tls::Rotation::Look::replaced)
             throw std::runtime_error("kind '" + k.name + "': " + rotation.error());
     }
+    if (settings_.listener_tls) {
+        listener_tls_.emplace(*settings_.listener_tls);
+        if (listener_tls_->look(std::time(nullptr)) != tls::Rotation::Look::replaced)
+            throw std::runtime_error("listener: " + listener_tls_->error());
+    }
     clients_ = std::make_unique<HttpServer>(loop_, static_cast<HttpServer::Handler&>(*this),
                                             client_limits(settings_.limits));
     admin_ = std::make_unique<HttpServer>(loop_, *admin_handler_, admin_limits(settings_.limits));
     servers_ =
         std::make_unique<HttpPool>(loop_, static_cast<HttpPool::Handler&>(*this), pool_limits(settings_));
-    address_ = clients_->listen(settings_.listen);
+    if (listener_tls_) clients_->set_tls(listener_tls_->context());
+    address_ = clients_->listen(settings_.listen,
+                                listener_tls_ ? HttpServer::Speaks::tls : HttpServer::Speaks::clear);
     admin_address_ = admin_->listen(settings_.admin);
 
     check_ = new uv_check_t;
@@ -104,7 +111,7 @@
     wake_ = new uv_timer_t;
     uv_timer_init(&loop_, wake_);
     wake_->data = this;
-    if (!tls_.empty()) {
+    if (!tls_.empty() || listener_tls_) {
         reload_timer_ = new uv_timer_t;
         uv_timer_init(&loop_, reload_timer_);
         reload_timer_->data = this;
@@ -171,17 +178,24 @@
 }
 
 void EdgeShell::reload_tls() {
-    for (auto& [kind, rotation] : tls_) {
+    const auto look = [&](tls::Rotation& rotation, const std::string& whose) {
         const auto looked = rotation.look(std::time(nullptr));
-        if (looked == tls::Rotation::Look::replaced)
-            log_.say("info", "tls_replaced", "kind '" + kind + "': new files are in use");
-        if (looked == tls::Rotation::Look::replaced) inputs_.emplace_back(core::TrustChanged{});
+        if (looked == tls::Rotation::Look::replaced) {
+            ++tls_replaced_;
+            log_.say("info", "tls_replaced", whose + ": new files are in use");
+        }
         if (looked == tls::Rotation::Look::refused) {
             ++tls_refused_;
             log_.say("error", "tls_refused",
-                     "kind '" + kind + "': " + rotation.error() + "; the last good files stay in use");
+                     whose + ": " + rotation.error() + "; the last good files stay in use");
         }
-    }
+        return looked == tls::Rotation::Look::replaced;
+    };
+    bool trust_changed = false;
+    for (auto& [kind, rotation] : tls_)
+        trust_changed = look(rotation, "kind '" + kind + "'") || trust_changed;
+    if (trust_changed) inputs_.emplace_back(core::TrustChanged{});
+    if (listener_tls_ && look(*listener_tls_, "listener")) clients_->set_tls(listener_tls_->context());
 }
 
 Target EdgeShell::target_of(const core::Call& call) {
@@ -260,10 +274,19 @@
         metrics_.set("servers_not_verified", static_cast<double>(g.unverified_servers));
         metrics_.set("tls_handshakes_under_way", static_cast<double>(s.handshakes_under_way));
         metrics_.set("tls_handshakes_waiting", static_cast<double>(s.handshakes_waiting));
+        metrics_.set("tls_files_replaced", static_cast<double>(tls_replaced_));
+        metrics_.set("tls_handshakes_waiting_most", static_cast<double>(s.handshakes_waiting_most));
         metrics_.set("tls_files_refused", static_cast<double>(tls_refused_));
         metrics_.set("tls_handshakes", static_cast<double>(s.handshakes));
         metrics_.set("tls_handshakes_resumed", static_cast<double>(s.handshakes_resumed));
         metrics_.set("tls_handshakes_failed", static_cast<double>(s.handshakes_failed));
+        if (listener_tls_) {
+            metrics_.set("listener_tls_valid_seconds",
+                         static_cast<double>(listener_tls_->context()->valid_until() - std::time(nullptr)));
+            metrics_.set("listener_tls_handshakes", static_cast<double>(c.handshakes));
+            metrics_.set("listener_tls_handshakes_resumed", static_cast<double>(c.handshakes_resumed));
+            metrics_.set("listener_tls_handshakes_failed", static_cast<double>(c.handshakes_failed));
+        }
         for (const auto& [kind, rotation] : tls_)
             metrics_.set("tls_valid_seconds_" + metric_word(kind),
                          static_cast<double>(rotation.context()->valid_until() - std::time(nullptr)));
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -67,6 +67,7 @@
     std::unique_ptr<HttpPool> servers_;
     std::vector<core::Input> inputs_;
     std::map<std::string, tls::Rotation> tls_;  // by kind of server
+    std::optional<tls::Rotation> listener_tls_;
     std::unique_ptr<SettingsSource> settings_source_;
     std::unique_ptr<AdminSource> admin_source_;
     Address address_;
@@ -77,6 +78,7 @@
     uv_timer_t* reload_timer_ = nullptr;
     Time drain_until_{};
     std::uint64_t tls_refused_ = 0;
+    std::uint64_t tls_replaced_ = 0;
     bool draining_ = false;
     bool finished_ = false;
     bool pumping_ = false;
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -146,6 +146,7 @@
     at_gate_.emplace(c.shake, &c);
     gate_.enter(c.shake, gate_key(c.target.key()), c.first.worth);
     open_gate();
+    counts_.handshakes_waiting_most = std::max(counts_.handshakes_waiting_most, gate_.waiting());
 }
 
 void HttpPool::open_gate() {
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -89,6 +89,7 @@
         std::uint64_t handshakes_failed = 0;
         std::size_t handshakes_under_way = 0;
         std::size_t handshakes_waiting = 0;
+        std::size_t handshakes_waiting_most = 0;  // since the start
         std::uint64_t dialled = 0;
         std::uint64_t dial_failed = 0;
         std::uint64_t reused = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -78,24 +78,28 @@
              [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
 }
 
-Address HttpServer::listen(const Address& address) {
-    listener_ = new uv_tcp_t;
-    uv_tcp_init(&loop_, listener_);
-    listener_->data = this;
+Address HttpServer::listen(const Address& address, Speaks speaks) {
+    auto* const listener = new Listener;
+    listener->server = this;
+    listener->speaks = speaks;
+    uv_tcp_init(&loop_, &listener->socket);
+    listener->socket.data = listener;
+    listeners_.push_back(listener);
     const auto where = to_sockaddr(address);
-    int error = uv_tcp_bind(listener_, reinterpret_cast<const sockaddr*>(&where), 0);
+    int error = uv_tcp_bind(&listener->socket, reinterpret_cast<const sockaddr*>(&where), 0);
     if (error == 0)
-        error =
-            uv_listen(reinterpret_cast<uv_stream_t*>(listener_), kBacklog, [](uv_stream_t* s, int status) {
-                if (status == 0) static_cast<HttpServer*>(s->data)->accept();
-            });
+        error = uv_listen(reinterpret_cast<uv_stream_t*>(&listener->socket), kBacklog,
+                          [](uv_stream_t* s, int status) {
+                              auto& from = *static_cast<Listener*>(s->data);
+                              if (status == 0) from.server->accept(from);
+                          });
     if (error != 0) {
         stop_listening();
         throw std::runtime_error("can't listen on " + format_address(address) + ": " + uv_strerror(error));
     }
     sockaddr_storage bound{};
     int length = sizeof bound;
-    uv_tcp_getsockname(listener_, reinterpret_cast<sockaddr*>(&bound), &length);
+    uv_tcp_getsockname(&listener->socket, reinterpret_cast<sockaddr*>(&bound), &length);
     Address out = address;
     out.port = ntohs(bound.ss_family == AF_INET ? reinterpret_cast<sockaddr_in&>(bound).sin_port
                                                 : reinterpret_cast<sockaddr_in6&>(bound).sin6_port);
@@ -103,19 +107,20 @@
 }
 
 void HttpServer::stop_listening() {
-    if (listener_ == nullptr) return;
-    uv_close(reinterpret_cast<uv_handle_t*>(listener_),
-             [](uv_handle_t* h) { delete reinterpret_cast<uv_tcp_t*>(h); });
-    listener_ = nullptr;
+    for (auto* listener : std::exchange(listeners_, {}))
+        uv_close(reinterpret_cast<uv_handle_t*>(&listener->socket),
+                 [](uv_handle_t* h) { delete static_cast<Listener*>(h->data); });
 }
 
-void HttpServer::accept() {
+void HttpServer::accept(Listener& listener) {
     auto* c = new Connection(limits_.message);
     c->server = this;
     c->id = ++last_connection_;
     uv_tcp_init(&loop_, &c->socket);
     c->socket.data = c;
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(listener_), c->stream()) != 0) {
+    const bool wants_tls = listener.speaks == Speaks::tls;
+    if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener.socket), c->stream()) != 0 ||
+        (wants_tls && tls_ == nullptr)) {
         uv_close(reinterpret_cast<uv_handle_t*>(&c->socket),
                  [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
@@ -124,7 +129,7 @@
     connections_.emplace(c->id, c);
     counts_.accepted += 1;
     c->begun = uv_now_time();
-    if (tls_) {
+    if (wants_tls) {
         c->filter = tls::Filter::server(tls_, std::time(nullptr));
         c->midway = true;  // a handshake has a request's time
     }
@@ -155,7 +160,13 @@
     if (!c.filter) return plain(c, bytes);
     auto step = c.filter->from_peer(bytes);
     c.raw += step.to_peer;
-    if (step.connected) c.midway = false;
+    if (step.connected) {
+        c.midway = false;
+        c.begun = uv_now_time();
+        counts_.handshakes += 1;
+        counts_.handshakes_resumed += c.filter->resumed() ? 1 : 0;
+    }
+    if (step.fault && !c.filter->connected()) counts_.handshakes_failed += 1;
     if (!step.plain.empty()) plain(c, step.plain);
     if (c.closing) return;
     if (!c.raw.empty()) write_out(c);
@@ -413,6 +424,11 @@
     for (auto* c : idle) close(*c);
     for (auto* c : slow) {
         counts_.timed_out += 1;
+        if (c->filter && !c->filter->connected()) {  // nothing can be said to it yet
+            counts_.handshakes_failed += 1;
+            close(*c);
+            continue;
+        }
         refuse(*c, {408, "request not sent in time"});
     }
     for (auto* c : stalled) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -54,10 +54,12 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    // Connections accepted from now on speak TLS; nullptr: in the clear.
+    // What connections accepted from now on speak at listeners that want TLS.
     void set_tls(std::shared_ptr<tls::Context> context) { tls_ = std::move(context); }
-    // Returns the address in use: port 0 asks for a free one.
-    Address listen(const Address& address);
+    enum class Speaks { clear, tls };
+    // Returns the address in use: port 0 asks for a free one. May be called for more than one address. At one
+    // that speaks TLS nothing is accepted before set_tls().
+    Address listen(const Address& address, Speaks speaks = Speaks::clear);
     void stop_listening();
     // Closes connections that have no request in hand, and from now on each other one after its answer.
     void drain();
@@ -80,6 +82,9 @@
         std::uint64_t bad_requests = 0;
         std::uint64_t timed_out = 0;
         std::uint64_t stalled = 0;
+        std::uint64_t handshakes = 0;
+        std::uint64_t handshakes_resumed = 0;
+        std::uint64_t handshakes_failed = 0;
         std::size_t connections = 0;
         std::size_t in_hand = 0;
     };
@@ -87,7 +92,12 @@
 
 private:
     struct Connection;
-    void accept();
+    struct Listener {
+        uv_tcp_t socket{};
+        HttpServer* server = nullptr;
+        Speaks speaks = Speaks::clear;
+    };
+    void accept(Listener& listener);
     static void start_reading(Connection& connection);
     void feed(Connection& c);
     void took(Connection& c, std::string_view bytes);
@@ -104,7 +114,7 @@
     Handler& handler_;
     ServerLimits limits_;
     std::shared_ptr<tls::Context> tls_;
-    uv_tcp_t* listener_ = nullptr;
+    std::vector<Listener*> listeners_;
     uv_timer_t* sweeper_ = nullptr;
     std::vector<char> read_buffer_;
     std::unordered_map<std::uint64_t, Connection*> connections_;
--- a/src/net/tls/files.cpp
+++ b/src/net/tls/files.cpp
@@ -40,23 +40,87 @@
     return tl::unexpected(file + ": " + text);
 }
 
+tl::expected<std::vector<Material>, std::string> read_files(const config::ListenerTls& config) {
+    std::vector<Material> out;
+    for (const auto& pair : config.certificates) {
+        Material m;
+        std::string error;
+        if (!read(config.clients, m.trust, error) || !read(pair.certificate, m.certificate, error) ||
+            !read(pair.key, m.key, error))
+            return tl::unexpected(error);
+        out.push_back(std::move(m));
+    }
+    return out;
+}
+
+Context::Result load_server(const config::ListenerTls& config, const std::vector<Material>& materials,
+                            std::int64_t unix_now) {
+    for (std::size_t i = 0; i < materials.size(); ++i) {
+        const auto one = Context::server(materials[i], unix_now);
+        if (one) continue;
+        const std::string& text = one.error();
+        const auto& pair = config.certificates[i];
+        const std::string& file = text.starts_with("trust") ? config.clients
+                                  : text.starts_with("key") ? pair.key
+                                                            : pair.certificate;
+        return tl::unexpected(file + ": " + text);
+    }
+    return Context::server(materials, unix_now);
+}
+
+namespace {
+
+// Sessions verified under `old` would be verified under `next` too: nothing was taken from what is trusted.
+bool trusts_all_of(const Material& next, const Material& old) {
+    if (next.revocation != old.revocation || next.certificate != old.certificate) return false;
+    static const std::string end = "-----END CERTIFICATE-----";
+    for (std::size_t at = 0;;) {
+        const auto begin = old.trust.find("-----BEGIN CERTIFICATE-----", at);
+        const auto until = begin == std::string::npos ? begin : old.trust.find(end, begin);
+        if (until == std::string::npos) return true;
+        if (next.trust.find(old.trust.substr(begin, until + end.size() - begin)) == std::string::npos)
+            return false;
+        at = until;
+    }
+}
+
+std::string joined(const std::vector<Material>& all) {
+    std::string out;
+    for (const auto& m : all)
+        out += m.trust + '\0' + m.revocation + '\0' + m.certificate + '\0' + m.key + '\0';
+    return out;
+}
+
+}  // namespace
+
 Rotation::Look Rotation::look(std::int64_t unix_now) {
-    const auto material = read_files(config_);
-    const std::string now = material ? material->trust + '\0' + material->revocation + '\0' +
-                                           material->certificate + '\0' + material->key
-                                     : material.error();
+    std::vector<Material> materials;
+    std::string unread;
+    if (const auto* client = std::get_if<config::TlsConfig>(&config_)) {
+        if (auto m = read_files(*client)) materials.push_back(std::move(*m));
+        else unread = m.error();
+    } else {
+        if (auto m = read_files(std::get<config::ListenerTls>(config_))) materials = std::move(*m);
+        else unread = m.error();
+    }
+    const std::string now = unread.empty() ? joined(materials) : unread;
     if (now == seen_) return Look::unchanged;
     seen_ = now;
-    auto next = material ? load_client(config_, *material, unix_now)
-                         : Context::Result(tl::unexpected(material.error()));
+    Context::Result next = tl::unexpected(unread);
+    if (unread.empty()) {
+        if (const auto* client = std::get_if<config::TlsConfig>(&config_))
+            next = load_client(*client, materials.front(), unix_now);
+        else next = load_server(std::get<config::ListenerTls>(config_), materials, unix_now);
+    }
     if (!next) {
         error_ = next.error();
         return Look::refused;
     }
     context_ = std::move(*next);
     error_.clear();
-    // What was verified by the old trust is not resumed under the new.
-    sessions_.clear();
+    // What was verified by a trust that is narrower now, or under another name of ours, is not resumed.
+    if (!trusts_all_of(materials.front(), good_)) sessions_.clear();
+    good_ = std::move(materials.front());
     return Look::replaced;
 }
 
--- a/src/net/tls/files.hpp
+++ b/src/net/tls/files.hpp
@@ -3,12 +3,18 @@
 
 #include <string>
 #include <tl/expected.hpp>
+#include <variant>
+#include <vector>
 
 #include "config/settings.hpp"
 #include "net/tls/filter.hpp"
 
 namespace chalksail::net::tls {
 
+// The same for the listener.
+[[nodiscard]] tl::expected<std::vector<Material>, std::string> read_files(const config::ListenerTls& config);
+[[nodiscard]] Context::Result load_server(const config::ListenerTls& config,
+                                          const std::vector<Material>& materials, std::int64_t unix_now);
 // The files' texts, read whole. Errors name the file.
 [[nodiscard]] tl::expected<Material, std::string> read_files(const config::TlsConfig& config);
 // Checks them. Errors name the file at fault.
@@ -19,6 +25,7 @@
 class Rotation {
 public:
     explicit Rotation(config::TlsConfig config) : config_(std::move(config)) {}
+    explicit Rotation(config::ListenerTls config) : config_(std::move(config)) {}
     enum class Look { unchanged, replaced, refused };
     // Reads the files; where they have changed and are good, new connections use them from now on. A bad set
     // keeps the last good one, and is refused once for each change (error()); key and certificate replaced
@@ -28,14 +35,16 @@
         return context_;
     }  // nullptr: never a good one
     [[nodiscard]] const std::string& error() const { return error_; }
-    [[nodiscard]] const std::string& pattern() const { return config_.name; }
+    // Of servers: the name that they must prove, as the settings give it.
+    [[nodiscard]] const std::string& pattern() const { return std::get<config::TlsConfig>(config_).name; }
     [[nodiscard]] Sessions& sessions() { return sessions_; }
 
 private:
-    config::TlsConfig config_;
+    std::variant<config::TlsConfig, config::ListenerTls> config_;
     std::shared_ptr<Context> context_;
     Sessions sessions_;
     std::string seen_;  // all texts of the last look
+    Material good_;     // what is in use, of servers' trust
     std::string error_;
 };
 
--- a/src/net/tls/filter.cpp
+++ b/src/net/tls/filter.cpp
@@ -137,6 +137,12 @@
                     return wrong("certificate: not yet valid: " + subject(c.get()));
                 until(X509_get0_notAfter(c.get()));
             }
+            for (std::size_t i = 0; i + 1 < chain.size(); ++i)
+                if (X509_check_issued(chain[i + 1].get(), chain[i].get()) != X509_V_OK ||
+                    X509_verify(chain[i].get(), X509_get0_pubkey(chain[i + 1].get())) != 1) {
+                    ERR_clear_error();
+                    return wrong("certificate: the chain breaks after " + subject(chain[i].get()));
+                }
             if (SSL_CTX_use_certificate(ctx, chain.front().get()) != 1)
                 return wrong("certificate: " + last_error());
             if (SSL_CTX_use_PrivateKey(ctx, key.get()) != 1) return wrong("key: " + last_error());
@@ -178,6 +184,48 @@
 Context::Result Context::server(const Material& m, std::int64_t now, Limits limits) {
     return ContextBuilder::build(m, now, limits, true);
 }
+Context::Result Context::server(const std::vector<Material>& choice, std::int64_t now, Limits limits) {
+    std::shared_ptr<Context> first;
+    for (std::size_t i = 0; i < choice.size(); ++i) {
+        auto one = server(choice[i], now, limits);
+        if (!one) return tl::unexpected("certificate " + std::to_string(i + 1) + ": " + one.error());
+        if (first == nullptr) {
+            first = std::move(*one);
+            continue;
+        }
+        first->valid_until_ = std::min(first->valid_until_, (*one)->valid_until_);
+        first->others_.push_back(std::move(*one));
+    }
+    if (first == nullptr) return tl::unexpected(std::string("no certificate"));
+    if (first->others_.empty()) return first;
+    SSL_CTX_set_tlsext_servername_arg(first->raw_, first.get());
+    SSL_CTX_set_tlsext_servername_callback(
+        first->raw_, +[](SSL* ssl, int*, void* arg) -> int {
+            const char* name = SSL_get_servername(ssl, TLSEXT_NAMETYPE_host_name);
+            if (name == nullptr) return SSL_TLSEXT_ERR_NOACK;
+            const auto& self = *static_cast<Context*>(arg);
+            const auto fits = [&](SSL_CTX* ctx) {
+                return X509_check_host(
+                           SSL_CTX_get0_certificate(ctx), name, 0,
+                           X509_CHECK_FLAG_NO_PARTIAL_WILDCARDS | X509_CHECK_FLAG_NEVER_CHECK_SUBJECT,
+                           nullptr) == 1;
+            };
+            if (fits(self.raw_)) return SSL_TLSEXT_ERR_OK;
+            for (const auto& other : self.others_) {
+                if (!fits(other->raw_)) continue;
+                // Only the certificate: who may be a client stays the first one's to say.
+                SSL_set_SSL_CTX(ssl, other->raw_);
+                return SSL_TLSEXT_ERR_OK;
+            }
+            return SSL_TLSEXT_ERR_NOACK;
+        });
+    return first;
+}
+
+bool Context::set_ticket_keys(std::string_view keys) {
+    return server_ && keys.size() == kTicketKeyBytes &&
+           SSL_CTX_set_tlsext_ticket_keys(raw_, const_cast<char*>(keys.data()), kTicketKeyBytes) == 1;
+}
 
 std::unique_ptr<Filter> Filter::client(std::shared_ptr<Context> context, const std::string& name,
                                        Sessions* sessions, std::int64_t unix_now) {
@@ -227,7 +275,9 @@
     auto* const filter = static_cast<Filter*>(SSL_get_app_data(ssl));
     if (filter == nullptr || filter->sessions_ == nullptr || SSL_get_verify_result(ssl) != X509_V_OK)
         return 0;
-    filter->sessions_->put(filter->name_, Session(session), filter->unix_now_);
+    X509* const leaf = SSL_SESSION_get0_peer(session);
+    filter->sessions_->put(filter->name_, Session(session), filter->unix_now_,
+                           leaf == nullptr ? 0 : unix_time(X509_get0_notAfter(leaf)));
     return 1;  // it is ours now
 }
 
--- a/src/net/tls/filter.hpp
+++ b/src/net/tls/filter.hpp
@@ -46,6 +46,14 @@
     using Result = tl::expected<std::shared_ptr<Context>, std::string>;
     [[nodiscard]] static Result client(const Material& material, std::int64_t unix_now, Limits limits = {});
     [[nodiscard]] static Result server(const Material& material, std::int64_t unix_now, Limits limits = {});
+    // Shows the first of these whose leaf fits the name that a client asks for (SNI), else the first. Trust
+    // and revocation are the first one's. Errors say which one, by number from 1.
+    [[nodiscard]] static Result server(const std::vector<Material>& choice, std::int64_t unix_now,
+                                       Limits limits = {});
+    // Tickets given by the one are taken by the other: for servers of one fleet, and for one that restarts.
+    // 80 bytes of a good random source; false: not a server's, or another length.
+    [[nodiscard]] bool set_ticket_keys(std::string_view keys);
+    static constexpr std::size_t kTicketKeyBytes = 80;
     ~Context();
     Context(const Context&) = delete;
     Context& operator=(const Context&) = delete;
@@ -58,6 +66,7 @@
     Context() = default;
     SSL_CTX* raw_ = nullptr;
     std::int64_t valid_until_ = 0;
+    std::vector<std::shared_ptr<Context>> others_;  // of the choice by SNI
     bool server_ = false;
     friend struct ContextBuilder;
 };
--- a/src/net/tls/sessions.cpp
+++ b/src/net/tls/sessions.cpp
@@ -2,6 +2,8 @@
 
 #include <openssl/ssl.h>
 
+#include <algorithm>
+
 namespace chalksail::net::tls {
 
 void SessionDeleter::operator()(SSL_SESSION* session) const { SSL_SESSION_free(session); }
@@ -12,7 +14,7 @@
     names_.erase(it);
 }
 
-void Sessions::put(const std::string& name, Session session, std::int64_t unix_now) {
+void Sessions::put(const std::string& name, Session session, std::int64_t unix_now, std::int64_t until) {
     if (SSL_SESSION_is_resumable(session.get()) == 0) return;
     auto it = names_.find(name);
     if (it == names_.end()) {
@@ -23,7 +25,7 @@
         order_.splice(order_.end(), order_, it->second.place);
     }
     auto& kept = it->second.kept;
-    kept.push_back({std::move(session), unix_now});
+    kept.push_back({std::move(session), std::min(unix_now + limits_.seconds, until)});
     if (kept.size() > limits_.each) kept.pop_front();
 }
 
@@ -31,7 +33,8 @@
     const auto it = names_.find(name);
     if (it == names_.end()) return nullptr;
     auto& kept = it->second.kept;
-    while (!kept.empty() && kept.front().since + limits_.seconds <= unix_now) kept.pop_front();
+    // Guards against a certificate that ran out: a handshake that resumes does not look at its times again.
+    std::erase_if(kept, [&](const Kept& k) { return k.until <= unix_now; });
     if (kept.empty()) {
         drop(name);
         return nullptr;
--- a/src/net/tls/sessions.hpp
+++ b/src/net/tls/sessions.hpp
@@ -22,13 +22,14 @@
 public:
     struct Limits {
         std::size_t names = 4096;
-        std::size_t each = 4;  // of one name: a few handshakes may run side by side
+        std::size_t each = 16;  // of one name: some handshakes may run side by side
         std::int64_t seconds = 3600;
     };
     Sessions() : Sessions(Limits{}) {}
     explicit Sessions(Limits limits) : limits_(limits) {}
 
-    void put(const std::string& name, Session session, std::int64_t unix_now);
+    // `until`: seconds since 1970 at which what was proved by it ends, the server's certificate mostly.
+    void put(const std::string& name, Session session, std::int64_t unix_now, std::int64_t until);
     // The newest for that name; nothing if there is none young enough.
     [[nodiscard]] Session take(const std::string& name, std::int64_t unix_now);
     // All go: after a change of what is trusted nothing may be resumed that was verified by the old.
@@ -38,7 +39,7 @@
 private:
     struct Kept {
         Session session;
-        std::int64_t since = 0;
+        std::int64_t until = 0;
     };
     struct Name {
         std::list<Kept> kept;  // oldest first
--- a/tests/net/tls_socket_test.cpp
+++ b/tests/net/tls_socket_test.cpp
@@ -14,7 +14,7 @@
     TlsEngine(uv_loop_t& loop, std::shared_ptr<tls::Context> context)
         : server(loop, static_cast<HttpServer::Handler&>(*this), {}) {
         server.set_tls(std::move(context));
-        address = server.listen({"127.0.0.1", 0});
+        address = server.listen({"127.0.0.1", 0}, HttpServer::Speaks::tls);
     }
     HttpServer server;
     Address address;
@@ -189,6 +189,182 @@
     EXPECT_TRUE(until([&] { return c.got().find("[DONE]") != std::string::npos; }));
 }
 
+// Two files can't be replaced in one step: whichever comes first, the set does not fit until the other is
+// there, and the last good one is used meanwhile.
+TEST_F(TlsRig, KeyBeforeCertificateAndTheReverse) {
+    const auto make = [&] { return ca.issue({{"edge"}, {}, now - 10, now + 10'000, false, 0, 0}); };
+    auto issued = make();
+    write("edge.pem", issued.certificate);
+    write("edge.key", issued.key);
+    const auto path = [&](const char* name) { return (folder / name).string(); };
+    tls::Rotation rotation(config::TlsConfig{"n", path("ca.pem"), "", path("edge.pem"), path("edge.key")});
+    ASSERT_EQ(rotation.look(now), tls::Rotation::Look::replaced);
+    for (const bool key_first : {true, false}) {
+        const auto before = rotation.context();
+        issued = make();
+        write(key_first ? "edge.key" : "edge.pem", key_first ? issued.key : issued.certificate);
+        EXPECT_EQ(rotation.look(now), tls::Rotation::Look::refused);
+        EXPECT_NE(rotation.error().find("do not fit"), std::string::npos) << rotation.error();
+        EXPECT_EQ(rotation.look(now), tls::Rotation::Look::unchanged);  // said once
+        EXPECT_EQ(rotation.context(), before);
+        write(key_first ? "edge.pem" : "edge.key", key_first ? issued.certificate : issued.key);
+        EXPECT_EQ(rotation.look(now), tls::Rotation::Look::replaced);
+        EXPECT_NE(rotation.context(), before);
+    }
+    std::filesystem::remove(folder / "edge.key");
+    EXPECT_EQ(rotation.look(now), tls::Rotation::Look::refused);
+    EXPECT_NE(rotation.error().find("edge.key: can't be read"), std::string::npos) << rotation.error();
+    EXPECT_NE(rotation.context(), nullptr);
+}
+
+// Sessions outlive a bundle that grows, and none that loses a CA or gets another revocation list.
+TEST_F(TlsRig, NarrowerTrustForgetsSessions) {
+    const auto path = [&](const char* name) { return (folder / name).string(); };
+    const lab::Authority next("next", now - 10, now + 10'000);
+    tls::Rotation rotation(config::TlsConfig{"n", path("ca.pem"), "", "", ""});
+    ASSERT_EQ(rotation.look(now), tls::Rotation::Look::replaced);
+    const auto issued = ca.issue({{"n"}, {}, now - 10, now + 10'000, true, 0, 0});
+    const auto server = *tls::Context::server({"", "", issued.certificate, issued.key}, now);
+    const auto shake = [&] {
+        const auto c = tls::Filter::client(rotation.context(), "n", &rotation.sessions(), now);
+        const auto s = tls::Filter::server(server, now);
+        std::string to_server = c->start().to_peer;
+        while (!to_server.empty()) to_server = c->from_peer(s->from_peer(to_server).to_peer).to_peer;
+        EXPECT_TRUE(c->connected());
+        return c->resumed();
+    };
+    EXPECT_FALSE(shake());
+    write("ca.pem", next.certificate() + ca.certificate());
+    ASSERT_EQ(rotation.look(now), tls::Rotation::Look::replaced);
+    EXPECT_TRUE(shake());
+    write("ca.pem", ca.certificate());
+    ASSERT_EQ(rotation.look(now), tls::Rotation::Look::replaced);
+    EXPECT_EQ(rotation.sessions().size(), 0U);
+}
+
+// A server that takes the connection and says nothing: proved not to have run, within the dial time-out.
+TEST_F(TlsRig, StalledHandshakeIsNoConnection) {
+    writer = std::make_unique<RawServer>(loop, [](RawServer::Peer&) {});
+    TlsEngine& read = engine("prefill-1.lekki.example.org");
+    auto s = settings(read, read);
+    s.servers[1].address = writer->address;
+    s.module.dial_timeout = 100ms;
+    log = std::make_unique<observe::Log>("t", "error");
+    edge = std::make_unique<EdgeShell>(loop, s, *log);
+    RawClient& c = client();
+    c.send(post("once"));
+    ASSERT_TRUE(until([&] { return c.got().find("HTTP/1.1 503") != std::string::npos; })) << c.got();
+    EXPECT_EQ(writer->requests, 0);
+    EXPECT_FALSE(writer->peers.empty());
+}
+
+// The wrong name, then the right one: out meanwhile, back by itself once it shows the right certificate.
+TEST_F(TlsRig, ServerIsBackOnceItProvesItsName) {
+    TlsEngine& wrong = engine("decode-8.lekki.example.org");
+    TlsEngine& read = engine("prefill-1.lekki.example.org");
+    auto s = settings(read, wrong);
+    s.limits.unverified_pause = 10ms;
+    s.limits.unverified_longest = 20ms;
+    log = std::make_unique<observe::Log>("t", "error");
+    edge = std::make_unique<EdgeShell>(loop, s, *log);
+    RawClient& c = client();
+    c.send(post("m"));
+    ASSERT_TRUE(until([&] { return edge->gauges().unverified_servers == 1; }));
+    const auto trials = wrong.server.counts().handshakes_failed;
+    ASSERT_TRUE(until([&] { return wrong.server.counts().handshakes_failed > trials + 2; }));
+    EXPECT_EQ(wrong.requests, 0);
+    const auto issued = ca.issue({{"decode-7.lekki.example.org"}, {}, now - 10, now + 10'000, true, 0, 0});
+    wrong.server.set_tls(*tls::Context::server({"", "", issued.certificate, issued.key}, now));
+    ASSERT_TRUE(until([&] { return edge->gauges().unverified_servers == 0; }));
+    ASSERT_TRUE(until([&] { return served(); }));
+    EXPECT_GT(wrong.requests, 0);
+}
+
+// Many requests at once to a server that has just come: no more handshakes side by side than allowed, all
+// are served, and what waits takes connections that become free.
+TEST_F(TlsRig, StormOfHandshakesPassesTheGate) {
+    TlsEngine& read = engine("prefill-1.lekki.example.org");
+    TlsEngine& written = engine("decode-7.lekki.example.org");
+    auto s = settings(read, written);
+    s.limits.handshakes_per_server = 1;
+    s.limits.handshakes = 2;
+    log = std::make_unique<observe::Log>("t", "error");
+    edge = std::make_unique<EdgeShell>(loop, s, *log);
+    std::vector<RawClient*> all;
+    for (int i = 0; i < 40; ++i) {
+        all.push_back(&client());
+        all.back()->send(post("m"));
+    }
+    for (auto* c : all) {
+        ASSERT_TRUE(until([&] { return c->got().find("0\r\n\r\n") != std::string::npos; }));
+        EXPECT_NE(c->got().find("[DONE]"), std::string::npos) << c->got();
+    }
+    EXPECT_LT(read.server.counts().handshakes, 40U);
+    const auto page = metrics();
+    EXPECT_NE(page.find("chalksail_tls_handshakes_waiting{gateway=\"t\"} 0\n"), std::string::npos) << page;
+    EXPECT_NE(page.find("chalksail_tls_handshakes_under_way{gateway=\"t\"} 0\n"), std::string::npos);
+}
+
+// ---- the listener ----
+
+// Speaks to the edge through the pool, as any client with TLS.
+struct PoolClient : HttpPool::Handler {
+    std::string got;
+    int status = 0;
+    bool done = false;
+    std::string failed;
+    void on_head(HttpPool::Call, int s, http::Headers) override { status = s; }
+    void on_body(HttpPool::Call, std::string bytes) override { got += bytes; }
+    void on_done(HttpPool::Call) override { done = true; }
+    void on_failed(HttpPool::Call, engine::Ending, std::string detail) override { failed = detail; }
+};
+
+TEST_F(TlsRig, ListenerShowsTheCertificateAskedForAndReplacesIt) {
+    const auto put = [&](const std::string& file, const std::string& name) {
+        const auto issued = ca.issue({{name}, {}, now - 10, now + 10'000, true, 0, 0});
+        write(file + ".pem", issued.certificate);
+        write(file + ".key", issued.key);
+    };
+    put("a", "api.example.org");
+    put("b", "*.tenants.example.org");
+    TlsEngine& one = engine("prefill-1.lekki.example.org");
+    auto s = settings(one, engine("decode-7.lekki.example.org"));
+    const auto path = [&](const char* name) { return (folder / name).string(); };
+    s.listener_tls =
+        config::ListenerTls{{{path("a.pem"), path("a.key")}, {path("b.pem"), path("b.key")}}, ""};
+    log = std::make_unique<observe::Log>("t", "error");
+    edge = std::make_unique<EdgeShell>(loop, s, *log);
+    tls::Sessions sessions;
+    const auto ask = [&](const std::string& name) {
+        PoolClient c;
+        HttpPool pool(loop, c, {});
+        Target to(edge->address());
+        to.tls = *tls::Context::client({ca.certificate(), "", "", ""}, now);
+        to.tls_name = name;
+        to.sessions = &sessions;
+        http::Headers headers;
+        headers.add("Content-Type", "application/json");
+        const std::string request = post("m");
+        pool.start(1, to, "POST", "/v1/chat/completions", headers,
+                   request.substr(request.find("\r\n\r\n") + 4));
+        EXPECT_TRUE(until([&] { return c.done || !c.failed.empty(); }));
+        return c.done && c.got.find("[DONE]") != std::string::npos ? std::string("served") : c.failed;
+    };
+    EXPECT_EQ(ask("api.example.org"), "served");
+    EXPECT_EQ(ask("buns.tenants.example.org"), "served");
+    EXPECT_NE(ask("other.example.org").find("not verified"), std::string::npos);
+    put("a", "new.example.org");
+    edge->reload_tls();
+    EXPECT_EQ(ask("new.example.org"), "served");
+    write("a.key", "nonsense");
+    edge->reload_tls();
+    EXPECT_EQ(ask("new.example.org"), "served");  // the last good ones
+    RawClient& plain = client();
+    plain.send(post("m"));
+    EXPECT_TRUE(until([&] { return plain.closed(); }));
+    EXPECT_EQ(plain.got().find("HTTP/1.1 200"), std::string::npos);
+}
+
 TEST_F(TlsRig, BadFilesAreRefusedAtTheStart) {
     TlsEngine& one = engine("x");
     const auto s = settings(one, one);
--- a/tests/net/tls_test.cpp
+++ b/tests/net/tls_test.cpp
@@ -301,6 +301,64 @@
 
 // ---- ends ----
 
+TEST_F(Tls, ServerShowsTheCertificateThatTheClientAsksFor) {
+    const auto material = [&](const std::string& name) {
+        const auto issued = ca.issue({{name}, {}, kNow - kDay, kNow + kDay, true, 0, 0});
+        return Material{"", "", issued.certificate, issued.key};
+    };
+    const auto context = Context::server(
+        std::vector<Material>{material("kitchen.example.org"), material("*.stalls.example.org")}, kNow);
+    ASSERT_TRUE(context) << context.error();
+    const auto taken = [&](const std::string& name) {
+        const auto client = Filter::client(client_context(), name, nullptr, kNow);
+        const auto server = Filter::server(*context, kNow);
+        Talk talk;
+        carry(*client, *server, client->start(), {}, talk);
+        return talk.client_connected;
+    };
+    EXPECT_TRUE(taken("kitchen.example.org"));
+    EXPECT_TRUE(taken("buns.stalls.example.org"));
+    EXPECT_FALSE(taken("a.b.stalls.example.org"));
+    EXPECT_FALSE(taken("elsewhere.example.org"));  // shown the first, and refused by the client
+    auto bad = std::vector<Material>{material("a"), material("b")};
+    bad[1].key = bad[0].key;
+    const auto broken = Context::server(bad, kNow);
+    ASSERT_FALSE(broken);
+    EXPECT_EQ(broken.error(), "certificate 2: key and certificate do not fit");
+}
+
+TEST_F(Tls, SharedTicketKeysOutliveARestart) {
+    const auto issued = ca.issue(good_wish());
+    const auto client = client_context();
+    Sessions sessions;
+    const auto resumed = [&](const std::string& keys) {
+        const auto restarted = server_context(issued);  // a process of its own each time
+        EXPECT_TRUE(restarted->set_ticket_keys(keys));
+        const auto c = Filter::client(client, kName, &sessions, kNow);
+        const auto s = Filter::server(restarted, kNow);
+        Talk talk;
+        carry(*c, *s, c->start(), {}, talk);
+        EXPECT_TRUE(talk.client_connected);
+        return c->resumed();
+    };
+    const std::string keys(Context::kTicketKeyBytes, 'k');
+    EXPECT_FALSE(resumed(keys));
+    EXPECT_TRUE(resumed(keys));
+    EXPECT_TRUE(resumed(keys));
+    EXPECT_FALSE(resumed(std::string(Context::kTicketKeyBytes, 'n')));
+    EXPECT_FALSE(server_context(issued)->set_ticket_keys("short"));
+    EXPECT_FALSE(client->set_ticket_keys(keys));
+}
+
+TEST_F(Tls, OwnChainMustHoldTogether) {
+    const auto leaf = ca.issue(good_wish());
+    lab::Authority stranger("stranger", kNow - kDay, kNow + kDay);
+    EXPECT_TRUE(Context::server({"", "", leaf.certificate + ca.certificate(), leaf.key}, kNow));
+    const auto broken = Context::server({"", "", leaf.certificate + stranger.certificate(), leaf.key}, kNow);
+    ASSERT_FALSE(broken);
+    EXPECT_NE(broken.error().find("the chain breaks after"), std::string::npos) << broken.error();
+}
+
 TEST_F(Tls, ProperEndAndCut) {
     const auto context = server_context(ca.issue(good_wish()));
     (void)try_server(context);
@@ -369,7 +427,70 @@
     EXPECT_EQ(client->facts().protocol, "TLSv1.2");
     (void)try_server(context, kName, &sessions, kNow, mine);
     EXPECT_TRUE(client->facts().resumed);
-    EXPECT_NE(SSL_CTX_get_options(mine->raw()) & SSL_OP_NO_RENEGOTIATION, 0U);
+}
+
+// A server that asks to begin anew is told no, and gets no second handshake.
+TEST_F(Tls, RenegotiationIsRefused) {
+    const auto context = server_context(ca.issue(good_wish()));
+    SSL_CTX_set_max_proto_version(context->raw(), TLS1_2_VERSION);
+    SSL_CTX_clear_options(context->raw(), SSL_OP_NO_RENEGOTIATION);
+    SSL* const server = SSL_new(context->raw());
+    BIO* const in = BIO_new(BIO_s_mem());
+    BIO* const out = BIO_new(BIO_s_mem());
+    SSL_set_bio(server, in, out);
+    SSL_set_accept_state(server);
+    const auto sent = [&] {
+        std::string bytes(static_cast<std::size_t>(BIO_pending(out)), '\0');
+        BIO_read(out, bytes.data(), static_cast<int>(bytes.size()));
+        return bytes;
+    };
+    const auto take = [&](const std::string& bytes) {
+        BIO_write(in, bytes.data(), static_cast<int>(bytes.size()));
+    };
+    const auto c = Filter::client(client_context(), kName, nullptr, kNow);
+    take(c->start().to_peer);
+    for (int i = 0; i < 4 && !c->connected(); ++i) {
+        SSL_do_handshake(server);
+        take(c->from_peer(sent()).to_peer);
+    }
+    SSL_do_handshake(server);
+    ASSERT_TRUE(c->connected());
+    const std::string finished = sent();  // the server's last, if any is left
+    take(c->from_peer(finished).to_peer);
+
+    ASSERT_EQ(SSL_renegotiate(server), 1);
+    SSL_do_handshake(server);
+    const std::string asks = sent();
+    ASSERT_FALSE(asks.empty());
+    const auto answer = c->from_peer(asks);
+    EXPECT_EQ(answer.plain, "");
+    ASSERT_GT(answer.to_peer.size(), 5U);
+    EXPECT_EQ(answer.to_peer[0], '\x15');  // an alert, and no ClientHello
+    take(answer.to_peer);
+    char byte = 0;
+    EXPECT_LE(SSL_read(server, &byte, 1), 0);  // the server is told so
+    SSL_free(server);
+}
+
+// A certificate that runs out while streams are under way: they go on; a new handshake is refused, also one
+// that would resume; its follower is taken.
+TEST_F(Tls, CertificateThatRunsOutMidRun) {
+    auto wish = good_wish();
+    wish.until = kNow + 100;
+    const auto old = server_context(ca.issue(wish));
+    const auto mine = client_context();
+    Sessions sessions;
+    (void)try_server(old, kName, &sessions, kNow, mine);
+    const auto stream = std::move(client), far = std::move(peer);
+    ASSERT_GT(sessions.size(), 0U);
+    expect_refused(try_server(old, kName, &sessions, kNow + 100, mine), FaultKind::verification);
+    Talk t;
+    carry(*stream, *far, {}, far->send("still here"), t);
+    EXPECT_EQ(t.client_got, "still here");
+    const auto next = server_context(ca.issue(good_wish()));
+    EXPECT_EQ(try_server(next, kName, &sessions, kNow + 100, mine).client_got, "answer");
+    carry(*stream, *far, {}, far->send(", to the end"), t);
+    EXPECT_EQ(t.client_got, "still here, to the end");
 }
 
 // A replaced context is used by what begins later; what is under way goes on with its own.
