--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -12,9 +12,10 @@
 using config::Problems;
 using config::Properties;
 
-constexpr std::array<const char*, 14> kTroubles = {
+constexpr std::array<const char*, 15> kTroubles = {
     "crash",       "vanish",          "hang",      "slow",    "ageing", "fast_errors", "answer_lost",
-    "origin_slow", "discovery_stale", "zone_loss", "preempt", "burst",  "heavy_tail",  "give_up"};
+    "origin_slow", "discovery_stale", "zone_loss", "preempt", "burst",  "heavy_tail",  "give_up",
+    "wrong_name"};
 
 int small(std::int64_t n) { return static_cast<int>(n); }
 
@@ -54,6 +55,15 @@
             read_edge(node);
         });
         if (!edge) problems_.add({}, "the scenario needs 'edge' with the edges' settings");
+        top.each("tls", 0, [&](const kdl::Node& node) {
+            Block b(node.children, node.place, "'tls'", problems_);
+            std::int64_t count = 0;
+            if (b.whole("edges", count, 0, out_.edges)) out_.tls.edges = small(count);
+            if (b.whole("renewals", count, 0, 10'000)) out_.tls.renewals = small(count);
+            std::size_t tickets = 0;
+            if (b.word("tickets", {"kept", "new"}, tickets)) out_.tls.keeps_tickets = tickets == 0;
+            b.done();
+        });
         top.each("engines", 1, [&](const kdl::Node& node) { engines(node); });
         top.each("traffic", 1, [&](const kdl::Node& node) { traffic(node); });
         top.each("troubles", 0, [&](const kdl::Node& node) { troubles(node); });
@@ -147,9 +157,12 @@
                                            (near.empty() ? "" : "; did you mean '" + near + "'?"));
                 continue;
             }
-            const Properties p(
-                t, {"at", "for", "server", "engines", "zone", "share", "factor", "part", "lag", "notice"}, 0,
-                problems_);
+            const Properties p(t,
+                               {"at", "for", "server", "engines", "zone", "share", "factor", "part", "lag",
+                                "notice", "times", "every"},
+                               0, problems_);
+            std::int64_t times = 1;
+            Duration every{};
             Trouble out;
             out.kind = static_cast<TroubleKind>(it - kTroubles.begin());
             if (!p.duration("at", out.at) || !p.duration("for", out.lasts))
@@ -170,7 +183,15 @@
                 problems_.add(t.place, "no zone is called '" + out.zone + "'");
             if (out.kind == TroubleKind::zone_loss && out.zone.empty())
                 problems_.add(t.place, "'zone_loss' needs zone=");
-            out_.troubles.push_back(std::move(out));
+            if (out.kind == TroubleKind::wrong_name && out_.tls.edges == 0)
+                problems_.add(t.place, "'wrong_name' needs 'tls' with edges");
+            p.whole("times", times, 1, 10'000);
+            p.duration("every", every);
+            if (times > 1 && every <= Duration::zero()) problems_.add(t.place, "'times' needs every=");
+            for (std::int64_t i = 0; i < times; ++i) {
+                out_.troubles.push_back(out);
+                out.at += every;
+            }
         }
     }
 
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -29,6 +29,7 @@
     burst,            // traffic is "factor" times the usual
     heavy_tail,       // "part" of the prompts are "factor" times as long
     give_up,          // "part" of the clients hang up early
+    wrong_name,       // an engine's certificate is of another name, from its restart on until "for" is over
 };
 struct Trouble {
     TroubleKind kind = TroubleKind::crash;
@@ -44,6 +45,13 @@
     Duration notice = std::chrono::seconds(2);
 };
 
+// Verified TLS between edges and engines.
+struct TlsPart {
+    int edges = 0;              // the first so many; the others speak in the clear, to the same engines
+    bool keeps_tickets = true;  // an engine's ticket keys outlive its restart
+    int renewals = 0;           // of all certificates and of the bundle, spread over the run
+};
+
 struct TrafficClass {
     std::string name;  // a class of the edge's settings
     std::string model;
@@ -71,6 +79,7 @@
     Links::Rates links;
     std::vector<TrafficClass> traffic;
     std::vector<Trouble> troubles;
+    TlsPart tls;
     std::string edge_text;      // the edges' settings as written, without servers
     config::EdgeSettings edge;  // the same, read
 };
--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -32,6 +32,13 @@
     server_ = std::make_unique<net::HttpServer>(loop_, static_cast<net::HttpServer::Handler&>(*this),
                                                 engine_limits());
     address_ = server_->listen(address_);
+    if (fleet_.tls() == nullptr) return;
+    server_->set_tls(fleet_.tls()->start(spec().name));
+    tls_address_ = server_->listen(tls_address_, net::HttpServer::Speaks::tls);
+}
+
+void EngineHost::show(std::shared_ptr<net::tls::Context> context) {
+    if (server_ != nullptr) server_->set_tls(std::move(context));
 }
 
 void EngineHost::note(What what, const Asked& asked, const std::string& fate) {
@@ -261,8 +268,8 @@
 }
 
 EngineFleet::EngineFleet(uv_loop_t& loop, const std::vector<EngineSpec>& specs, Links::Rates rates,
-                         std::uint64_t seed, Recorder& recorder)
-    : recorder_(recorder), links_(rates), random_(seed) {
+                         std::uint64_t seed, Recorder& recorder, FleetTls* tls)
+    : recorder_(recorder), tls_(tls), links_(rates), random_(seed) {
     for (const auto& spec : specs) hosts_.push_back(std::make_unique<EngineHost>(loop, *this, spec));
 }
 void EngineFleet::tick(Time now) {
--- a/lab/shell/engine_host.hpp
+++ b/lab/shell/engine_host.hpp
@@ -17,6 +17,7 @@
 #include "model/exchange.hpp"
 #include "net/http_server.hpp"
 #include "record/record.hpp"
+#include "shell/fleet_tls.hpp"
 
 namespace chalksail::lab {
 
@@ -35,6 +36,9 @@
     [[nodiscard]] EngineModel& model() { return model_; }
     [[nodiscard]] const EngineSpec& spec() const { return model_.spec(); }
     [[nodiscard]] const Address& address() const { return address_; }
+    [[nodiscard]] const Address& tls_address() const { return tls_address_; }
+    // New connections from now on are shown this; only where the fleet speaks TLS.
+    void show(std::shared_ptr<net::tls::Context> context);
     [[nodiscard]] bool up() const { return server_ != nullptr; }
 
 private:
@@ -62,6 +66,7 @@
     EngineModel model_;
     std::unique_ptr<net::HttpServer> server_;
     Address address_{"127.0.0.1", 0};
+    Address tls_address_{"127.0.0.1", 0};
     bool vanished_ = false;
     std::map<net::HttpServer::Peer, Exchange> exchanges_;
     std::map<JobId, net::HttpServer::Peer> by_job_;
@@ -70,11 +75,12 @@
 class EngineFleet {
 public:
     EngineFleet(uv_loop_t& loop, const std::vector<EngineSpec>& specs, Links::Rates rates, std::uint64_t seed,
-                Recorder& recorder);
+                Recorder& recorder, FleetTls* tls = nullptr);
     void tick(Time now);
     [[nodiscard]] EngineHost* find(const std::string& name);
     [[nodiscard]] std::vector<std::unique_ptr<EngineHost>>& all() { return hosts_; }
     [[nodiscard]] Links& links() { return links_; }
+    [[nodiscard]] FleetTls* tls() { return tls_; }
     [[nodiscard]] Recorder& recorder() { return recorder_; }
     [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
     [[nodiscard]] JobId next_job() { return ++last_job_; }
@@ -87,6 +93,7 @@
 
 private:
     Recorder& recorder_;
+    FleetTls* tls_;  // nullptr: all in the clear
     Links links_;
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<EngineHost>> hosts_;
--- a/lab/shell/rehearsal.cpp
+++ b/lab/shell/rehearsal.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/json.hpp"
+#include "record/tally.hpp"
 
 namespace chalksail::lab {
 namespace {
@@ -29,11 +30,11 @@
                std::chrono::system_clock::now().time_since_epoch())
         .count();
 }
-double quantile(std::vector<double> all, double part) {
-    if (all.empty()) return 0;
-    const auto at = static_cast<std::size_t>(part * static_cast<double>(all.size() - 1));
-    std::nth_element(all.begin(), all.begin() + static_cast<std::ptrdiff_t>(at), all.end());
-    return all[at];
+// The last value of a metric on an edge's page; 0 where it has none.
+double metric(const std::string& page, const std::string& name) {
+    const auto at = page.find("\nchalksail_" + name + "{");
+    const auto value = at == std::string::npos ? at : page.find("} ", at);
+    return value == std::string::npos ? 0 : std::strtod(page.c_str() + value + 2, nullptr);
 }
 
 }  // namespace
@@ -51,12 +52,13 @@
     std::int64_t exit_status = -1;
     Address address;
     Address admin;
+    bool tls = false;  // towards the engines
     std::vector<char> buffer = std::vector<char>(4096);
 };
 
 std::string RehearsalResult::format() const {
-    return json::ObjectWriter()
-        .whole("asked", static_cast<std::int64_t>(verdict.asked))
+    json::ObjectWriter out;
+    out.whole("asked", static_cast<std::int64_t>(verdict.asked))
         .whole("served", static_cast<std::int64_t>(verdict.served))
         .whole("refused", static_cast<std::int64_t>(verdict.refused))
         .whole("failed", static_cast<std::int64_t>(verdict.failed))
@@ -73,8 +75,32 @@
                                                                  static_cast<double>(verdict.asked))
         .number("first_token_p50_ms", first_token_p50_ms)
         .number("first_token_p99_ms", first_token_p99_ms)
-        .flag("edges_well", edges_well)
-        .done();
+        .flag("edges_well", edges_well);
+    if (tls) {
+        const auto& t = *tls;
+        const double later = t.seen.handshakes - t.first_minute.handshakes;
+        const auto whole = [](double d) { return static_cast<std::int64_t>(d); };
+        out.whole("tls_handshakes", whole(t.seen.handshakes))
+            .whole("tls_handshakes_busiest_second", whole(t.busiest_second))
+            .whole("tls_handshakes_failed", whole(t.seen.failed))
+            .whole("tls_most_waiting", whole(t.seen.most_waiting))
+            .whole("tls_handshakes_after_first_minute", whole(later))
+            .number("tls_resumed_after_first_minute",
+                    later > 0 ? (t.seen.resumed - t.first_minute.resumed) / later : 0)
+            .whole("tls_files_replaced", whole(t.seen.replaced))
+            .whole("tls_files_refused", whole(t.seen.refused));
+        const auto add = [&](const char* side, const GatewayTally& all) {
+            const auto name = [&](const char* what) { return std::string(side) + what; };
+            out.whole(name("_asked").c_str(), static_cast<std::int64_t>(all.asked))
+                .whole(name("_failed").c_str(), static_cast<std::int64_t>(all.failed))
+                .whole(name("_broken_without_a_crash").c_str(), static_cast<std::int64_t>(all.broken))
+                .number(name("_first_token_p50_ms").c_str(), quantile(all.first_token_ms, 0.5))
+                .number(name("_first_token_p99_ms").c_str(), quantile(all.first_token_ms, 0.99));
+        };
+        add("tls", t.verified);
+        add("clear", t.clear);
+    }
+    return out.done();
 }
 
 Rehearsal::Rehearsal(uv_loop_t& loop, Scenario scenario, RehearsalPaths paths)
@@ -84,8 +110,10 @@
       random_(scenario_.seed * 104'729 + 3) {
     std::filesystem::create_directories(paths_.folder);
     recorder_ = Recorder(paths_.folder + "/wire.jsonl");
-    fleet_ =
-        std::make_unique<EngineFleet>(loop_, scenario_.engines, scenario_.links, scenario_.seed, recorder_);
+    if (scenario_.tls.edges > 0)
+        tls_ = std::make_unique<FleetTls>(paths_.folder + "/trust.pem", scenario_.tls.keeps_tickets);
+    fleet_ = std::make_unique<EngineFleet>(loop_, scenario_.engines, scenario_.links, scenario_.seed,
+                                           recorder_, tls_.get());
     load_ = std::make_unique<Load>(loop_, scenario_, recorder_);
     admin_ =
         std::make_unique<net::HttpPool>(loop_, static_cast<net::HttpPool::Handler&>(*this), admin_limits());
@@ -205,6 +233,10 @@
              << scenario_.seed * 100 + static_cast<std::uint64_t>(i) + 1 << "\ngateways {\n  count "
              << scenario_.edges << "\n  number " << i << "\n}\n"
              << scenario_.edge_text << '\n';
+        e->tls = i < scenario_.tls.edges;
+        if (e->tls)
+            file << "tls { name " << kdl::quote(FleetTls::kNames) << "; trust " << kdl::quote(tls_->bundle())
+                 << "; }\n";
         file.close();
         spawn(*e);
         edges_.push_back(std::move(e));
@@ -226,11 +258,13 @@
     load_->set_gateways(gateways());
 }
 
-std::string Rehearsal::entry_json(const std::string& server) const {
+std::string Rehearsal::entry_json(const std::string& server, bool tls) const {
     const auto* host = const_cast<EngineFleet&>(*fleet_).find(server);
     const auto& listed = list_.at(server);
     json::ObjectWriter out;
-    out.text("name", server).text("address", format_address(host->address())).text("kind", host->spec().kind);
+    out.text("name", server)
+        .text("address", format_address(tls ? host->tls_address() : host->address()))
+        .text("kind", host->spec().kind);
     out.text("zone", host->spec().zone).whole("cell", host->spec().cell).text("state", listed.state);
     if (listed.started_unix_ms != 0) out.whole("started_unix_ms", listed.started_unix_ms);
     return out.done();
@@ -243,7 +277,7 @@
     std::vector<std::pair<std::string, Listed>> told;
     for (const auto& [server, listed] : list_) {
         if (complete && listed.state == "removed") continue;
-        items += (items.empty() ? "" : ",") + entry_json(server);
+        items += (items.empty() ? "" : ",") + entry_json(server, e.tls);
         told.emplace_back(server, listed);
     }
     http::Headers headers;
@@ -260,7 +294,36 @@
     std::cerr << "the list was refused (" << status << ")\n";
     pushes_.erase(call);
 }
+void Rehearsal::on_body(net::HttpPool::Call call, std::string bytes) {
+    if (const auto it = pages_.find(call); it != pages_.end()) it->second.second += bytes;
+}
+
+// Looks at what the edges say of their handshakes, a second at a time.
+void Rehearsal::look_at_edges() {
+    for (const auto& e : edges_) {
+        if (!e->running || !e->tls) continue;
+        const net::HttpPool::Call call = ++last_push_;
+        pages_[call] = {e->name, ""};
+        admin_->start(call, e->admin, "GET", "/metrics", {}, "");
+    }
+}
+void Rehearsal::take_page(const std::string& edge, const std::string& page) {
+    const TlsFigures now{metric(page, "tls_handshakes"),        metric(page, "tls_handshakes_resumed"),
+                         metric(page, "tls_handshakes_failed"), metric(page, "tls_files_replaced"),
+                         metric(page, "tls_files_refused"),     metric(page, "tls_handshakes_waiting_most")};
+    auto& [first_minute, seen] = tls_figures_[edge];
+    // What happened before the first minute was over is kept apart: sessions have to be had first.
+    if (net::uv_now_time() - begun_ < std::chrono::minutes(1)) first_minute = now;
+    tls_busiest_ = std::max(tls_busiest_, now.handshakes - seen.handshakes);
+    seen = now;
+}
+
 void Rehearsal::on_done(net::HttpPool::Call call) {
+    if (const auto page = pages_.find(call); page != pages_.end()) {
+        take_page(page->second.first, page->second.second);
+        pages_.erase(page);
+        return;
+    }
     const auto it = pushes_.find(call);
     if (it == pushes_.end()) return;
     const auto& [gateway, told] = it->second;
@@ -276,7 +339,10 @@
     }
     pushes_.erase(it);
 }
-void Rehearsal::on_failed(net::HttpPool::Call call, engine::Ending, std::string) { pushes_.erase(call); }
+void Rehearsal::on_failed(net::HttpPool::Call call, engine::Ending, std::string) {
+    pushes_.erase(call);
+    pages_.erase(call);
+}
 
 void Rehearsal::list(const std::string& server, const std::string& state) {
     // What the list service sees now is told to the edges after the lag that there is now.
@@ -318,6 +384,19 @@
     for (const auto& t : scenario_.troubles) after(t.at, [this, t] { begin_trouble(t); });
 }
 
+void Rehearsal::schedule_tls() {
+    if (tls_ == nullptr) return;
+    const auto length = scenario_.length;
+    for (Duration at{}; at < length; at += std::chrono::seconds(1)) after(at, [this] { look_at_edges(); });
+    for (int i = 1; i <= scenario_.tls.renewals; ++i)
+        after(length * i / (scenario_.tls.renewals + 1), [this] {
+            tls_->renew();
+            for (const auto& host : fleet_->all()) host->show(tls_->start(host->spec().name));
+            for (const auto& e : edges_)
+                if (e->running && e->tls) uv_process_kill(&e->process, SIGHUP);
+        });
+}
+
 void Rehearsal::begin_trouble(const Trouble& t) {
     const auto each = [&](const std::function<void(EngineHost&)>& begin,
                           const std::function<void(EngineHost&)>& end) {
@@ -349,6 +428,17 @@
                 });
             }
             break;
+        case TroubleKind::wrong_name:
+            for (const auto& name : victims(t)) {
+                EngineHost* host = fleet_->find(name);
+                tls_->misname(name, "elsewhere.engines.example.org");
+                kill(name, std::chrono::milliseconds(100));
+                after(t.lasts, [this, host, name] {
+                    tls_->misname(name, "");
+                    host->show(tls_->start(name));
+                });
+            }
+            break;
         case TroubleKind::hang:
             each([](EngineHost& h) { h.model().set_paused(net::uv_now_time(), true); },
                  [](EngineHost& h) { h.model().set_paused(net::uv_now_time(), false); });
@@ -408,10 +498,22 @@
     }
 }
 
+TlsFigures& TlsFigures::operator+=(const TlsFigures& other) {
+    handshakes += other.handshakes;
+    resumed += other.resumed;
+    failed += other.failed;
+    replaced += other.replaced;
+    refused += other.refused;
+    most_waiting = std::max(most_waiting, other.most_waiting);
+    return *this;
+}
+
 RehearsalResult Rehearsal::run() {
     const Time begin = net::uv_now_time();
+    begun_ = begin;
     load_->begin(begin);
     schedule_troubles();
+    schedule_tls();
     const Time end = begin + scenario_.length;
     while (net::uv_now_time() < end) {
         turn();
@@ -427,6 +529,8 @@
     // What the gateways still let go of is recorded too.
     const Time rest = net::uv_now_time() + std::chrono::seconds(1);
     while (net::uv_now_time() < rest) turn();
+    look_at_edges();
+    turn_until([&] { return pages_.empty(); }, std::chrono::seconds(10), "the edges' last figures");
     stop_edges();
     recorder_.flush();
 
@@ -442,6 +546,25 @@
     out.retries = load_->figures().retries;
     out.first_token_p50_ms = quantile(load_->figures().first_token_ms, 0.5);
     out.first_token_p99_ms = quantile(load_->figures().first_token_ms, 0.99);
+    if (tls_ != nullptr) {
+        out.tls.emplace();
+        auto& t = *out.tls;
+        for (const auto& [edge, figures] : tls_figures_) {
+            t.first_minute += figures.first;
+            t.seen += figures.second;
+        }
+        t.busiest_second = tls_busiest_;
+        auto all = tally(recorder_.all());
+        for (const auto& e : edges_) {
+            auto& one = all[e->name];
+            auto& side = e->tls ? t.verified : t.clear;
+            side.asked += one.asked;
+            side.failed += one.failed;
+            side.broken += one.broken;
+            side.first_token_ms.insert(side.first_token_ms.end(), one.first_token_ms.begin(),
+                                       one.first_token_ms.end());
+        }
+    }
     for (const auto& e : edges_) out.edges_well = out.edges_well && e->exit_status == 0;
     return out;
 }
--- a/lab/shell/rehearsal.hpp
+++ b/lab/shell/rehearsal.hpp
@@ -8,12 +8,14 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
 #include "net/http_pool.hpp"
 #include "record/checker.hpp"
 #include "record/record.hpp"
+#include "record/tally.hpp"
 #include "scenario/scenario.hpp"
 #include "shell/engine_host.hpp"
 #include "shell/load.hpp"
@@ -25,12 +27,31 @@
     std::string folder;  // for records, settings and logs; made if it is not there
 };
 
+// What edges that speak TLS to the engines say of it.
+struct TlsFigures {
+    double handshakes = 0;
+    double resumed = 0;
+    double failed = 0;
+    double replaced = 0;  // sets of files
+    double refused = 0;
+    double most_waiting = 0;  // for a handshake, at one edge
+    TlsFigures& operator+=(const TlsFigures& other);
+};
+struct TlsResult {
+    TlsFigures seen;
+    TlsFigures first_minute;
+    double busiest_second = 0;  // handshakes begun, at one edge
+    GatewayTally verified;      // of the edges that speak TLS, and of the others
+    GatewayTally clear;
+};
+
 struct RehearsalResult {
     Verdict5 verdict;
     std::size_t clients = 0;
     std::size_t retries = 0;
     double first_token_p50_ms = 0;
     double first_token_p99_ms = 0;
+    std::optional<TlsResult> tls;
     bool edges_well = true;  // each ended by SIGTERM with exit code 0
     // One JSON object.
     [[nodiscard]] std::string format() const;
@@ -53,7 +74,7 @@
 private:
     struct EdgeProcess;
     void on_head(net::HttpPool::Call call, int status, http::Headers headers) override;
-    void on_body(net::HttpPool::Call, std::string) override {}
+    void on_body(net::HttpPool::Call call, std::string bytes) override;
     void on_done(net::HttpPool::Call call) override;
     void on_failed(net::HttpPool::Call call, engine::Ending ending, std::string detail) override;
 
@@ -63,17 +84,21 @@
     void turn_until(const std::function<bool()>& done, Duration most, const std::string& what);
     void after(Duration delay, std::function<void()> act);
     void schedule_troubles();
+    void schedule_tls();
+    void look_at_edges();
+    void take_page(const std::string& edge, const std::string& page);
     void begin_trouble(const Trouble& trouble);
     [[nodiscard]] std::vector<std::string> victims(const Trouble& trouble);
     void list(const std::string& server, const std::string& state);  // after the list's lag
     void kill(const std::string& server, Duration lasts);
     void push_list(std::size_t edge, bool complete);
-    [[nodiscard]] std::string entry_json(const std::string& server) const;
+    [[nodiscard]] std::string entry_json(const std::string& server, bool tls) const;
 
     uv_loop_t& loop_;
     Scenario scenario_;
     RehearsalPaths paths_;
     Recorder recorder_;
+    std::unique_ptr<FleetTls> tls_;  // nullptr: all in the clear
     std::unique_ptr<EngineFleet> fleet_;
     std::unique_ptr<Load> load_;
     std::unique_ptr<net::HttpPool> admin_;
@@ -89,6 +114,10 @@
     Duration lag_{};
     std::map<net::HttpPool::Call, std::pair<std::string, std::vector<std::pair<std::string, Listed>>>>
         pushes_;
+    std::map<net::HttpPool::Call, std::pair<std::string, std::string>> pages_;  // edges' figures, coming in
+    std::map<std::string, std::pair<TlsFigures, TlsFigures>> tls_figures_;  // of the first minute; the last
+    double tls_busiest_ = 0;
+    Time begun_{};
     std::uint64_t last_push_ = 0;
     std::mt19937_64 random_;
     bool interrupted_ = false;
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -626,6 +626,7 @@
             heavy_factor_ = t.factor;
             later([this] { heavy_part_ = 0; });
             break;
+        case TroubleKind::wrong_name: break;  // there is no TLS in virtual time
         case TroubleKind::give_up:
             give_up_ = t.part;
             later([this] { give_up_ = 0; });
