Prefix index: blocks by their text, engines' event batches, gaps and restarts

- prefix/events: vLLM's batches from msgpack, bounded in bytes, events, arrays and depth; wrong ones are refused whole.
- prefix/feed: lost, doubled and reordered batches, replays that fill a gap or can't, a new process on the same address.
- prefix/index: a block's key is a hash of its text under its parent's, so engines with hashes and block sizes of their own share one tree and a prompt needs no tokenizer.
So many blocks of each engine, the oldest go.

--- /dev/null
+++ b/tests/fuzz/prefix_fuzz.cpp
@@ -0,0 +1,53 @@
+// Bytes of an engine into the prefix index: any payload, any order of sequences. Nothing may break, and after
+// a forget nothing may be left.
+#include <cstdint>
+#include <cstdlib>
+#include <string>
+#include <string_view>
+
+#include "prefix/feed.hpp"
+#include "prefix/index.hpp"
+
+using namespace chalksail::prefix;
+
+extern "C" int LLVMFuzzerTestOneInput(const std::uint8_t* data, std::size_t size) {
+    const auto text = [](Token token, std::string& out) {
+        if (token == 0) return false;
+        out += static_cast<char>('a' + token % 3);
+        if (token % 5 == 0) out += "and more";
+        return true;
+    };
+    Index index(text, {4, 50, 64, 256});
+    const auto a = index.add("m"), b = index.add("m");
+    Feed feed(8);
+    std::string_view rest(reinterpret_cast<const char*>(data), size);
+    while (rest.size() > 2) {
+        const auto what = static_cast<unsigned char>(rest[0]);
+        const auto length = std::min<std::size_t>(static_cast<unsigned char>(rest[1]), rest.size() - 2);
+        const auto payload = rest.substr(2, length);
+        rest.remove_prefix(2 + length);
+        auto batch = decode(payload);
+        if (!batch) {
+            if (batch.error().empty()) std::abort();
+            continue;
+        }
+        // What comes out goes in again, the same.
+        const auto again = decode(encode(*batch));
+        if (!again || again->events.size() != batch->events.size()) std::abort();
+        for (const auto& e : batch->events) index.apply(b, e);
+        Feed::Act act;
+        if (what < 200) act = feed.published(what % 16, std::move(*batch));
+        else if (what < 240) act = feed.replayed(what % 16, std::move(*batch));
+        else if (what < 250) act = feed.replay_ended();
+        else act = feed.restarted();
+        if (act.forget) index.forget(a);
+        for (const auto& one : act.apply)
+            for (const auto& e : one.events) index.apply(a, e);
+        for (const auto& h : index.held("m", "abcabcabcaand moreb"))
+            if (h.tokens == 0 || h.bytes > 19) std::abort();
+    }
+    index.remove(a);
+    index.remove(b);
+    if (index.blocks() != 0 || index.nodes() != 0) std::abort();
+    return 0;
+}
--- /dev/null
+++ b/tests/prefix/events_test.cpp
@@ -0,0 +1,101 @@
+// vLLM's event batches from bytes: what is taken, and what is refused with a word on why.
+#include "prefix/events.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chalksail::prefix {
+namespace {
+
+using namespace std::string_literals;
+
+TEST(Events, ThereAndBack) {
+    Batch batch;
+    batch.ts = 12.5;
+    batch.events.emplace_back(BlockStored{{1, 0xfedcba9876543210}, 7, {1, 2, 3, 4}, 2, false});
+    batch.events.emplace_back(BlockStored{{3}, std::nullopt, {9}, 1, true});
+    batch.events.emplace_back(BlockRemoved{{1}});
+    batch.events.emplace_back(AllBlocksCleared{});
+    const auto out = decode(encode(batch));
+    ASSERT_TRUE(out) << out.error();
+    EXPECT_EQ(out->ts, 12.5);
+    ASSERT_EQ(out->events.size(), 4U);
+    const auto& s = std::get<BlockStored>(out->events[0]);
+    EXPECT_EQ(s.blocks, (std::vector<EngineHash>{1, 0xfedcba9876543210}));
+    EXPECT_EQ(s.parent, 7U);
+    EXPECT_EQ(s.tokens, (std::vector<Token>{1, 2, 3, 4}));
+    EXPECT_TRUE(std::get<BlockStored>(out->events[1]).adapted);
+    EXPECT_FALSE(std::get<BlockStored>(out->events[1]).parent);
+    EXPECT_EQ(std::get<BlockRemoved>(out->events[2]).blocks, std::vector<EngineHash>{1});
+}
+
+// Bytes as vLLM's encoder writes them: array-like structs, byte-string hashes, fields of later versions.
+TEST(Events, BytesOfTheirOwnEncoder) {
+    const std::string bytes =
+        "\x93\xcb\x40\x29\x00\x00\x00\x00\x00\x00"  // [12.5,
+        "\x92"                                      // [
+        "\x97\xab"
+        "BlockStored"
+        "\x91\xc4\x02"
+        "ab"
+        "\xc0"  //  ["BlockStored", [b"ab"], nil,
+        "\x92\x05\x06\x02\xc0\xa3"
+        "GPU"  //   [5, 6], 2, nil, "GPU"],
+        "\x92\xa9"
+        "Surprises\x01"  //  ["Surprises", 1]
+        "\x00"s;         // ], 0]
+    const auto out = decode(bytes);
+    ASSERT_TRUE(out) << out.error();
+    ASSERT_EQ(out->events.size(), 1U);
+    EXPECT_EQ(out->unknown, 1U);
+    EXPECT_EQ(std::get<BlockStored>(out->events[0]).tokens, (std::vector<Token>{5, 6}));
+}
+
+TEST(Events, WrongBytesAreRefusedWhole) {
+    const std::pair<std::string, std::string> all[] = {
+        {"", "batch"},
+        {"\xc1", "batch"},      // never used in msgpack
+        {"\x93\x01", "batch"},  // cut
+        {"\x01", "batch: not an array"},
+        {"\x92\x01\x90\x00"s, "bytes after"},
+        {"\x92\xa1x\x90", "no time"},
+        {"\x92\x01\x91\x90", "event: too short"},
+        {"\x92\x01\x91\x91\x01", "event: no name"},
+        {"\x92\x01\x91\x92\xac"
+         "BlockRemoved\x91\xcb\x40\x29\x00\x00\x00\x00\x00\x00"s,
+         "block hash"},
+        {"\x92\x01\x91\x91\xac"
+         "BlockRemoved",
+         "too short"},
+        {"\x92\x01\x91\x95\xab"
+         "BlockStored\x91\x01\xc0\x91\x05\x00"s,
+         "block size"},
+        {"\x92\x01\x91\x95\xab"
+         "BlockStored\x91\x01\xc0\x91\x05\x02",
+         "do not fill"},
+        {"\x92\x01\x91\x95\xab"
+         "BlockStored\x91\x01\xc0\x91\xff\x01",
+         "token id"},
+        {"\xdd\xff\xff\xff\xff", "batch"},             // four milliards of elements, announced
+        {std::string(100, '\x91') + '\x90', "batch"},  // too deep
+    };
+    for (const auto& [bytes, word] : all) {
+        const auto out = decode(bytes);
+        ASSERT_FALSE(out) << word;
+        EXPECT_NE(out.error().find(word), std::string::npos) << out.error() << " for " << word;
+    }
+    DecodeLimits tight;
+    tight.bytes = 10;
+    EXPECT_FALSE(decode(encode({1, {BlockRemoved{{1, 2, 3}}}, 0}), tight));
+    tight = {};
+    tight.events = 1;
+    EXPECT_FALSE(decode(encode({1, {AllBlocksCleared{}, AllBlocksCleared{}}, 0}), tight));
+}
+
+TEST(Events, Sequences) {
+    EXPECT_EQ(decode_sequence(encode_sequence(0x0102030405060708)), 0x0102030405060708U);
+    EXPECT_EQ(encode_sequence(1), "\0\0\0\0\0\0\0\1"s);
+    EXPECT_FALSE(decode_sequence("short"));
+}
+
+}  // namespace
+}  // namespace chalksail::prefix
