Known kept text reaches the module: cache events in the core, told in place of its guess

- prefix/knowledge: one feed and index place for each server; a server whose reads find less than it says is not believed until they bear it out.
The core follows the list, asks for replays, gives up on them in time, and forgets a server that starts anew.
- Stand-in engines keep prompts in blocks of 16 tokens, drop the ends of chains first, and tell of both: an index fed with it agrees to the token with what 300 reads find.

--- a/include/chalksail/chalksail.hpp
+++ b/include/chalksail/chalksail.hpp
@@ -116,6 +116,11 @@
     ListScope scope = ListScope::complete;
     std::vector<ServerEntry> entries;
 };
+// Tokens of this request's prompt, from its beginning, that a server holds.
+struct KnownPrefix {
+    ServerId server;
+    double tokens = 0;
+};
 struct Arrived {
     RequestId id;
     std::string class_name;
@@ -127,6 +132,8 @@
     double prompt_tokens = 0;
     double shared_tokens = 0;
     double max_output = 0;  // zero: not told
+    // By servers whose cache is told (PrefixesTold); one of them that is not here holds nothing of it.
+    std::vector<KnownPrefix> known;
     bool retry = false;
     bool again = false;
 };
@@ -164,12 +171,17 @@
     Duration taken{};
     std::vector<double> report;
 };
+// From now on a server's kept text is told with each request, or again left to the module's own guess.
+struct PrefixesTold {
+    ServerId server;
+    bool told = false;
+};
 struct PeerMessage {
     std::int64_t from = 0;
     std::string hex;
 };
 using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, SeatAnswer, ClientGone,
-                           TimerFired, ProbeEnded, PeerMessage>;
+                           TimerFired, ProbeEnded, PrefixesTold, PeerMessage>;
 
 // ---- actions: what the gateway does ----
 
--- a/lab/model/engine.cpp
+++ b/lab/model/engine.cpp
@@ -87,23 +87,44 @@
 }
 
 void EngineModel::keep(const Job& job) {
-    double before = 0;
-    for (const auto& b : job.blocks) {
-        const double own = std::max(0.0, b.tokens - before);
-        before = b.tokens;
+    // From the end to the beginning, so that what is dropped first is the end of a chain, never its root.
+    std::size_t fresh_from = job.blocks.size();
+    for (std::size_t i = job.blocks.size(); i-- > 0;) {
+        const auto& b = job.blocks[i];
         if (const auto it = kept_.find(b.hash); it != kept_.end()) {
             kept_order_.splice(kept_order_.end(), kept_order_, it->second);
             continue;
         }
-        kept_order_.push_back({b.hash, own});
+        fresh_from = i;
+        const double own = std::max(0.0, b.tokens - (i == 0 ? 0 : job.blocks[i - 1].tokens));
+        kept_order_.push_back({b.hash, own, {}});
         kept_[b.hash] = std::prev(kept_order_.end());
         kept_total_ += own;
     }
+    if (spec_.publishes && fresh_from < job.blocks.size()) {
+        prefix::BlockStored e;
+        e.block_size = kBlockTokens;
+        if (fresh_from > 0) e.parent = job.blocks[fresh_from - 1].hash;
+        for (std::size_t i = fresh_from; i < job.blocks.size(); ++i) {
+            const auto& b = job.blocks[i];
+            e.blocks.push_back(b.hash);
+            for (std::size_t t = 0; t < b.text.size(); t += 4) {
+                prefix::Token token = 0;
+                for (std::size_t j = 0; j < 4; ++j)
+                    token = token << 8U | static_cast<unsigned char>(b.text[t + j]);
+                e.tokens.push_back(token);
+            }
+        }
+        cache_events_.emplace_back(std::move(e));
+    }
+    prefix::BlockRemoved removed;
     while (kept_total_ > spec_.kept_tokens && !kept_order_.empty()) {
         kept_total_ -= kept_order_.front().tokens;
+        removed.blocks.push_back(kept_order_.front().hash);
         kept_.erase(kept_order_.front().hash);
         kept_order_.pop_front();
     }
+    if (spec_.publishes && !removed.blocks.empty()) cache_events_.emplace_back(std::move(removed));
 }
 
 Duration EngineModel::interval(Time now) const {
@@ -258,6 +279,7 @@
     kept_order_.clear();
     kept_.clear();
     kept_total_ = 0;
+    cache_events_.clear();
     pressure_.clear();
     pending_.clear();
 }
--- a/lab/model/engine.hpp
+++ b/lab/model/engine.hpp
@@ -16,9 +16,11 @@
 #include <set>
 #include <string>
 #include <unordered_map>
+#include <utility>
 #include <vector>
 
 #include "model/text.hpp"
+#include "prefix/events.hpp"
 
 namespace chalksail::lab {
 
@@ -40,6 +42,7 @@
     double fall_multiple = 3;
     Duration fall_window = std::chrono::seconds(2);
     Duration state_ttl = std::chrono::seconds(30);  // a state that nobody fetches is dropped then
+    bool publishes = false;                         // cache events, of what it keeps
     bool read_in_place = true;                      // decode: a request without a state is read here
 };
 
@@ -108,6 +111,8 @@
     [[nodiscard]] std::size_t running() const { return reads_.size() + writes_.size(); }
     [[nodiscard]] std::size_t waiting() const { return queue_.size(); }
     [[nodiscard]] double memory_share() const;
+    // What has been kept and dropped since this was last asked; nothing unless it publishes.
+    [[nodiscard]] std::vector<prefix::Event> take_cache_events() { return std::exchange(cache_events_, {}); }
 
 private:
     struct Running {
@@ -148,6 +153,7 @@
     std::list<PrefixBlock> kept_order_;
     std::unordered_map<std::uint64_t, std::list<PrefixBlock>::iterator> kept_;
     double kept_total_ = 0;
+    std::vector<prefix::Event> cache_events_;
     struct Press {
         Time at{};
         double work = 0;
--- a/lab/model/text.cpp
+++ b/lab/model/text.cpp
@@ -46,13 +46,14 @@
 }
 
 std::vector<PrefixBlock> prefix_blocks(const std::vector<std::string>& messages) {
+    constexpr std::size_t bytes = kBlockTokens * static_cast<std::size_t>(kBytesPerToken);
+    std::string text;
+    for (const auto& m : messages) text += m;
     std::vector<PrefixBlock> out;
     std::uint64_t hash = 0;
-    std::size_t bytes = 0;
-    for (const auto& m : messages) {
-        hash = mix(hash, XXH3_64bits(m.data(), m.size()));
-        bytes += m.size();
-        out.push_back({hash, count_tokens(bytes)});
+    for (std::size_t at = 0; at + bytes <= text.size(); at += bytes) {
+        hash = mix(hash, XXH3_64bits(text.data() + at, bytes));
+        out.push_back({hash, static_cast<double>((at / bytes + 1) * kBlockTokens), text.substr(at, bytes)});
     }
     return out;
 }
--- a/lab/model/text.hpp
+++ b/lab/model/text.hpp
@@ -19,13 +19,16 @@
 [[nodiscard]] std::string answer_text(std::uint64_t key, std::size_t tokens);
 
 // The engines' tokenizer: one token for so many bytes of the messages.
-inline constexpr double kBytesPerToken = 4.5;
+inline constexpr double kBytesPerToken = 4;
 [[nodiscard]] double count_tokens(std::size_t bytes);
 
-// Hashes of a prompt's beginnings, one for each message, with the tokens up to its end: what an engine keeps.
+// A prompt in blocks of sixteen tokens, as engines keep it: the hash of all up to its end, with the tokens so
+// far, and its own text. What is left over at the end is in none.
+inline constexpr std::size_t kBlockTokens = 16;
 struct PrefixBlock {
     std::uint64_t hash = 0;
     double tokens = 0;
+    std::string text;
 };
 [[nodiscard]] std::vector<PrefixBlock> prefix_blocks(const std::vector<std::string>& messages);
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -38,6 +38,15 @@
         one(top, "gateways", [&](Block& b) { gateways(b); });
         one(top, "rules", [&](Block& b) { rules(b); });
         one(top, "limits", [&](Block& b) { limits(b); });
+        one(top, "cache-events", [&](Block& b) {
+            CacheEvents& c = out_.cache_events;
+            std::size_t choice = 0;
+            if (b.word("vocabulary", {"four-bytes"}, choice)) c.vocabulary = static_cast<Vocabulary>(choice);
+            b.whole("blocks-per-server", c.blocks_per_server, 1, 100'000'000);
+            b.whole("held-batches", c.held_batches, 1, 1'000'000);
+            b.size("message", c.message_bytes);
+            b.duration("replay-timeout", c.replay_timeout);
+        });
         one(top, "costs", [&](Block& b) {
             b.real("far", out_.module.far_price, 0, 1e6);
             b.real("cross-zone", out_.module.cross_zone_price, 0, 1e6);
@@ -235,6 +244,7 @@
         b.real("memory-tokens", k.memory_tokens, 0, 1e12);
         b.wholes("not-run-status", more.not_run_statuses, 400, 599);
         b.flag("release", more.release);
+        b.flag("cache-events", more.cache_events);
         b.each("tls", 0, [&](const kdl::Node& t) { server_tls(t, more.tls); });
         b.done();
         out_.module.kinds.push_back(std::move(k));
@@ -260,7 +270,8 @@
     }
 
     void server(const kdl::Node& n) {
-        const Properties p(n, {"kind", "zone", "cell", "weight", "address"}, 1, problems_);
+        const Properties p(n, {"kind", "zone", "cell", "weight", "address", "events", "replay"}, 1,
+                           problems_);
         ServerConfig s;
         s.name = name_of(n);
         s.kind = p.text("kind");
@@ -271,6 +282,13 @@
         if (!address || address->port == 0)
             problems_.add(n.place, "server '" + s.name + "' needs address=\"IP:PORT\"");
         else s.address = *address;
+        for (const auto& [name, place] : {std::pair{"events", &s.events}, std::pair{"replay", &s.replay}}) {
+            const auto text = p.text(name);
+            if (text.empty()) continue;
+            *place = parse_address(text);
+            if (!*place || (*place)->port == 0)
+                problems_.add(n.place, "server '" + s.name + "': " + name + "= must be \"IP:PORT\"");
+        }
         if (!server_names_.insert(s.name).second)
             problems_.add(n.place, "server '" + s.name + "' is given twice");
         if (!n.children.empty()) problems_.add(n.place, "'server' has no children");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -41,6 +41,7 @@
     std::vector<int> not_run_statuses;  // an engine of this kind answers so only what it has not run
     bool release = true;                // it lets go of states when asked
     std::optional<TlsConfig> tls;       // none: in the clear
+    bool cache_events = false;          // its engines publish what they keep
 };
 // TLS from clients. The first certificate is shown to a client that names none of them.
 struct ListenerTls {
@@ -55,6 +56,15 @@
     std::string name;
     std::vector<std::string> keys;
 };
+// How token ids in engines' cache events become text.
+enum class Vocabulary { four_bytes };  // an id is four bytes of text, the first the highest
+struct CacheEvents {
+    Vocabulary vocabulary = Vocabulary::four_bytes;
+    std::int64_t blocks_per_server = 20'000;
+    std::int64_t held_batches = 1'024;  // of one server, while a replay is under way
+    std::size_t message_bytes = 4 * 1024 * 1024;
+    Duration replay_timeout = std::chrono::seconds(1);
+};
 enum class LoadSource { none, headers, metrics };
 
 struct ServerConfig {
@@ -64,6 +74,8 @@
     std::int64_t cell = 0;
     double weight = 1;
     Address address;
+    std::optional<Address> events;  // where it publishes its cache events, and replays past ones
+    std::optional<Address> replay;
 };
 
 struct EdgeLimits {
@@ -100,6 +112,7 @@
     std::uint64_t seed = 0;  // 0: drawn at the start
     Address listen{"127.0.0.1", 0};
     Address admin{"127.0.0.1", 0};
+    CacheEvents cache_events;
     std::optional<ListenerTls> listener_tls;  // none: clients speak in the clear
     EdgeLimits limits;
     std::vector<ClassConfig> classes;   // beside module.classes, in the same order
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -63,6 +63,7 @@
     std::int64_t chunks = 0;
     std::unique_ptr<chat::Collector> collector;  // where the client wants one object
     Time due{};
+    std::vector<KnownPrefix> claims;  // by all servers, also by those not believed
     std::string last_outcome;
     std::string trail;
 };
@@ -94,7 +95,16 @@
     : settings_(settings),
       brain_(settings.module, settings.seed),
       tokens_(settings.module.classes.size(), settings.tokens_per_byte),
-      verification_({settings.limits.unverified_pause, settings.limits.unverified_longest}) {}
+      verification_({settings.limits.unverified_pause, settings.limits.unverified_longest}) {
+    const bool any = std::any_of(settings_.kinds.begin(), settings_.kinds.end(),
+                                 [](const auto& k) { return k.cache_events; });
+    if (!any) return;
+    prefix::Knowledge::Limits limits;
+    limits.index.blocks_each = static_cast<std::size_t>(settings_.cache_events.blocks_per_server);
+    limits.decode.bytes = settings_.cache_events.message_bytes;
+    limits.held_batches = static_cast<std::size_t>(settings_.cache_events.held_batches);
+    prefixes_ = std::make_unique<prefix::Knowledge>(engine::four_bytes_of, limits);
+}
 Edge::~Edge() = default;
 
 std::vector<Output> Edge::step(Time now, std::vector<Input> inputs) {
@@ -121,11 +131,18 @@
     if (!call_due_.empty()) want(call_due_.begin()->first);
     if (!wakes_.empty()) want(wakes_.begin()->first);
     if (const auto trial = verification_.next()) want(*trial);
+    for (const auto& [server, at] : replays_) want(at);
     return out;
 }
 
 Gauges Edge::gauges() const {
-    return {unanswered_, started_, calls_.size(), held_, brain_.tracked_requests(), verification_.count()};
+    return {unanswered_,
+            started_,
+            calls_.size(),
+            held_,
+            brain_.tracked_requests(),
+            verification_.count(),
+            prefixes_ == nullptr ? prefix::Knowledge::Counts{} : prefixes_->counts()};
 }
 
 std::vector<ListedServer> Edge::listed() const {
@@ -241,6 +258,11 @@
     arrived.shared_tokens = std::floor(tokens_.tokens(r.in.cls, r.in.chat.prefix_bytes));
     arrived.max_output = r.in.chat.max_output;
     arrived.retry = r.in.retry;
+    if (prefixes_ != nullptr) {
+        r.claims = claims(r);
+        for (const auto& c : r.claims)
+            if (prefixes_->told(c.server.value)) arrived.known.push_back(c);
+    }
     events_.emplace_back(std::move(arrived));
 
     by_client_[client.value] = r.id;
@@ -440,6 +462,12 @@
     ended.finished = r.answered || r.started || judged.clients_fault;
     if (read_answer) {
         ended.remark = read_answer->cached_tokens;
+        const auto claim = std::find_if(r.claims.begin(), r.claims.end(),
+                                        [&](const auto& c) { return c.server.value == call.server; });
+        if (claim != r.claims.end()) {
+            prefixes_->observed(call.server, claim->tokens, read_answer->cached_tokens);
+            tell_prefixes();
+        }
         if (read_answer->prompt_tokens > 0) {
             r.told_prompt_tokens = read_answer->prompt_tokens;
             tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, read_answer->prompt_tokens);
@@ -568,6 +596,7 @@
             event.entries.back().state = ServerState::draining;
     }
     events_.emplace_back(std::move(event));
+    if (prefixes_ != nullptr) follow_caches();
     // What still waits for a connection to a server that drains, is gone, or has started anew does not go
     // out.
     for (const auto& [id, s] : servers_)
@@ -593,6 +622,69 @@
     }
 }
 
+// ================= what servers keep =================
+
+void Edge::on(const CacheMessage& in) {
+    if (prefixes_ == nullptr) return;
+    const auto from = prefixes_->message(in.server, in.sequence, in.payload, in.replayed);
+    if (from) {
+        replays_[in.server] = now_ + settings_.cache_events.replay_timeout;
+        emit(CacheReplay{in.server, *from});
+    }
+    tell_prefixes();
+}
+
+void Edge::on(const CacheReplayEnded& in) {
+    if (prefixes_ == nullptr || replays_.erase(in.server) == 0) return;
+    prefixes_->replay_ended(in.server);
+    tell_prefixes();
+}
+
+// Follows the list: who is in service and publishes is heard.
+void Edge::follow_caches() {
+    std::map<std::string, std::pair<Address, std::optional<Address>>> wanted;
+    for (const auto& [id, s] : servers_) {
+        const auto* kind = kind_config(s.entry.kind);
+        if (kind == nullptr || !kind->cache_events || !s.events || s.entry.state == ServerState::removed)
+            continue;
+        prefixes_->listed(id.value, s.entry.kind, s.entry.born);
+        wanted[id.value] = {*s.events, s.replay};
+    }
+    for (const auto& [server, at] : followed_) {
+        if (wanted.contains(server)) continue;
+        prefixes_->gone(server);
+        replays_.erase(server);
+        emit(CacheLeave{server});
+    }
+    for (const auto& [server, at] : wanted) {
+        const auto before = followed_.find(server);
+        if (before == followed_.end() || before->second != at) emit(CacheFollow{server, at.first, at.second});
+    }
+    followed_ = std::move(wanted);
+    tell_prefixes();
+}
+
+void Edge::tell_prefixes() {
+    for (auto& change : prefixes_->changes()) {
+        emit(Note{
+            observe::ServerRecord{change.server.value, "cache_events", change.told ? "told" : "guessed"}});
+        events_.emplace_back(std::move(change));
+    }
+}
+
+std::vector<KnownPrefix> Edge::claims(const Open& r) const {
+    const auto messages = std::find_if(r.in.chat.members.begin(), r.in.chat.members.end(),
+                                       [](const auto& m) { return m.name == "messages"; });
+    if (messages == r.in.chat.members.end()) return {};
+    const auto text = engine::prompt_text(
+        std::string_view(r.body).substr(messages->value, messages->end - messages->value));
+    std::vector<KnownPrefix> out;
+    for (const auto& k : settings_.kinds)
+        if (k.cache_events)
+            for (auto& claim : prefixes_->claims(k.name, text)) out.push_back(std::move(claim));
+    return out;
+}
+
 // ================= servers that prove their name =================
 
 void Edge::not_verified(const std::string& server, const std::string& detail) {
@@ -823,6 +915,15 @@
         emit(CallAbort{id});
         end_other(call, Ending::timed_out, "");
     }
+    for (auto it = replays_.begin(); it != replays_.end();) {
+        if (it->second > now_) {
+            ++it;
+            continue;
+        }
+        prefixes_->replay_ended(it->first);
+        it = replays_.erase(it);
+        tell_prefixes();
+    }
     while (!due_.empty() && due_.begin()->first <= now_) {
         const RequestId id = due_.begin()->second;
         Open& r = *find(id);
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -36,6 +36,7 @@
 #include "http/message.hpp"
 #include "membership/verification.hpp"
 #include "observe/record.hpp"
+#include "prefix/knowledge.hpp"
 
 namespace chalksail::core {
 
@@ -78,15 +79,26 @@
 struct ListedServer {
     ServerEntry entry;
     Address address;
+    std::optional<Address> events;  // where it publishes its cache events, if it does; and replays past ones
+    std::optional<Address> replay;
 };
 struct ServerList {
     ListScope scope = ListScope::complete;
     std::vector<ListedServer> servers;
 };
+struct CacheMessage {  // of a server's cache events, or of a replay of past ones
+    std::string server;
+    std::uint64_t sequence = 0;
+    std::string payload;
+    bool replayed = false;
+};
+struct CacheReplayEnded {  // all past ones that it has are in, or it can't be had
+    std::string server;
+};
 struct TrustChanged {};  // what servers are verified against is not what it was
 struct DrainBegins {};   // no new request is taken from now on
 using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallHead, CallBody, CallDone,
-                           CallFailed, ServerList, TrustChanged, DrainBegins>;
+                           CallFailed, ServerList, CacheMessage, CacheReplayEnded, TrustChanged, DrainBegins>;
 
 // ---- effects: what the shell is to do ----
 
@@ -132,11 +144,23 @@
     CallId call;
     bool paused = false;
 };
+struct CacheFollow {  // hear this server's cache events from now on; at other addresses than before, perhaps
+    std::string server;
+    Address events;
+    std::optional<Address> replay;
+};
+struct CacheLeave {
+    std::string server;
+};
+struct CacheReplay {  // past ones, from this sequence on
+    std::string server;
+    std::uint64_t from = 0;
+};
 struct Note {
     observe::Record record;
 };
-using Output =
-    std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, Call, CallAbort, CallSettled, CallFlow, Note>;
+using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, Call, CallAbort, CallSettled,
+                            CallFlow, CacheFollow, CacheLeave, CacheReplay, Note>;
 
 struct Gauges {
     std::size_t open_requests = 0;  // without a final answer
@@ -145,6 +169,7 @@
     std::size_t states_held = 0;
     std::size_t tracked_by_module = 0;
     std::size_t unverified_servers = 0;
+    prefix::Knowledge::Counts prefixes;
 };
 
 class Edge {
@@ -188,6 +213,12 @@
     void on(const ServerList& in);
     void on(const DrainBegins&) { draining_ = true; }
     void on(const TrustChanged&) { verification_.all_changed(now_); }
+    // What servers keep, by their cache events.
+    void on(const CacheMessage& in);
+    void on(const CacheReplayEnded& in);
+    void follow_caches();
+    void tell_prefixes();
+    [[nodiscard]] std::vector<KnownPrefix> claims(const Open& open) const;
     // Servers that did not prove their name: for the module they drain until they do.
     void not_verified(const std::string& server, const std::string& detail);
     void verified(const std::string& server);
@@ -240,6 +271,9 @@
     std::map<CallId, Outgoing> calls_;
     std::map<ServerId, ListedServer> servers_;
     membership::Verification verification_;
+    std::unique_ptr<prefix::Knowledge> prefixes_;  // nullptr: no kind publishes cache events
+    std::map<std::string, std::pair<Address, std::optional<Address>>> followed_;
+    std::map<std::string, Time> replays_;  // under way, and when they have taken too long
     std::set<std::pair<Time, RequestId>> due_;
     std::set<std::pair<Time, CallId>> call_due_;  // let-go calls and probes
     std::multimap<Time, TimerId> wakes_;
--- a/src/engine/protocol.cpp
+++ b/src/engine/protocol.cpp
@@ -182,4 +182,18 @@
     return out;
 }
 
+bool four_bytes_of(std::uint32_t token, std::string& out) {
+    if (token == 0) return false;
+    for (int i = 3; i >= 0; --i) out += static_cast<char>(token >> (8 * i));
+    return true;
+}
+
+std::string prompt_text(std::string_view messages) {
+    json::Document doc;
+    std::string out;
+    if (!json::parse(messages, doc) || !doc.IsArray()) return out;
+    for (const auto& m : doc.GetArray()) out += json::dump(m);
+    return out;
+}
+
 }  // namespace chalksail::engine
--- a/src/engine/protocol.hpp
+++ b/src/engine/protocol.hpp
@@ -75,4 +75,10 @@
 // A Prometheus text page. Several series of a name (data-parallel ranks) add up; shares average.
 [[nodiscard]] Load parse_metrics_page(std::string_view page);
 
+// A token's text where an id is four bytes of it, the first the highest. False: none has the id 0.
+bool four_bytes_of(std::uint32_t token, std::string& out);
+// The text of a prompt whose blocks engines name in their cache events: its messages as JSON without white
+// space, one after the other. `messages`: the array as it stands in the body; empty for other text.
+[[nodiscard]] std::string prompt_text(std::string_view messages);
+
 }  // namespace chalksail::engine
--- a/src/net/admin.cpp
+++ b/src/net/admin.cpp
@@ -56,6 +56,12 @@
         const auto address = parse_address(json::text(json::find(item, "address")));
         if (!address || address->port == 0) return bad("'address' must be IP:PORT");
         s.address = *address;
+        for (const auto& [key, place] : {std::pair{"events", &s.events}, std::pair{"replay", &s.replay}}) {
+            const auto text = json::text(json::find(item, key));
+            if (text.empty()) continue;
+            *place = parse_address(text);
+            if (!*place || (*place)->port == 0) return bad(std::string("'") + key + "' must be IP:PORT");
+        }
         out.servers.push_back(std::move(s));
     }
     return out;
@@ -75,6 +81,8 @@
             .text("state", s.entry.state == ServerState::up         ? "up"
                            : s.entry.state == ServerState::draining ? "draining"
                                                                     : "removed");
+        if (s.events) item.text("events", format_address(*s.events));
+        if (s.replay) item.text("replay", format_address(*s.replay));
         if (s.entry.born != Time{})
             item.whole("started_unix_ms", std::chrono::duration_cast<std::chrono::milliseconds>(
                                               s.entry.born.time_since_epoch() - offset.value)
@@ -95,6 +103,8 @@
         listed.entry.cell = s.cell;
         listed.entry.weight = s.weight;
         listed.address = s.address;
+        listed.events = s.events;
+        listed.replay = s.replay;
         out.servers.push_back(std::move(listed));
     }
     sink.take(std::move(out));
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -98,6 +98,8 @@
         }
         Request r;
         r.in = in;
+        std::sort(r.in.known.begin(), r.in.known.end(),
+                  [](const auto& a, const auto& b) { return a.server < b.server; });
         r.cls = static_cast<std::size_t>(cls - s_.classes.begin());
         r.deadline = now_ + in.time_left;
         r.aim = now_ + std::min(in.time_left, cls->aim + from_seconds(seconds(cls->aim_per_1000_tokens) *
@@ -282,7 +284,16 @@
         const auto it = s.kept.find(key);
         return it == s.kept.end() ? 0 : it->second.first;
     }
+    // Exception to the guess: where a server tells what it keeps, that counts, and what it does not name
+    // is not there. Covers text that was evicted, and text that other gateways had it read.
+    static double told_tokens(const Server& s, const Request& r) {
+        const auto it =
+            std::lower_bound(r.in.known.begin(), r.in.known.end(), s.entry.id,
+                             [](const KnownPrefix& k, const ServerId& id) { return k.server < id; });
+        return it != r.in.known.end() && it->server == s.entry.id ? it->tokens : 0;
+    }
     static double fresh_tokens(const Server& s, const Request& r) {
+        if (s.prefixes_told) return std::max(0.0, r.in.prompt_tokens - told_tokens(s, r));
         const double prefix = r.in.prefix.empty() ? 0 : kept_tokens(s, "p" + r.in.prefix);
         const double kept = std::max(prefix, kept_tokens(s, "s" + r.in.session));
         return std::max(0.0, r.in.prompt_tokens - kept);
@@ -354,9 +365,10 @@
         return pick(
             r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
             [&](const Server& s) {
-                // Ties go to the session's own text, then by prefix-key hash, so that it is found again.
+                // Ties go to the session's own text (or what is told), then by prefix-key hash, so that it
+                // is found again.
                 return std::tuple(read_score(s, r), !few && cell_has_room(s, r),
-                                  kept_tokens(s, "s" + r.in.session),
+                                  s.prefixes_told ? told_tokens(s, r) : kept_tokens(s, "s" + r.in.session),
                                   few ? unit(r.in.prefix, s.entry.id.value) >= cut : s.entry.zone == s_.zone,
                                   (few ? tie_weight(s) : 1) / -std::log(unit(key, s.entry.id.value)));
             });
@@ -826,6 +838,7 @@
             if (s.role != Role::prefill) writer_memory_ = std::max(writer_memory_, s.memory);
             s.reported_tokens.reset();
             s.kept.clear();
+            s.prefixes_told = false;
             s.cold_sends.clear();
             s.told_at = now_;
             s.slowness = {};
@@ -854,6 +867,9 @@
     void on(const TimerFired& e) {
         if (e.id == wake_id_) wake_at_.reset();
     }
+    void on(const PrefixesTold& e) {
+        if (Server* s = find(e.server)) s->prefixes_told = e.told;
+    }
     void on(const SeatAnswer&) {}   // no seat is booked
     void on(const PeerMessage&) {}  // none is sent
 
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -84,6 +84,7 @@
     Time told_at{};                                   // that it started
     // Text that this gateway had it read: tokens by session and by prefix, and when.
     std::map<std::string, std::pair<double, Time>> kept;
+    bool prefixes_told = false;  // its kept text comes with each request: no guess
 };
 
 // What the list tells of the servers in service, in all or in one cell.
--- /dev/null
+++ b/src/prefix/knowledge.cpp
@@ -0,0 +1,127 @@
+#include "prefix/knowledge.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chalksail::prefix {
+namespace {
+
+// A read weighs this much of the trust; some five wrong words in a row end it, as many good ones bring it
+// back.
+constexpr double kTrustStep = 0.2;
+constexpr double kTrustLost = 0.4;
+constexpr double kTrustBack = 0.7;
+
+}  // namespace
+
+Knowledge::Knowledge(TokenText text, Limits limits)
+    : limits_(limits), index_(std::move(text), limits.index) {}
+
+void Knowledge::listed(const std::string& server, std::string_view space, Time born) {
+    const auto known = servers_.find(server);
+    if (known != servers_.end() && known->second.space == space) {
+        if (known->second.born == born) return;
+        known->second.born = born;
+        auto act = known->second.feed.restarted();
+        return carry_out(known->second, act);
+    }
+    if (known != servers_.end()) gone(server);
+    Entry e;
+    e.space = space;
+    e.born = born;
+    e.engine = index_.add(space);
+    e.feed = Feed(limits_.held_batches);
+    if (by_engine_.size() <= e.engine) by_engine_.resize(e.engine + 1U);
+    by_engine_[e.engine] = server;
+    servers_.emplace(server, std::move(e));
+}
+
+void Knowledge::gone(const std::string& server) {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) return;
+    if (it->second.told_before) gone_.push_back({{server}, false});
+    index_.remove(it->second.engine);
+    servers_.erase(it);
+}
+
+void Knowledge::carry_out(Entry& e, Feed::Act& act) {
+    if (act.forget) index_.forget(e.engine);
+    for (const auto& batch : act.apply) {
+        counts_.unknown_events += batch.unknown;
+        for (const auto& event : batch.events) index_.apply(e.engine, event);
+    }
+}
+
+std::optional<std::uint64_t> Knowledge::message(const std::string& server, std::uint64_t sequence,
+                                                std::string_view payload, bool replayed) {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) return std::nullopt;
+    counts_.messages += 1;
+    auto batch = decode(payload, limits_.decode);
+    if (!batch) {
+        // As if it had been lost: the sequence shows the gap, and a replay may bring it whole.
+        counts_.bad_messages += 1;
+        last_error_ = server + ": " + batch.error();
+        return std::nullopt;
+    }
+    Feed& feed = it->second.feed;
+    auto act =
+        replayed ? feed.replayed(sequence, std::move(*batch)) : feed.published(sequence, std::move(*batch));
+    carry_out(it->second, act);
+    return act.replay_from;
+}
+
+void Knowledge::replay_ended(const std::string& server) {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) return;
+    auto act = it->second.feed.replay_ended();
+    carry_out(it->second, act);
+}
+
+std::vector<KnownPrefix> Knowledge::claims(std::string_view space, std::string_view text) const {
+    std::vector<KnownPrefix> out;
+    for (const auto& h : index_.held(space, text))
+        out.push_back({{by_engine_[h.engine]}, static_cast<double>(h.tokens)});
+    std::sort(out.begin(), out.end(), [](const auto& a, const auto& b) { return a.server < b.server; });
+    return out;
+}
+
+bool Knowledge::told(const std::string& server) const {
+    const auto it = servers_.find(server);
+    return it != servers_.end() && it->second.believed && it->second.feed.state() != Feed::State::unheard;
+}
+
+void Knowledge::observed(const std::string& server, double claimed, double found) {
+    const auto it = servers_.find(server);
+    if (it == servers_.end() || claimed <= 0) return;
+    Entry& e = it->second;
+    e.trust += kTrustStep * (std::clamp(found / claimed, 0.0, 1.0) - e.trust);
+    if (e.trust < kTrustLost) e.believed = false;
+    if (e.trust > kTrustBack) e.believed = true;
+}
+
+std::vector<PrefixesTold> Knowledge::changes() {
+    std::vector<PrefixesTold> out = std::exchange(gone_, {});
+    for (auto& [name, e] : servers_) {
+        const bool now = e.believed && e.feed.state() != Feed::State::unheard;
+        if (now == e.told_before) continue;
+        e.told_before = now;
+        out.push_back({{name}, now});
+    }
+    return out;
+}
+
+Knowledge::Counts Knowledge::counts() const {
+    Counts out = counts_;
+    out.servers = servers_.size();
+    out.blocks = index_.blocks();
+    for (const auto& [name, e] : servers_) {
+        out.told += told(name) ? 1 : 0;
+        out.gaps += e.feed.counts().gaps;
+        out.unfilled += e.feed.counts().unfilled;
+        out.restarts += e.feed.counts().restarts;
+    }
+    return out;
+}
+
+}  // namespace chalksail::prefix
--- /dev/null
+++ b/src/prefix/knowledge.hpp
@@ -0,0 +1,79 @@
+// What a gateway knows of its servers' kept text: one feed and one place in the index for each server that
+// publishes its cache events, and how far its word is to be trusted. A stale or false word costs speed only.
+//
+// Trust follows what reads find: a server that keeps less than it says is not believed, and is again once its
+// reads bear it out. No I/O, no clock, no randomness. Not thread-safe.
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <map>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "prefix/feed.hpp"
+#include "prefix/index.hpp"
+
+namespace chalksail::prefix {
+
+class Knowledge {
+public:
+    struct Limits {
+        Index::Limits index;
+        DecodeLimits decode;
+        std::size_t held_batches = 1024;  // of one server, while a replay is under way
+    };
+    explicit Knowledge(TokenText text) : Knowledge(std::move(text), Limits{}) {}
+    Knowledge(TokenText text, Limits limits);
+
+    // A server that publishes; `born` as in the list: another one is another process. Nothing where it is
+    // known.
+    void listed(const std::string& server, std::string_view space, Time born);
+    void gone(const std::string& server);
+
+    // One message of its stream, or of a replay. What it wants replayed, if anything.
+    std::optional<std::uint64_t> message(const std::string& server, std::uint64_t sequence,
+                                         std::string_view payload, bool replayed);
+    void replay_ended(const std::string& server);
+
+    // Tokens of this text that each server says it holds, by server; also of those not believed.
+    [[nodiscard]] std::vector<KnownPrefix> claims(std::string_view space, std::string_view text) const;
+    // Is its word to be used, and its silence taken for nothing held?
+    [[nodiscard]] bool told(const std::string& server) const;
+    // A read there found so many of the tokens that were claimed for it.
+    void observed(const std::string& server, double claimed, double found);
+    // Servers whose told() is not what it was when this was last asked.
+    [[nodiscard]] std::vector<PrefixesTold> changes();
+
+    struct Counts {
+        std::uint64_t messages = 0, bad_messages = 0, unknown_events = 0;
+        std::size_t servers = 0, told = 0, blocks = 0;
+        std::uint64_t gaps = 0, unfilled = 0, restarts = 0;
+    };
+    [[nodiscard]] Counts counts() const;
+    // What was wrong with the last message that was refused.
+    [[nodiscard]] const std::string& last_error() const { return last_error_; }
+
+private:
+    struct Entry {
+        std::string space;
+        Time born{};
+        Index::Engine engine = 0;
+        Feed feed;
+        double trust = 1;
+        bool believed = true;
+        bool told_before = false;
+    };
+    void carry_out(Entry& entry, Feed::Act& act);
+
+    Limits limits_;
+    Index index_;
+    std::map<std::string, Entry> servers_;
+    std::vector<std::string> by_engine_;  // names, by their number in the index
+    std::vector<PrefixesTold> gone_;
+    Counts counts_;
+    std::string last_error_;
+};
+
+}  // namespace chalksail::prefix
--- /dev/null
+++ b/tests/core/prefix_test.cpp
@@ -0,0 +1,135 @@
+// Cache events in the core: who is heard, what reaches the module, and what a wrong word costs.
+#include <gtest/gtest.h>
+
+#include "core/driver.hpp"
+#include "prefix/world.hpp"
+
+namespace chalksail::core::testing {
+namespace {
+
+// As the engines render what Driver::ask() sends.
+const std::string kPrompt = R"({"role":"user","content":"Is the jollof ready?"})";
+
+config::EdgeSettings with_events() {
+    auto s = settings();
+    for (auto& k : s.kinds) k.cache_events = k.name == "reader";
+    s.cache_events.replay_timeout = 500ms;
+    return s;
+}
+ListedServer publishes(const std::string& name, std::uint16_t port = 11, Time born = {}) {
+    auto s = listed(name, "reader");
+    s.events = Address{"127.0.0.1", port};
+    s.replay = Address{"127.0.0.1", static_cast<std::uint16_t>(port + 1)};
+    s.entry.born = born;
+    return s;
+}
+CacheMessage holds(const std::string& server, std::uint64_t sequence, double ts, bool replayed = false) {
+    return {server, sequence, prefix::encode({ts, {prefix::testing::stored(kPrompt, 5)}, 0}), replayed};
+}
+template <class T>
+std::vector<T> of(const std::vector<Output>& all) {
+    std::vector<T> out;
+    for (const auto& o : all)
+        if (const auto* one = std::get_if<T>(&o)) out.push_back(*one);
+    return out;
+}
+// Asks, and takes the read to its end there; where it went.
+std::string read_at(Driver& d, std::uint64_t client, int cached = 0) {
+    d.ask("m", R"(,"stream":true)", {}, client);
+    const Call read = d.sent().back();
+    d.now += 20ms;
+    d.give({CallSent{read.call}, CallHead{read.call, 200, {}},
+            CallBody{read.call,
+                     R"({"id":"x","usage":{"prompt_tokens":40,"prompt_tokens_details":{"cached_tokens":)" +
+                         std::to_string(cached) + R"(}},"kv_transfer_params":{"remote_engine_id":"r"}})"},
+            CallDone{read.call}});
+    const Call write = d.sent().back();
+    d.head(write.call);
+    d.body(write.call, chunk("yes") + chat::format_event("[DONE]"));
+    return read.server;
+}
+
+TEST(Prefix, ListSaysWhoIsHeard) {
+    Edge edge(with_events());
+    const auto list = [&](std::vector<ListedServer> servers) {
+        return edge.step(Time(1000s), {ServerList{ListScope::complete, std::move(servers)}});
+    };
+    auto out = list({publishes("r1"), listed("r2", "reader"), listed("w1", "writer")});
+    ASSERT_EQ(of<CacheFollow>(out).size(), 1U);
+    EXPECT_EQ(of<CacheFollow>(out)[0].server, "r1");
+    EXPECT_TRUE(of<CacheFollow>(list({publishes("r1"), listed("w1", "writer")})).empty());
+    EXPECT_EQ(of<CacheFollow>(list({publishes("r1", 21), listed("w1", "writer")})).size(), 1U);  // moved
+    out = list({listed("w1", "writer")});
+    ASSERT_EQ(of<CacheLeave>(out).size(), 1U);
+    EXPECT_EQ(of<CacheLeave>(out)[0].server, "r1");
+}
+
+TEST(Prefix, ReadGoesWhereTheTextIsHeld) {
+    for (const std::string& holder : {std::string("r1"), std::string("r2")}) {
+        Driver d(with_events());
+        d.list({publishes("r1"), publishes("r2"), listed("w1", "writer")});
+        const prefix::Batch none{1, {}, 0};
+        for (const std::string& other : {std::string("r1"), std::string("r2")})
+            if (other != holder) d.give({CacheMessage{other, 0, prefix::encode(none), false}});
+        d.give({holds(holder, 0, 1)});
+        EXPECT_EQ(d.edge.gauges().prefixes.told, 2U);
+        for (std::uint64_t i = 1; i <= 4; ++i) EXPECT_EQ(read_at(d, i, 12), holder);
+        EXPECT_EQ(d.edge.gauges().prefixes.told, 2U);
+        expect_empty(d);
+    }
+}
+
+TEST(Prefix, LiarFallsBackToTheGuess) {
+    Driver d(with_events());
+    d.list({publishes("r1"), listed("w1", "writer")});
+    d.give({holds("r1", 0, 1)});
+    ASSERT_EQ(d.edge.gauges().prefixes.told, 1U);
+    for (std::uint64_t i = 1; i <= 8; ++i) read_at(d, i, 0);  // nothing was kept, whatever it says
+    EXPECT_EQ(d.edge.gauges().prefixes.told, 0U);
+    for (std::uint64_t i = 11; i <= 18; ++i) read_at(d, i, 12);
+    EXPECT_EQ(d.edge.gauges().prefixes.told, 1U);
+}
+
+TEST(Prefix, GapsAreAskedForAndNotWaitedForForEver) {
+    Edge edge(with_events());
+    Time now(1000s);
+    (void)edge.step(now, {ServerList{ListScope::complete, {publishes("r1"), listed("w1", "writer")}}});
+    (void)edge.step(now, {holds("r1", 0, 1)});
+    const auto asked = of<CacheReplay>(edge.step(now, {holds("r1", 3, 4)}));
+    ASSERT_EQ(asked.size(), 1U);
+    EXPECT_EQ(asked[0].from, 1U);
+    ASSERT_EQ(edge.next_wake(), now + 500ms);
+    (void)edge.step(now + 500ms, {});
+    EXPECT_EQ(edge.gauges().prefixes.unfilled, 1U);
+    // The rest of that replay comes too late, and changes nothing.
+    (void)edge.step(now + 600ms, {holds("r1", 1, 2, true), CacheReplayEnded{"r1"}});
+    EXPECT_TRUE(of<CacheReplay>(edge.step(now + 600ms, {holds("r1", 4, 5)})).empty());
+    EXPECT_EQ(edge.gauges().prefixes.gaps, 1U);
+}
+
+// Comes back empty on the same address: the list's word is enough, whatever its old events said.
+TEST(Prefix, ServerThatStartsAnewHoldsNothing) {
+    Driver d(with_events());
+    d.list({publishes("r1"), publishes("r2"), listed("w1", "writer")});
+    d.give({holds("r1", 0, 1)});
+    EXPECT_GT(d.edge.gauges().prefixes.blocks, 0U);
+    d.list({publishes("r1", 11, d.now), publishes("r2"), listed("w1", "writer")});
+    EXPECT_EQ(d.edge.gauges().prefixes.blocks, 0U);
+    EXPECT_EQ(d.edge.gauges().prefixes.told, 0U);
+}
+
+TEST(Prefix, WordsOfStrangersAndGarbageCostNothing) {
+    Driver d(with_events());
+    d.list({publishes("r1"), listed("w1", "writer")});
+    d.give({holds("nobody", 0, 1), CacheMessage{"r1", 0, "\xc1", false}, CacheReplayEnded{"r1"},
+            CacheReplayEnded{"nobody"}});
+    EXPECT_EQ(d.edge.gauges().prefixes.bad_messages, 1U);
+    EXPECT_EQ(read_at(d, 1), "r1");
+    Driver plain;  // no kind publishes: events are not even looked at
+    plain.usual_list();
+    plain.give({holds("r1", 0, 1), CacheReplayEnded{"r1"}});
+    EXPECT_EQ(plain.edge.gauges().prefixes.messages, 0U);
+}
+
+}  // namespace
+}  // namespace chalksail::core::testing
--- a/tests/lab/engine_model_test.cpp
+++ b/tests/lab/engine_model_test.cpp
@@ -1,7 +1,9 @@
 // The stand-in engine: it must fail as engines do, or rehearsals prove nothing.
 #include <gtest/gtest.h>
 
+#include "engine/protocol.hpp"
 #include "model/engine.hpp"
+#include "prefix/index.hpp"
 
 namespace chalksail::lab {
 namespace {
@@ -33,7 +35,7 @@
     j.read = true;
     j.request = "q" + std::to_string(id);
     j.prompt_tokens = tokens;
-    j.blocks = {{id * 1000 + 1, tokens}};
+    j.blocks = {{id * 1000 + 1, tokens, {}}};
     return j;
 }
 Job write_job(JobId id, std::size_t output, double prompt = 10) {
@@ -79,6 +81,47 @@
     EXPECT_EQ(done[0].kept, 800);
 }
 
+// What it publishes is what it keeps: an index fed with it knows to the token what a read will find, through
+// evictions and repeats.
+TEST(EngineModel, PublishedEventsTellWhatAReadFinds) {
+    auto spec = reader();
+    spec.publishes = true;
+    spec.kept_tokens = 40 * kBlockTokens;
+    spec.read_pace = 1e6;
+    EngineModel e(spec);
+    prefix::Index index(engine::four_bytes_of);
+    const auto place = index.add("m");
+    Time now = kStart;
+    (void)e.advance(now);
+    std::size_t known = 0;
+    for (JobId id = 1; id <= 300; ++id) {
+        // Three leading texts, and turns of a few sessions: some beginnings come back, some were evicted.
+        const std::vector<std::string> messages = {
+            std::string(200 + id % 3 * 100, static_cast<char>('a' + id % 3)),
+            std::string(id * 7 % 11 * 64, static_cast<char>('k' + id % 5))};
+        Job j;
+        j.id = id;
+        j.read = true;
+        j.request = "q" + std::to_string(id);
+        j.blocks = prefix_blocks(messages);
+        j.prompt_tokens = 1000;
+        std::uint32_t claimed = 0;
+        for (const auto& h : index.held("m", messages[0] + messages[1])) claimed = h.tokens;
+        ASSERT_EQ(e.submit(now, j, 0.5), Verdict::taken);
+        now += 1s;
+        for (const auto& p : e.advance(now))
+            if (p.what == Progress::What::read_done) {
+                EXPECT_EQ(p.kept, claimed) << "read " << id;
+            }
+        (void)e.drop_state(j.request);
+        for (const auto& event : e.take_cache_events()) index.apply(place, event);
+        known += claimed > 0 ? 1 : 0;
+        ASSERT_LE(index.blocks(), 40U);
+    }
+    EXPECT_GT(known, 100U);
+    EXPECT_LT(known, 300U);
+}
+
 TEST(EngineModel, QueueIsBoundedAndSaysFull) {
     EngineModel e(reader());
     for (JobId i = 1; i <= 3; ++i) EXPECT_EQ(e.submit(kStart, read_job(i, 100), 0.5), Verdict::taken);
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -308,6 +308,75 @@
     EXPECT_EQ(g.sent_to(), home);
 }
 
+// What a server tells of its kept text counts in place of the guess: found where it is, not looked for where it
+// was evicted; and it only weighs as much as it saves.
+TEST(Reader, KeptTextThatIsToldCountsInPlaceOfTheGuess) {
+    for (const std::string& holder : {std::string("q"), std::string("r")}) {
+        Gateway g;
+        g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+        g.step({PrefixesTold{{"q"}, true}, PrefixesTold{{"r"}, true}});
+        for (std::uint64_t id = 1; id <= 6; ++id) {
+            auto a = Gateway::request(id, "talk", 10'000);
+            a.session = "s" + std::to_string(id % 3);
+            a.known = {{{holder}, 9000}};
+            g.step({a});
+            EXPECT_EQ(g.sent_to(), holder);
+            g.end(id, 0, holder, Outcome::read, true);
+        }
+    }
+}
+TEST(Reader, EvictedTextIsNotLookedForWhereItIsTold) {
+    Gateway g;
+    g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+    auto first = Gateway::request(1, "talk", 10'000);
+    g.step({first});
+    const auto home = g.sent_to();
+    const std::string other = home == "q" ? "r" : "q";
+    g.end(1, 0, home, Outcome::read, true);
+    g.step({PrefixesTold{{home}, true}});  // it names nothing of the next
+    auto next = Gateway::request(2, "talk", 10'000);
+    next.session = first.session;
+    next.known = {{{other}, 5000}};  // not told of: its word does not count
+    g.step({next});
+    EXPECT_EQ(g.sent_to(), home);  // both seem empty: the tie is as before
+    g.end(2, 0, home, Outcome::read, true);
+    g.step({PrefixesTold{{other}, true}});
+    next.id = {3};
+    g.step({next});
+    EXPECT_EQ(g.sent_to(), other);
+}
+TEST(Reader, PopularTextSpreadsOverReadersWhereItIsTold) {
+    Gateway g;
+    g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+    g.step({PrefixesTold{{"q"}, true}, PrefixesTold{{"r"}, true}});
+    std::set<std::string> readers;
+    for (std::uint64_t id = 1; id <= 8; ++id) {  // none of them read yet
+        auto a = Gateway::request(id, "talk", 10'000);
+        a.known = {{{"q"}, 6000}};
+        g.step({a});
+        readers.insert(g.sent_to());
+    }
+    EXPECT_TRUE(readers.contains("r"));
+}
+TEST(Reader, AServerThatStartsAnewIsGuessedAgain) {
+    Gateway g;
+    auto q = server("q", "reader");
+    g.list({q, server("r", "reader"), server("w", "writer")});
+    g.step({PrefixesTold{{"q"}, true}, PrefixesTold{{"nobody"}, true}});
+    q.born = g.now;
+    g.list({q, server("r", "reader"), server("w", "writer")});
+    auto a = Gateway::request(1, "talk", 10'000);
+    a.known = {{{"q"}, 10'000}};
+    g.pass(30s);
+    Gateway plain;
+    plain.list({q, server("r", "reader"), server("w", "writer")});
+    plain.pass(30s);
+    g.step({a});
+    a.known.clear();
+    plain.step({a});
+    EXPECT_EQ(g.sent_to(), plain.sent_to());
+}
+
 TEST(Hold, OutputGuessesAreBucketsCappedByTheClient) {
     const auto admitted = [](Duration hint, double cap) {
         Gateway g;
--- /dev/null
+++ b/tests/prefix/knowledge_test.cpp
@@ -0,0 +1,105 @@
+// What is believed of servers, and when.
+#include "prefix/knowledge.hpp"
+
+#include <gtest/gtest.h>
+
+#include "prefix/world.hpp"
+
+namespace chalksail::prefix::testing {
+namespace {
+
+using namespace std::chrono_literals;
+
+const std::string kText(kBlock * 4, 't');
+std::string batch(double ts, std::string_view text = kText) { return encode({ts, {stored(text, 1)}, 0}); }
+double claimed(const Knowledge& k, const std::string& server) {
+    for (const auto& c : k.claims("m", kText))
+        if (c.server.value == server) return c.tokens;
+    return 0;
+}
+
+TEST(Knowledge, SilentServerIsNotTold) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", {});
+    k.listed("b", "m", {});
+    EXPECT_TRUE(k.changes().empty());
+    EXPECT_EQ(k.message("a", 0, batch(1), false), std::nullopt);
+    const auto changes = k.changes();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_EQ(changes[0].server.value, "a");
+    EXPECT_TRUE(changes[0].told);
+    EXPECT_TRUE(k.changes().empty());
+    EXPECT_EQ(claimed(k, "a"), 4 * kTokens);
+    EXPECT_FALSE(k.told("b"));
+    EXPECT_EQ(k.message("nobody", 0, batch(1), false), std::nullopt);
+}
+
+// It comes back empty on the same address; the list tells so before its first word does.
+TEST(Knowledge, RestartByTheListForgetsAtOnce) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", Time(1s));
+    (void)k.message("a", 0, batch(1), false);
+    k.listed("a", "m", Time(1s));
+    EXPECT_TRUE(k.told("a"));
+    k.listed("a", "m", Time(9s));
+    EXPECT_FALSE(k.told("a"));
+    EXPECT_EQ(claimed(k, "a"), 0);
+    // Numbers that go on where the old process was are the new one's: its beginning is asked for.
+    EXPECT_EQ(k.message("a", 1, batch(9, kText.substr(0, kBlock)), false), 0U);
+}
+
+TEST(Knowledge, LiarIsNotBelievedUntilItsReadsBearItOut) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", {});
+    (void)k.message("a", 0, batch(1), false);
+    (void)k.changes();
+    int wrong = 0;
+    for (; k.told("a"); ++wrong) k.observed("a", 16, 0);
+    EXPECT_GE(wrong, 3);
+    EXPECT_LE(wrong, 8);
+    EXPECT_FALSE(k.changes().at(0).told);
+    EXPECT_EQ(claimed(k, "a"), 16);  // still looked at, or nothing could bear it out
+    int right = 0;
+    for (; !k.told("a"); ++right) k.observed("a", 16, 16);
+    EXPECT_GE(right, 2);
+    EXPECT_LE(right, 8);
+    k.observed("a", 0, 0);  // nothing was claimed: no news
+    EXPECT_TRUE(k.told("a"));
+    for (int i = 0; i < 20; ++i) k.observed("a", 16, 12);  // a little is evicted always
+    EXPECT_TRUE(k.told("a"));
+}
+
+TEST(Knowledge, GarbageIsCountedAndCostsOnlyItself) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", {});
+    (void)k.message("a", 0, batch(1), false);
+    EXPECT_EQ(k.message("a", 1, "\xc1", false), std::nullopt);
+    EXPECT_EQ(k.counts().bad_messages, 1U);
+    EXPECT_NE(k.last_error().find("a: batch"), std::string::npos);
+    EXPECT_EQ(claimed(k, "a"), 16);
+    EXPECT_EQ(k.message("a", 2, batch(3), false), 1U);  // the gap shows
+    (void)k.message("a", 1, batch(2), true);
+    k.replay_ended("a");
+    EXPECT_EQ(k.counts().unfilled, 0U);
+}
+
+TEST(Knowledge, ServerThatGoesIsToldAwayAndItsPlaceUsedAgain) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", {});
+    (void)k.message("a", 0, batch(1), false);
+    (void)k.changes();
+    k.gone("a");
+    k.gone("a");
+    const auto changes = k.changes();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_FALSE(changes[0].told);
+    k.listed("b", "m", {});
+    EXPECT_EQ(claimed(k, "b"), 0);
+    EXPECT_EQ(k.counts().blocks, 0U);
+    k.listed("b", "other", {});  // another model at the same name
+    (void)k.message("b", 0, batch(1), false);
+    EXPECT_EQ(claimed(k, "b"), 0);
+}
+
+}  // namespace
+}  // namespace chalksail::prefix::testing
