--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -55,6 +55,13 @@
             read_edge(node);
         });
         if (!edge) problems_.add({}, "the scenario needs 'edge' with the edges' settings");
+        top.each("caches", 0, [&](const kdl::Node& node) {
+            Block b(node.children, node.place, "'caches'", problems_);
+            std::int64_t past = 0;
+            b.real("lost", out_.caches.lost, 0, 1);
+            if (b.whole("past", past, 0, 1'000'000)) out_.caches.past = static_cast<std::size_t>(past);
+            b.done();
+        });
         top.each("tls", 0, [&](const kdl::Node& node) {
             Block b(node.children, node.place, "'tls'", problems_);
             std::int64_t count = 0;
@@ -97,6 +104,9 @@
             problems_.add(node.place, "kind '" + spec.kind + "' is none of the edge's kinds");
         else {
             spec.role = kind->role;
+            const auto more = std::find_if(out_.edge.kinds.begin(), out_.edge.kinds.end(),
+                                           [&](const auto& k) { return k.name == spec.kind; });
+            spec.publishes = more != out_.edge.kinds.end() && more->cache_events;
             if (kind->memory_tokens > 0) spec.memory_tokens = kind->memory_tokens;
         }
         spec.cold_for = out_.edge.module.cold_for;
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -45,6 +45,12 @@
     Duration notice = std::chrono::seconds(2);
 };
 
+// Engines' cache events, where the edge's settings say that their kind publishes them.
+struct CachePart {
+    double lost = 0;         // part of the batches that only a replay can bring
+    std::size_t past = 200;  // batches that an engine can replay
+};
+
 // Verified TLS between edges and engines.
 struct TlsPart {
     int edges = 0;              // the first so many; the others speak in the clear, to the same engines
@@ -80,6 +86,7 @@
     std::vector<TrafficClass> traffic;
     std::vector<Trouble> troubles;
     TlsPart tls;
+    CachePart caches;
     std::string edge_text;      // the edges' settings as written, without servers
     config::EdgeSettings edge;  // the same, read
 };
--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -32,6 +32,10 @@
     server_ = std::make_unique<net::HttpServer>(loop_, static_cast<net::HttpServer::Handler&>(*this),
                                                 engine_limits());
     address_ = server_->listen(address_);
+    if (spec().publishes && caches_ == nullptr)
+        caches_ = std::make_unique<CachePublisher>(
+            fleet_.caches().past, [this] { return fleet_.draw_loss() < fleet_.caches().lost; });
+    else if (caches_ != nullptr) caches_->start();
     if (fleet_.tls() == nullptr) return;
     server_->set_tls(fleet_.tls()->start(spec().name));
     tls_address_ = server_->listen(tls_address_, net::HttpServer::Speaks::tls);
@@ -78,6 +82,7 @@
     for (const auto& s : model_.expire_states(Time::max() - std::chrono::hours(24)))
         note_state(What::lost, s.request);
     model_.stop();
+    if (caches_ != nullptr) caches_->stop();
     server_.reset();
 }
 
@@ -260,6 +265,10 @@
         by_job_.erase(job);
     }
     for (const auto& s : model_.expire_states(now)) note_state(What::expired, s.request);
+    if (caches_ != nullptr) {
+        caches_->publish(model_.take_cache_events());
+        caches_->tick();
+    }
     flush();
 }
 
@@ -268,8 +277,8 @@
 }
 
 EngineFleet::EngineFleet(uv_loop_t& loop, const std::vector<EngineSpec>& specs, Links::Rates rates,
-                         std::uint64_t seed, Recorder& recorder, FleetTls* tls)
-    : recorder_(recorder), tls_(tls), links_(rates), random_(seed) {
+                         std::uint64_t seed, Recorder& recorder, FleetTls* tls, CachePart caches)
+    : recorder_(recorder), caches_(caches), tls_(tls), losses_(seed + 1), links_(rates), random_(seed) {
     for (const auto& spec : specs) hosts_.push_back(std::make_unique<EngineHost>(loop, *this, spec));
 }
 void EngineFleet::tick(Time now) {
--- a/lab/shell/engine_host.hpp
+++ b/lab/shell/engine_host.hpp
@@ -17,6 +17,8 @@
 #include "model/exchange.hpp"
 #include "net/http_server.hpp"
 #include "record/record.hpp"
+#include "scenario/scenario.hpp"
+#include "shell/cache_publisher.hpp"
 #include "shell/fleet_tls.hpp"
 
 namespace chalksail::lab {
@@ -39,6 +41,9 @@
     [[nodiscard]] const Address& tls_address() const { return tls_address_; }
     // New connections from now on are shown this; only where the fleet speaks TLS.
     void show(std::shared_ptr<net::tls::Context> context);
+    [[nodiscard]] const CachePublisher* caches() const {
+        return caches_.get();
+    }  // nullptr: it publishes none
     [[nodiscard]] bool up() const { return server_ != nullptr; }
 
 private:
@@ -67,6 +72,7 @@
     std::unique_ptr<net::HttpServer> server_;
     Address address_{"127.0.0.1", 0};
     Address tls_address_{"127.0.0.1", 0};
+    std::unique_ptr<CachePublisher> caches_;
     bool vanished_ = false;
     std::map<net::HttpServer::Peer, Exchange> exchanges_;
     std::map<JobId, net::HttpServer::Peer> by_job_;
@@ -75,14 +81,17 @@
 class EngineFleet {
 public:
     EngineFleet(uv_loop_t& loop, const std::vector<EngineSpec>& specs, Links::Rates rates, std::uint64_t seed,
-                Recorder& recorder, FleetTls* tls = nullptr);
+                Recorder& recorder, FleetTls* tls = nullptr, CachePart caches = {});
     void tick(Time now);
     [[nodiscard]] EngineHost* find(const std::string& name);
     [[nodiscard]] std::vector<std::unique_ptr<EngineHost>>& all() { return hosts_; }
     [[nodiscard]] Links& links() { return links_; }
     [[nodiscard]] FleetTls* tls() { return tls_; }
     [[nodiscard]] Recorder& recorder() { return recorder_; }
+    [[nodiscard]] const CachePart& caches() const { return caches_; }
     [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
+    // For losses alone, so that they leave the other draws as they are.
+    [[nodiscard]] double draw_loss() { return std::generate_canonical<double, 53>(losses_); }
     [[nodiscard]] JobId next_job() { return ++last_job_; }
     // Has this gateway been told that this engine has started?
     std::set<std::pair<std::string, std::string>> told_cold;
@@ -93,7 +102,9 @@
 
 private:
     Recorder& recorder_;
+    CachePart caches_;
     FleetTls* tls_;  // nullptr: all in the clear
+    std::mt19937_64 losses_;
     Links links_;
     std::mt19937_64 random_;
     std::vector<std::unique_ptr<EngineHost>> hosts_;
--- a/lab/shell/rehearsal.cpp
+++ b/lab/shell/rehearsal.cpp
@@ -115,7 +115,7 @@
     if (scenario_.tls.edges > 0)
         tls_ = std::make_unique<FleetTls>(paths_.folder + "/trust.pem", scenario_.tls.keeps_tickets);
     fleet_ = std::make_unique<EngineFleet>(loop_, scenario_.engines, scenario_.links, scenario_.seed,
-                                           recorder_, tls_.get());
+                                           recorder_, tls_.get(), scenario_.caches);
     load_ = std::make_unique<Load>(loop_, scenario_, recorder_);
     admin_ =
         std::make_unique<net::HttpPool>(loop_, static_cast<net::HttpPool::Handler&>(*this), admin_limits());
@@ -268,6 +268,8 @@
         .text("address", format_address(tls ? host->tls_address() : host->address()))
         .text("kind", host->spec().kind);
     out.text("zone", host->spec().zone).whole("cell", host->spec().cell).text("state", listed.state);
+    if (const auto* caches = host->caches())
+        out.text("events", format_address(caches->events())).text("replay", format_address(caches->replay()));
     if (listed.started_unix_ms != 0) out.whole("started_unix_ms", listed.started_unix_ms);
     return out.done();
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -44,6 +44,7 @@
             if (b.word("vocabulary", {"four-bytes"}, choice)) c.vocabulary = static_cast<Vocabulary>(choice);
             b.whole("blocks-per-server", c.blocks_per_server, 1, 100'000'000);
             b.whole("held-batches", c.held_batches, 1, 1'000'000);
+            b.whole("queue", c.queue, 1, 1'000'000);
             b.size("message", c.message_bytes);
             b.duration("replay-timeout", c.replay_timeout);
         });
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -62,6 +62,7 @@
     Vocabulary vocabulary = Vocabulary::four_bytes;
     std::int64_t blocks_per_server = 20'000;
     std::int64_t held_batches = 1'024;  // of one server, while a replay is under way
+    std::int64_t queue = 1'000;         // messages of one server that wait to be read; more are lost
     std::size_t message_bytes = 4 * 1024 * 1024;
     Duration replay_timeout = std::chrono::seconds(1);
 };
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -99,6 +99,13 @@
     servers_ =
         std::make_unique<HttpPool>(loop_, static_cast<HttpPool::Handler&>(*this), pool_limits(settings_));
     if (listener_tls_) clients_->set_tls(listener_tls_->context());
+    if (std::any_of(settings_.kinds.begin(), settings_.kinds.end(),
+                    [](const auto& k) { return k.cache_events; })) {
+        CacheFeed::Limits limits;
+        limits.message = settings_.cache_events.message_bytes;
+        limits.queue = static_cast<int>(settings_.cache_events.queue);
+        caches_ = std::make_unique<CacheFeed>(loop_, static_cast<CacheFeed::Handler&>(*this), limits);
+    }
     address_ = clients_->listen(settings_.listen,
                                 listener_tls_ ? HttpServer::Speaks::tls : HttpServer::Speaks::clear);
     admin_address_ = admin_->listen(settings_.admin);
@@ -153,6 +160,14 @@
     inputs_.emplace_back(core::CallFailed{{call}, ending, std::move(detail)});
 }
 
+void EdgeShell::on_cache_message(const std::string& server, std::uint64_t sequence, std::string payload,
+                                 bool replayed) {
+    inputs_.emplace_back(core::CacheMessage{server, sequence, std::move(payload), replayed});
+}
+void EdgeShell::on_cache_replay_ended(const std::string& server) {
+    inputs_.emplace_back(core::CacheReplayEnded{server});
+}
+
 void EdgeShell::pump() {
     if (pumping_ || finished_) return;
     pumping_ = true;
@@ -228,6 +243,17 @@
         servers_->settle(settled->call.value);
     } else if (const auto* flow = std::get_if<core::CallFlow>(&output)) {
         servers_->flow(flow->call.value, flow->paused);
+    } else if (const auto* follow = std::get_if<core::CacheFollow>(&output)) {
+        try {
+            caches_->follow(follow->server, follow->events, follow->replay);
+        } catch (const std::runtime_error& error) {
+            // Its text is guessed, as if it published nothing.
+            log_.say("error", "cache_events", error.what());
+        }
+    } else if (const auto* leave = std::get_if<core::CacheLeave>(&output)) {
+        caches_->leave(leave->server);
+    } else if (const auto* replay = std::get_if<core::CacheReplay>(&output)) {
+        caches_->replay(replay->server, replay->from);
     } else if (const auto* note = std::get_if<core::Note>(&output)) {
         metrics_.count(note->record);
         log_.write(note->record);
@@ -290,6 +316,18 @@
         for (const auto& [kind, rotation] : tls_)
             metrics_.set("tls_valid_seconds_" + metric_word(kind),
                          static_cast<double>(rotation.context()->valid_until() - std::time(nullptr)));
+        if (caches_) {
+            const auto& p = g.prefixes;
+            const auto heard = caches_->counts();
+            metrics_.set("prefix_servers_followed", static_cast<double>(heard.followed));
+            metrics_.set("prefix_servers_told", static_cast<double>(p.told));
+            metrics_.set("prefix_blocks", static_cast<double>(p.blocks));
+            metrics_.set("prefix_messages", static_cast<double>(p.messages));
+            metrics_.set("prefix_messages_bad", static_cast<double>(p.bad_messages + heard.malformed));
+            metrics_.set("prefix_gaps", static_cast<double>(p.gaps));
+            metrics_.set("prefix_gaps_unfilled", static_cast<double>(p.unfilled));
+            metrics_.set("prefix_restarts", static_cast<double>(p.restarts));
+        }
         metrics_.set("server_queue", static_cast<double>(s.waiting));
         http::Headers text;
         text.add("Content-Type", "text/plain; version=0.0.4");
@@ -341,6 +379,7 @@
     uv_close(reinterpret_cast<uv_handle_t*>(check_),
              [](uv_handle_t* h) { delete reinterpret_cast<uv_check_t*>(h); });
     check_ = nullptr;
+    caches_.reset();
     clients_.reset();
     admin_.reset();
     servers_.reset();
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -13,6 +13,7 @@
 
 #include "core/edge.hpp"
 #include "net/admin.hpp"
+#include "net/cache_feed.hpp"
 #include "net/http_pool.hpp"
 #include "net/http_server.hpp"
 #include "net/tls/files.hpp"
@@ -21,7 +22,7 @@
 
 namespace chalksail::net {
 
-class EdgeShell : HttpServer::Handler, HttpPool::Handler, membership::ListSink {
+class EdgeShell : HttpServer::Handler, HttpPool::Handler, CacheFeed::Handler, membership::ListSink {
 public:
     // Throws std::runtime_error if an address can't be listened on, std::invalid_argument for bad settings.
     EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log);
@@ -48,6 +49,9 @@
     void on_body(HttpPool::Call call, std::string bytes) override;
     void on_done(HttpPool::Call call) override;
     void on_failed(HttpPool::Call call, engine::Ending ending, std::string detail) override;
+    void on_cache_message(const std::string& server, std::uint64_t sequence, std::string payload,
+                          bool replayed) override;
+    void on_cache_replay_ended(const std::string& server) override;
     void take(core::ServerList list) override;
     void admin_request(HttpServer::Peer peer, const http::Request& request);
 
@@ -65,6 +69,7 @@
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> admin_;
     std::unique_ptr<HttpPool> servers_;
+    std::unique_ptr<CacheFeed> caches_;  // nullptr: no kind publishes cache events
     std::vector<core::Input> inputs_;
     std::map<std::string, tls::Rotation> tls_;  // by kind of server
     std::optional<tls::Rotation> listener_tls_;
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -280,8 +280,7 @@
             return;
         }
         if (auto* fault = std::get_if<http::Fault>(&piece))
-            return broke(c, fault->cut ? Ending::closed : Ending::bad_answer,
-                         fault->text);
+            return broke(c, fault->cut ? Ending::closed : Ending::bad_answer, fault->text);
         if (c.settled) continue;
         if (auto* head = std::get_if<http::ResponseHead>(&piece))
             handler_.on_head(call, head->status, std::move(head->headers));
