--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -168,8 +168,10 @@
         for (auto it = requests_.begin(); it != requests_.end();) {
             const auto& [id, r] = *it++;  // giving up erases it
             if (r.ended || r.out) continue;
-            if (now_ + service_time(r) + s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2) ||
-                (blind() && sheds(id, r)))
+            // Two ticks: a step that comes one late would find the deadline over, and fail what was never sent.
+            // With no writer in service it waits for one only until its aim: most come back too late for more.
+            if (now_ + service_time(r) + 2 * s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2) ||
+                (now_ >= r.aim && !writer_in_service()) || (blind() && sheds(id, r)))
                 give_up(id);  // it can't be served in time any more: answered at once
             else held.emplace_back(id, urgency(r));
         }
@@ -663,6 +665,11 @@
         // All look bad: the least bad, but at a pace, or quick failures soon use up every request's attempts.
         return !role_has_healthy(s.role) && now_ >= s.last_sent + shortest_aim_ / kTriesEachAim;
     }
+    bool writer_in_service() const {
+        return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
+            return p.second.role != Role::prefill && in_service(p.second);
+        });
+    }
     bool role_has_healthy(Role role) const {
         return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) {
             return (p.second.role == role || p.second.role == Role::mixed) && in_service(p.second) &&
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -122,6 +122,30 @@
     EXPECT_EQ(g.brain.tracked_requests(), 0U);
 }
 
+// A step that comes a tick late finds the deadline over: what was never sent is given up before, and refused.
+TEST(Rules, HeldRequestIsRefusedTwoTicksBeforeItsDeadline) {
+    Gateway g;
+    g.list({server("w", "writer")});  // none that reads, and it may not read by itself
+    g.arrive(1);
+    g.pass(4s - 6ms);
+    g.step();
+    EXPECT_EQ(g.all<Refuse>().size(), 1U);
+    EXPECT_EQ(g.all<Fail>().size(), 0U);
+}
+
+// Nobody could write the answer: it is refused at its aim, not held until its deadline.
+TEST(Hold, WithNoWriterInServiceOnlyUntilTheAim) {
+    Gateway g;
+    g.list({server("r", "reader")});
+    g.arrive(1);
+    const Time start = g.now;
+    while (g.all<Refuse>().empty() && g.now < start + 5s) {
+        g.pass(4ms);
+        g.step();
+    }
+    EXPECT_LE(g.now - start, plain_settings().classes[0].aim + 8ms);
+}
+
 TEST(Rules, ColdServerGetsOneRequestAWindowWhileNothingIsKnown) {
     Gateway g;
     auto cold = server("w", "writer");
@@ -308,8 +332,8 @@
     EXPECT_EQ(g.sent_to(), home);
 }
 
-// What a server tells of its kept text counts in place of the guess: found where it is, not looked for where it
-// was evicted; and it only weighs as much as it saves.
+// What a server tells of its kept text counts in place of the guess: found where it is, not looked for where
+// it was evicted; and it only weighs as much as it saves.
 TEST(Reader, KeptTextThatIsToldCountsInPlaceOfTheGuess) {
     for (const std::string& holder : {std::string("q"), std::string("r")}) {
         Gateway g;
