--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -168,10 +168,11 @@
         for (auto it = requests_.begin(); it != requests_.end();) {
             const auto& [id, r] = *it++;  // giving up erases it
             if (r.ended || r.out) continue;
-            // Two ticks: a step that comes one late would find the deadline over, and fail what was never sent.
-            // With no writer in service it waits for one only until its aim: most come back too late for more.
-            if (now_ + service_time(r) + 2 * s_.tick >= r.deadline || attempts_left(r) < (r.state_at ? 1 : 2) ||
-                (now_ >= r.aim && !writer_in_service()) || (blind() && sheds(id, r)))
+            // Two ticks: a step one late would find the deadline over, and fail what was never sent. With no
+            // writer in service it waits for one only until its aim: most come back too late for more.
+            if (now_ + service_time(r) + 2 * s_.tick >= r.deadline ||
+                attempts_left(r) < (r.state_at ? 1 : 2) || (now_ >= r.aim && !writer_in_service()) ||
+                (blind() && sheds(id, r)))
                 give_up(id);  // it can't be served in time any more: answered at once
             else held.emplace_back(id, urgency(r));
         }
