--- /dev/null
+++ b/lab/clients/crowd.cpp
@@ -0,0 +1,190 @@
+#include "clients/crowd.hpp"
+
+#include <algorithm>
+#include <cmath>
+
+#include "base/json.hpp"
+#include "model/text.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+Duration from_seconds(double s) { return Duration(static_cast<std::int64_t>(s * 1e9)); }
+double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
+
+}  // namespace
+
+Crowd::Crowd(const Scenario& scenario) : scenario_(scenario), random_(scenario.seed * 7919 + 17) {
+    for (const auto& t : scenario_.traffic) {
+        std::vector<std::string> texts;
+        for (int i = 0; i < t.prefixes; ++i) texts.push_back(words(static_cast<std::size_t>(t.system_bytes)));
+        prefixes_.push_back(std::move(texts));
+    }
+}
+
+std::string Crowd::words(std::size_t bytes) {
+    static const std::vector<std::string> all = {"menu",   "order", "jollof", "suya",     "price",
+                                                 "please", "table", "spicy",  "delivery", "branch"};
+    std::string out;
+    while (out.size() < bytes)
+        out += all[static_cast<std::size_t>(draw() * static_cast<double>(all.size()))] + " ";
+    return out;
+}
+
+const ClassSettings& Crowd::class_of(const Client& c) const {
+    const auto& classes = scenario_.edge.module.classes;
+    const auto& name = scenario_.traffic[c.cls].name;
+    return *std::find_if(classes.begin(), classes.end(), [&](const auto& k) { return k.name == name; });
+}
+
+std::size_t Crowd::active() const {
+    return static_cast<std::size_t>(std::llround(scenario_.clients * burst_));
+}
+
+void Crowd::new_session(Client& c) {
+    double total = 0;
+    for (const auto& t : scenario_.traffic) total += t.share;
+    double at = draw() * total;
+    c.cls = 0;
+    for (std::size_t i = 0; i < scenario_.traffic.size(); ++i) {
+        c.cls = i;
+        if ((at -= scenario_.traffic[i].share) < 0) break;
+    }
+    const auto& t = scenario_.traffic[c.cls];
+    c.session = "s" + std::to_string(++last_session_);
+    c.turns_left = 1 + static_cast<int>(draw() * 2 * (t.turns - 1) + 0.5);
+    c.messages.clear();
+    if (t.system_bytes > 0) {
+        const auto& texts = prefixes_[c.cls];
+        const auto& text = texts[static_cast<std::size_t>(draw() * static_cast<double>(texts.size()))];
+        c.messages.push_back(json::ObjectWriter().text("role", "system").text("content", text).done());
+    }
+}
+
+void Crowd::begin(Time now) {
+    if (scenario_.traffic.empty()) return;
+    // Those beyond the usual number ask only in a burst.
+    double most = 1;
+    for (const auto& t : scenario_.troubles)
+        if (t.kind == TroubleKind::burst) most = std::max(most, t.factor);
+    clients_.resize(static_cast<std::size_t>(std::ceil(scenario_.clients * most)));
+    for (std::size_t i = 0; i < clients_.size(); ++i) {
+        clients_[i].gateway = i;
+        wait_until(i, now + from_seconds(draw()));
+        new_session(clients_[i]);
+    }
+}
+
+void Crowd::wait_until(std::size_t client, Time at) {
+    clients_[client].next = at;
+    waiting_.emplace(at, client);
+}
+
+std::optional<Time> Crowd::next() const {
+    if (stopping_) return std::nullopt;
+    const std::size_t some = active();
+    for (const auto& [at, client] : waiting_)
+        if (client < some) return at;
+    return std::nullopt;
+}
+
+std::vector<ClientAsk> Crowd::due(Time now) {
+    std::vector<ClientAsk> out;
+    if (stopping_) return out;
+    const std::size_t some = active();
+    for (auto it = waiting_.begin(); it != waiting_.end() && it->first <= now;) {
+        if (it->second >= some) {
+            ++it;
+            continue;
+        }
+        const std::size_t client = it->second;
+        it = waiting_.erase(it);
+        out.push_back(ask(client, now));
+    }
+    return out;
+}
+
+ClientAsk Crowd::ask(std::size_t client, Time now) {
+    Client& c = clients_[client];
+    const auto& t = scenario_.traffic[c.cls];
+    const auto& cls = class_of(c);
+    if (!c.trying_again) {
+        double bytes = t.turn_bytes * (0.5 + draw());
+        if (draw() < heavy_part_) bytes *= heavy_factor_;
+        c.messages.push_back(json::ObjectWriter()
+                                 .text("role", "user")
+                                 .text("content", words(static_cast<std::size_t>(bytes)))
+                                 .done());
+        c.tries_left = scenario_.client_retries;
+    }
+    ClientAsk a;
+    a.client = client;
+    a.number = "c" + std::to_string(++last_ask_);
+    a.cls = &cls;
+    a.asked = now;
+    a.stream = draw() < t.stream_part;
+    std::string messages = "[";
+    for (const auto& m : c.messages) messages += (messages.size() > 1 ? "," : "") + m;
+    messages += "]";
+    a.key = prompt_key(messages);
+    a.tokens = answer_length(a.key, static_cast<std::size_t>(t.max_tokens));
+    json::ObjectWriter body;
+    body.text("model", t.model)
+        .raw("messages", messages)
+        .whole("max_tokens", t.max_tokens)
+        .text("prompt_cache_key", c.session);
+    if (a.stream) body.flag("stream", true).raw("stream_options", R"({"include_usage":true})");
+    body.raw("an_unknown_field", R"({"kept": [1, 2.50]})");
+    a.body = body.done();
+    c.gateway += c.trying_again ? 1 : 0;  // another gateway, if there is one
+    a.gateway = c.gateway;
+    // At any point: before the read, in it, while the state waits, in the stream.
+    if (draw() < give_up_) a.hang_up_at = now + from_seconds(draw() * draw() * 2 * seconds(cls.deadline));
+    a.headers.add("Content-Type", "application/json");
+    a.headers.add("X-Request-Id", a.number);
+    a.headers.add("Idempotency-Key", a.number);
+    if (c.trying_again) a.headers.add("X-Stainless-Retry-Count", "1");
+    return a;
+}
+
+bool Crowd::ended(std::size_t client, Time now, const std::string& fate, const std::string& text,
+                  std::int64_t retry_after_ms) {
+    Client& c = clients_[client];
+    const bool may = fate == "refused" || (fate == "failed" && class_of(c).effect == Effect::repeatable);
+    if (may && c.tries_left > 0) {
+        c.tries_left -= 1;
+        c.trying_again = true;
+        wait_until(client,
+                   now + std::chrono::milliseconds(std::clamp<std::int64_t>(retry_after_ms, 50, 2000)));
+        return true;
+    }
+    c.trying_again = false;
+    const auto think = scenario_.traffic[c.cls].think;
+    if (fate == "served")
+        c.messages.push_back(json::ObjectWriter().text("role", "assistant").text("content", text).done());
+    if (--c.turns_left <= 0 || fate != "served") new_session(c);
+    wait_until(client, now + from_seconds(seconds(think) * (0.5 + draw())));
+    return false;
+}
+
+void Crowd::hung_up(std::size_t client, Time now) {
+    clients_[client].trying_again = false;
+    new_session(clients_[client]);
+    wait_until(client, now + std::chrono::milliseconds(200));
+}
+
+Record asked_record(const ClientAsk& ask, const std::string& gateway) {
+    Record r;
+    r.at = ask.asked;
+    r.what = What::asked;
+    r.request = ask.number;
+    r.gateway = gateway;
+    r.cls = ask.cls->name;
+    r.effect = ask.cls->effect;
+    r.group = ask.cls->group;
+    r.window = ask.cls->window;
+    r.deadline = ask.cls->deadline;
+    return r;
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/clients/crowd.hpp
@@ -0,0 +1,93 @@
+// The clients of a scenario: who asks what, and when. Each has sessions of some turns, waits for its answer,
+// thinks, asks again; tries again when it is refused or, where that can do no harm, when it failed; some hang
+// up early. The same crowd stands before real sockets and in virtual time. No I/O, no clock; draws only from
+// its own seed.
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <optional>
+#include <random>
+#include <set>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "http/message.hpp"
+#include "record/record.hpp"
+#include "scenario/scenario.hpp"
+
+namespace chalksail::lab {
+
+// One request as it leaves its client.
+struct ClientAsk {
+    std::size_t client = 0;
+    std::string number;       // X-Request-Id, and the key of keyed classes
+    std::size_t gateway = 0;  // counted on without end: the owner takes it modulo its gateways
+    const ClassSettings* cls = nullptr;
+    http::Headers headers;
+    std::string body;
+    bool stream = false;
+    std::uint64_t key = 0;   // of its prompt ...
+    std::size_t tokens = 0;  // ... and the length of the answer that it is to get
+    Time asked{};
+    Time hang_up_at{};  // zero: never
+};
+
+class Crowd {
+public:
+    explicit Crowd(const Scenario& scenario);
+    void begin(Time now);
+    // All whose time has come, each marked as waiting; tell ended() or hung_up() of each.
+    [[nodiscard]] std::vector<ClientAsk> due(Time now);
+    [[nodiscard]] std::optional<Time> next() const;
+    // `text`: what was served. Returns true if the client will try again.
+    bool ended(std::size_t client, Time now, const std::string& fate, const std::string& text,
+               std::int64_t retry_after_ms);
+    void hung_up(std::size_t client, Time now);
+    void stop() { stopping_ = true; }
+
+    // Troubles.
+    void set_burst(double factor) { burst_ = factor; }
+    void set_heavy_tail(double part, double factor) {
+        heavy_part_ = part;
+        heavy_factor_ = factor;
+    }
+    void set_give_up(double part) { give_up_ = part; }
+
+private:
+    struct Client {
+        std::size_t cls = 0;
+        std::string session;
+        std::size_t gateway = 0;
+        std::vector<std::string> messages;  // as JSON
+        int turns_left = 0;
+        int tries_left = 0;
+        bool trying_again = false;
+        Time next{};
+    };
+    [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
+    [[nodiscard]] std::string words(std::size_t bytes);
+    [[nodiscard]] const ClassSettings& class_of(const Client& client) const;
+    [[nodiscard]] std::size_t active() const;
+    void new_session(Client& client);
+    void wait_until(std::size_t client, Time at);
+    [[nodiscard]] ClientAsk ask(std::size_t client, Time now);
+
+    const Scenario& scenario_;
+    std::mt19937_64 random_;
+    std::vector<Client> clients_;
+    std::set<std::pair<Time, std::size_t>> waiting_;  // to ask
+    std::vector<std::vector<std::string>> prefixes_;  // by class: leading texts
+    std::uint64_t last_ask_ = 0;
+    std::uint64_t last_session_ = 0;
+    bool stopping_ = false;
+    double burst_ = 1;
+    double heavy_part_ = 0;
+    double heavy_factor_ = 1;
+    double give_up_ = 0;
+};
+
+// What the records say of a client's request as it leaves.
+[[nodiscard]] Record asked_record(const ClientAsk& ask, const std::string& gateway);
+
+}  // namespace chalksail::lab
--- a/lab/shell/rehearsal.cpp
+++ b/lab/shell/rehearsal.cpp
@@ -488,16 +488,16 @@
             }
             break;
         case TroubleKind::burst:
-            load_->set_burst(t.factor);
-            after(t.lasts, [this] { load_->set_burst(1); });
+            load_->crowd().set_burst(t.factor);
+            after(t.lasts, [this] { load_->crowd().set_burst(1); });
             break;
         case TroubleKind::heavy_tail:
-            load_->set_heavy_tail(t.part, t.factor);
-            after(t.lasts, [this] { load_->set_heavy_tail(0, 1); });
+            load_->crowd().set_heavy_tail(t.part, t.factor);
+            after(t.lasts, [this] { load_->crowd().set_heavy_tail(0, 1); });
             break;
         case TroubleKind::give_up:
-            load_->set_give_up(t.part);
-            after(t.lasts, [this] { load_->set_give_up(0); });
+            load_->crowd().set_give_up(t.part);
+            after(t.lasts, [this] { load_->crowd().set_give_up(0); });
             break;
     }
 }
