Comparisons in virtual time: baselines, cache events, arms over several seeds

An edge's core now takes any decider in the module's place; lab/baseline is random, round robin, least outstanding, two choices and prefix hash under the five rules. Found by the test: a scenario with 'past 0' read the end of an empty queue, in virtual time and in the publisher.

--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -2,6 +2,7 @@
 #include <uv.h>
 
 #include <CLI/CLI.hpp>
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 #include <fstream>
@@ -13,6 +14,7 @@
 #include "record/checker.hpp"
 #include "scenario/scenario.hpp"
 #include "shell/rehearsal.hpp"
+#include "virtual/compare.hpp"
 
 namespace {
 
@@ -76,6 +78,18 @@
     return result->verdict.breaches.empty() && result->verdict.garbled == 0 && result->edges_well ? 0 : 1;
 }
 
+int compare(const std::string& file, std::size_t seeds) {
+    const auto scenario = read_scenario(file);
+    if (!scenario) return 2;
+    std::cout << "'" << scenario->name << "' in virtual time: " << scenario->engines.size() << " engines, "
+              << scenario->edges << " edges, " << scenario->clients << " clients, "
+              << format_duration(scenario->length) << ", " << scenario->arms.size() << " arms, " << seeds
+              << " seeds from " << scenario->seed << std::endl;
+    const auto arms = compare_arms(*scenario, seeds);
+    std::cout << format(arms) << to_json(arms) << std::endl;
+    return std::all_of(arms.begin(), arms.end(), [](const auto& a) { return a.rules_broken == 0; }) ? 0 : 1;
+}
+
 int check_records(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
@@ -110,6 +124,13 @@
     auto* up_command = app.add_subcommand("up", "Start engines and edges and serve until SIGINT");
     auto* run_command = app.add_subcommand(
         "run", "Play a scenario; the last line is one JSON object; exit 1 if a rule broke");
+    std::size_t seeds = 5;
+    auto* compare_command = app.add_subcommand(
+        "compare", "Play a scenario's arms in virtual time, each over some seeds; exit 1 if a rule broke");
+    compare_command->add_option("scenario", file, "A scenario with arms, in KDL")->required();
+    compare_command->add_option("--seeds", seeds, "How many")
+        ->capture_default_str()
+        ->check(CLI::Range(1, 1000));
     auto* check_command = app.add_subcommand("check", "Check recorded wires against the five rules");
     for (auto* command : {up_command, run_command}) {
         command->add_option("scenario", file, "A scenario, in KDL")->required();
@@ -121,6 +142,7 @@
     try {
         if (up_command->parsed()) return up(file, folder);
         if (run_command->parsed()) return run(file, folder);
+        if (compare_command->parsed()) return compare(file, seeds);
         return check_records(file);
     } catch (const std::exception& error) {
         std::cerr << "chalksail-lab: " << error.what() << '\n';
--- /dev/null
+++ b/lab/baseline/baseline.hpp
@@ -0,0 +1,71 @@
+// The ways of placing that the field knows, as deciders for an edge: what the module is compared with. They
+// keep the five rules, go again after failures and hold nothing back on purpose, but know no limits: a server
+// that is full says so, and another is tried.
+#pragma once
+
+#include <map>
+#include <optional>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "core/decider.hpp"
+
+namespace chalksail::lab {
+
+enum class Placing {
+    random,             // any server in service
+    round_robin,        // one after the other
+    least_outstanding,  // the one with the fewest of this edge's requests
+    two_choices,        // the better of two drawn, by the same measure
+    prefix_hash,        // reads: rendezvous hash of the shared beginning; writes: least outstanding
+};
+
+class Baseline : public core::Decider {
+public:
+    Baseline(const Settings& settings, std::uint64_t seed, Placing placing);
+    std::vector<Action> step(Time now, std::span<const Event> events) override;
+    std::size_t tracked_requests() const override { return requests_.size(); }
+
+private:
+    struct Server {
+        ServerEntry entry;
+        Role role = Role::mixed;
+        int outstanding = 0;
+    };
+    struct Request {
+        const ClassSettings* cls = nullptr;
+        std::string prefix;
+        Time deadline{};
+        Time not_before{};
+        Time read_at{};  // when its state began to wait
+        std::optional<ServerId> state_at;
+        std::optional<AttemptId> out;
+        int sends = 0;
+        bool may_have_run = false;
+        bool ended = false;
+    };
+    void on(const ListChanged& e);
+    void on(const Arrived& e);
+    void on(const AttemptEnded& e);
+    void on(const ClientGone& e);
+    template <class Other>
+    void on(const Other&) {}
+    void place(RequestId id, Request& request);
+    void give_up(RequestId id, Request& request);
+    [[nodiscard]] Server* choose(bool read, const Request& request);
+    [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
+
+    Settings settings_;
+    Placing placing_;
+    std::mt19937_64 random_;
+    Time now_{};
+    std::map<ServerId, Server> servers_;
+    std::map<RequestId, Request> requests_;
+    std::vector<Action> actions_;
+    std::vector<RequestId> over_;
+    std::size_t turn_ = 0;
+    std::uint64_t last_timer_ = 0;
+};
+
+}  // namespace chalksail::lab
--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -12,6 +12,7 @@
 using config::Problems;
 using config::Properties;
 
+constexpr std::array kPolicies = {"random", "round-robin", "least-outstanding", "two-choices", "prefix-hash"};
 constexpr std::array<const char*, 15> kTroubles = {
     "crash",       "vanish",          "hang",      "slow",    "ageing", "fast_errors", "answer_lost",
     "origin_slow", "discovery_stale", "zone_loss", "preempt", "burst",  "heavy_tail",  "give_up",
@@ -71,6 +72,7 @@
             if (b.word("tickets", {"kept", "new"}, tickets)) out_.tls.keeps_tickets = tickets == 0;
             b.done();
         });
+        top.each("arm", 1, [&](const kdl::Node& node) { arm(node); });
         top.each("engines", 1, [&](const kdl::Node& node) { engines(node); });
         top.each("traffic", 1, [&](const kdl::Node& node) { traffic(node); });
         top.each("troubles", 0, [&](const kdl::Node& node) { troubles(node); });
@@ -158,6 +160,22 @@
         out_.traffic.push_back(std::move(c));
     }
 
+    void arm(const kdl::Node& node) {
+        Properties(node, {}, 1, problems_);
+        Arm a;
+        a.name = std::get<std::string>(node.arguments.front().scalar);
+        Block b(node.children, node.place, "'arm'", problems_);
+        std::size_t policy = 0;
+        if (b.word("policy", {kPolicies.begin(), kPolicies.end()}, policy))
+            a.policy = static_cast<Placing>(policy);
+        b.flag("cache-events", a.cache_events);
+        double lost = 0;
+        if (b.real("lost", lost, 0, 1)) a.lost = lost;
+        b.flag("instant", a.instant);
+        b.done();
+        out_.arms.push_back(std::move(a));
+    }
+
     void troubles(const kdl::Node& node) {
         for (const auto& t : node.children) {
             const auto it = std::find(kTroubles.begin(), kTroubles.end(), t.name);
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -3,11 +3,13 @@
 #pragma once
 
 #include <chalksail/chalksail.hpp>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <tl/expected.hpp>
 #include <vector>
 
+#include "baseline/baseline.hpp"
 #include "config/settings.hpp"
 #include "model/engine.hpp"
 
@@ -49,6 +51,16 @@
 struct CachePart {
     double lost = 0;         // part of the batches that only a replay can bring
     std::size_t past = 200;  // batches that an engine can replay
+    bool instant = false;    // virtual time only: heard in the moment in which they are published
+};
+
+// One of the ways that a comparison sets side by side, on the same scenario.
+struct Arm {
+    std::string name;
+    std::optional<Placing> policy;  // a baseline; else the module decides
+    bool cache_events = true;       // off: no engine publishes
+    std::optional<double> lost;     // in place of the scenario's
+    bool instant = false;
 };
 
 // Verified TLS between edges and engines.
@@ -87,6 +99,7 @@
     std::vector<Trouble> troubles;
     TlsPart tls;
     CachePart caches;
+    std::vector<Arm> arms;
     std::string edge_text;      // the edges' settings as written, without servers
     config::EdgeSettings edge;  // the same, read
 };
--- a/lab/shell/cache_publisher.cpp
+++ b/lab/shell/cache_publisher.cpp
@@ -74,11 +74,11 @@
     if (pub_ == nullptr || events.empty()) return;
     const double ts =
         std::chrono::duration<double>(std::chrono::system_clock::now().time_since_epoch()).count();
-    past_.emplace_back(next_, prefix::encode({ts, std::move(events), 0}));
+    const std::string payload = prefix::encode({ts, std::move(events), 0});
+    past_.emplace_back(next_, payload);
     if (past_.size() > past_most_) past_.pop_front();
     const std::string sequence = prefix::encode_sequence(next_++);
     if (lose_()) return;
-    const auto& payload = past_.back().second;
     zmq_send(pub_, "kv-events", 9, ZMQ_SNDMORE | ZMQ_DONTWAIT);
     zmq_send(pub_, sequence.data(), sequence.size(), ZMQ_SNDMORE | ZMQ_DONTWAIT);
     zmq_send(pub_, payload.data(), payload.size(), ZMQ_DONTWAIT);
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <deque>
 #include <utility>
 
 #include "base/json.hpp"
@@ -22,6 +23,7 @@
     std::optional<Time> wake;  // for which a step is on the timeline
     bool stepping = false;
     std::map<std::uint64_t, std::string> clients;  // peer -> the client's number
+    std::set<std::string> hears;                   // cache events of these engines
 };
 
 struct VirtualDay::Host {
@@ -32,6 +34,8 @@
     Time born{};
     std::optional<Time> wake;
     std::map<JobId, std::uint64_t> jobs;
+    std::uint64_t next_batch = 0;
+    std::deque<std::pair<std::uint64_t, std::string>> past;  // batches that can be replayed
     explicit Host(const EngineSpec& spec) : model(spec) {}
 };
 
@@ -51,7 +55,7 @@
     Transcript got;
 };
 
-VirtualDay::VirtualDay(Scenario scenario)
+VirtualDay::VirtualDay(Scenario scenario, std::optional<Placing> baseline)
     : scenario_(std::move(scenario)),
       links_(scenario_.links),
       random_(scenario_.seed),
@@ -69,7 +73,10 @@
         settings.seed = scenario_.seed * 1000 + static_cast<std::uint64_t>(i) + 1;
         settings.module.gateways = scenario_.edges;
         settings.module.gateway = i;
-        g->edge = std::make_unique<core::Edge>(settings);
+        g->edge = baseline
+                      ? std::make_unique<core::Edge>(
+                            settings, std::make_unique<Baseline>(settings.module, settings.seed, *baseline))
+                      : std::make_unique<core::Edge>(settings);
         gateways_.push_back(std::move(g));
     }
 }
@@ -172,6 +179,12 @@
         ask->got.head(reply->status, std::atoll(advice.c_str()));
         ask->got.body(ask->what, reply->body);
         answered(ask->what.number, ask->got.end(ask->what));
+    } else if (const auto* follow = std::get_if<core::CacheFollow>(&output)) {
+        g.hears.insert(follow->server);
+    } else if (const auto* leave = std::get_if<core::CacheLeave>(&output)) {
+        g.hears.erase(leave->server);
+    } else if (const auto* wanted = std::get_if<core::CacheReplay>(&output)) {
+        replay(g, *wanted);
     } else if (const auto* told = std::get_if<core::Note>(&output)) {
         if (std::holds_alternative<observe::GuardRecord>(told->record)) figures_.guards += 1;
     }
@@ -291,6 +304,8 @@
             };
             switch (p.what) {
                 case Progress::What::read_done:
+                    figures_.read_tokens += e.asked.prompt_tokens;
+                    figures_.kept_tokens += p.kept;
                     note_state(What::state, host, e.asked.request);
                     answer(e, 200,
                            read_answer(e.asked, e.id, p.kept, {host.model.spec().name, "virtual", 1}));
@@ -317,6 +332,7 @@
                 case Progress::What::dropped: break;
             }
         }
+    publish(host);
     for (const auto& s : host.model.expire_states(now_)) note_state(What::expired, host, s.request);
     const auto next = host.model.next();
     if (!next || host.vanished || (host.wake && *host.wake <= *next && *host.wake > now_)) return;
@@ -328,6 +344,43 @@
     });
 }
 
+// ================= cache events =================
+
+// What it has kept and dropped goes to all that hear it, as one batch; each may lose it by itself.
+void VirtualDay::publish(Host& host) {
+    auto events = host.model.take_cache_events();
+    if (events.empty()) return;
+    const double ts = std::chrono::duration<double>(now_.time_since_epoch()).count();
+    const std::uint64_t sequence = host.next_batch++;
+    const std::string payload = prefix::encode({ts, std::move(events), 0});
+    host.past.emplace_back(sequence, payload);
+    if (host.past.size() > scenario_.caches.past) host.past.pop_front();
+    const std::string& name = host.model.spec().name;
+    for (auto& g : gateways_) {
+        if (!g->hears.contains(name)) continue;
+        figures_.cache_batches += 1;
+        if (draw() < scenario_.caches.lost) {
+            figures_.cache_lost += 1;
+            continue;
+        }
+        core::CacheMessage message{name, sequence, payload, false};
+        if (scenario_.caches.instant) give(*g, std::move(message));
+        else at(now_ + kWay, [this, g = g.get(), message = std::move(message)] { give(*g, message); });
+    }
+}
+
+void VirtualDay::replay(Gateway& g, const core::CacheReplay& wanted) {
+    at(now_ + kWay, [this, &g, wanted] {
+        const Host& host = *find(wanted.server);
+        if (!host.up || host.vanished) return;  // no answer: the edge's own time-out ends it
+        at(now_ + kWay, [this, &g, name = wanted.server, from = wanted.from, past = host.past] {
+            for (const auto& [sequence, payload] : past)
+                if (sequence >= from) give(g, core::CacheMessage{name, sequence, payload, true});
+            give(g, core::CacheReplayEnded{name});
+        });
+    });
+}
+
 // ================= clients =================
 
 // Lets those ask whose time has come, and looks again when the next one's comes.
@@ -413,6 +466,7 @@
                       : host.listed == "draining" ? ServerState::draining
                                                   : ServerState::removed;
     out.address = {"127.0.0.1", 1};
+    if (spec.publishes) out.events = out.replay = out.address;
     return out;
 }
 
@@ -450,6 +504,8 @@
     for (const auto& s : host.model.expire_states(Time::max() - std::chrono::hours(24)))
         note_state(What::lost, host, s.request);
     host.model.stop();
+    host.next_batch = 0;
+    host.past.clear();
     std::erase_if(told_cold_, [&](const auto& p) { return p.second == server; });
     tell(server, "removed");
     if (lasts == Duration::zero()) return;  // it stays down
@@ -571,6 +627,13 @@
         const auto gauges = g->edge->gauges();
         figures_.open_at_end +=
             gauges.open_requests + gauges.calls + gauges.states_held + gauges.tracked_by_module;
+        const auto& p = gauges.prefixes;
+        figures_.prefixes.servers += p.servers;
+        figures_.prefixes.told += p.told;
+        figures_.prefixes.blocks += p.blocks;
+        figures_.prefixes.gaps += p.gaps;
+        figures_.prefixes.unfilled += p.unfilled;
+        figures_.prefixes.restarts += p.restarts;
     }
     RuleFigures figures;
     const Settings& m = scenario_.edge.module;
--- a/lab/virtual/day.hpp
+++ b/lab/virtual/day.hpp
@@ -26,6 +26,11 @@
     std::size_t guards = 0;       // actions that the edges' guards stopped
     std::size_t open_at_end = 0;  // of all edges: requests, calls and states that are still there
     std::size_t fell = 0;
+    double read_tokens = 0;  // of prompts read to their end
+    double kept_tokens = 0;  // of these, found kept
+    std::uint64_t cache_batches = 0;
+    std::uint64_t cache_lost = 0;
+    prefix::Knowledge::Counts prefixes;  // over all edges, at the end
 };
 
 // For tests of the checker: a gateway that is broken on purpose, by changing what its core hears and says.
@@ -39,7 +44,7 @@
     void tamper(Tampering tampering) { tampering_ = std::move(tampering); }
     // Plays `scenario` (its length is of virtual time); troubles as on sockets, but for the edges' own
     // processes.
-    explicit VirtualDay(Scenario scenario);
+    explicit VirtualDay(Scenario scenario, std::optional<Placing> baseline = std::nullopt);
     ~VirtualDay();
     // Runs to the end, and on until nothing is open or `rest` is over. Returns what the checker says.
     Verdict5 run(Duration rest = std::chrono::seconds(60));
@@ -60,6 +65,8 @@
     void answer(Exchange& exchange, int status, const std::string& body, const std::string& not_run = "");
     void cut(std::uint64_t exchange);
     void move(Host& host);
+    void publish(Host& host);
+    void replay(Gateway& gateway, const core::CacheReplay& wanted);
     void move_clients();
     void ask(ClientAsk ask);
     void answered(const std::string& request, const Transcript::End& end);
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -91,9 +91,25 @@
     std::unique_ptr<chat::SseReader> events;
 };
 
-Edge::Edge(const config::EdgeSettings& settings)
+namespace {
+class Module : public Decider {
+public:
+    explicit Module(const config::EdgeSettings& settings) : brain_(settings.module, settings.seed) {}
+    std::vector<Action> step(Time now, std::span<const Event> events) override {
+        return brain_.step(now, events);
+    }
+    std::size_t tracked_requests() const override { return brain_.tracked_requests(); }
+
+private:
+    Brain brain_;
+};
+}  // namespace
+
+Edge::Edge(const config::EdgeSettings& settings) : Edge(settings, std::make_unique<Module>(settings)) {}
+
+Edge::Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider)
     : settings_(settings),
-      brain_(settings.module, settings.seed),
+      decider_(std::move(decider)),
       tokens_(settings.module.classes.size(), settings.tokens_per_byte),
       verification_({settings.limits.unverified_pause, settings.limits.unverified_longest}) {
     const bool any = std::any_of(settings_.kinds.begin(), settings_.kinds.end(),
@@ -140,7 +156,7 @@
             started_,
             calls_.size(),
             held_,
-            brain_.tracked_requests(),
+            decider_->tracked_requests(),
             verification_.count(),
             prefixes_ == nullptr ? prefix::Knowledge::Counts{} : prefixes_->counts()};
 }
@@ -740,7 +756,7 @@
 void Edge::run_module() {
     for (int round = 0; !events_.empty() && round < kModuleRounds; ++round) {
         const auto events = std::exchange(events_, {});
-        for (const auto& action : brain_.step(now_, events))
+        for (const auto& action : decider_->step(now_, events))
             std::visit([this](const auto& a) { act(a); }, action);
     }
 }
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -29,6 +29,7 @@
 #include "base/units.hpp"
 #include "chat/collect.hpp"
 #include "config/settings.hpp"
+#include "core/decider.hpp"
 #include "core/intake.hpp"
 #include "core/token_estimate.hpp"
 #include "engine/outcome.hpp"
@@ -174,7 +175,8 @@
 
 class Edge {
 public:
-    explicit Edge(const config::EdgeSettings& settings);
+    explicit Edge(const config::EdgeSettings& settings);  // the module decides
+    Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider);
     ~Edge();
     Edge(const Edge&) = delete;
     Edge& operator=(const Edge&) = delete;
@@ -260,7 +262,7 @@
     }
 
     config::EdgeSettings settings_;
-    Brain brain_;
+    std::unique_ptr<Decider> decider_;
     TokenEstimate tokens_;
     Time now_{};
     bool draining_ = false;
