--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -47,6 +47,9 @@
             b.whole("queue", c.queue, 1, 1'000'000);
             b.size("message", c.message_bytes);
             b.duration("replay-timeout", c.replay_timeout);
+            b.text("snapshots", c.snapshots);
+            b.duration("snapshot-every", c.snapshot_every);
+            b.size("snapshots-bytes", c.snapshots_bytes);
         });
         one(top, "costs", [&](Block& b) {
             b.real("far", out_.module.far_price, 0, 1e6);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -65,6 +65,9 @@
     std::int64_t queue = 1'000;         // messages of one server that wait to be read; more are lost
     std::size_t message_bytes = 4 * 1024 * 1024;
     Duration replay_timeout = std::chrono::seconds(1);
+    std::string snapshots;  // folder in which what each edge knows outlives it; empty: nothing does
+    Duration snapshot_every = std::chrono::seconds(60);             // of one server
+    std::size_t snapshots_bytes = std::size_t{1024} * 1024 * 1024;  // of the folder, at most
 };
 enum class LoadSource { none, headers, metrics };
 
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -148,6 +148,7 @@
     if (!wakes_.empty()) want(wakes_.begin()->first);
     if (const auto trial = verification_.next()) want(*trial);
     for (const auto& [server, at] : replays_) want(at);
+    if (!followed_.empty() && next_keep_ != Time::max()) want(next_keep_);
     return out;
 }
 
@@ -656,6 +657,24 @@
     tell_prefixes();
 }
 
+void Edge::on(CacheSnapshots& in) {
+    if (prefixes_ == nullptr) return;
+    snapshots_ = std::move(in.kept);
+    next_keep_ = now_ + settings_.cache_events.snapshot_every;
+}
+
+// One server's turn: all come round once in the time that the settings say, so that no turn of the loop has
+// more than one to write.
+void Edge::keep_snapshot() {
+    if (followed_.empty() || now_ < next_keep_) return;
+    auto it = followed_.upper_bound(last_kept_);
+    if (it == followed_.end()) it = followed_.begin();
+    last_kept_ = it->first;
+    next_keep_ = now_ + std::max(settings_.module.tick, settings_.cache_events.snapshot_every /
+                                                            static_cast<std::int64_t>(followed_.size()));
+    if (auto bytes = prefixes_->snapshot(last_kept_)) emit(CacheKeep{last_kept_, std::move(*bytes)});
+}
+
 // Follows the list: who is in service and publishes is heard.
 void Edge::follow_caches() {
     std::map<std::string, std::pair<Address, std::optional<Address>>> wanted;
@@ -671,10 +690,23 @@
         prefixes_->gone(server);
         replays_.erase(server);
         emit(CacheLeave{server});
+        if (next_keep_ != Time::max()) emit(CacheDrop{server});
     }
     for (const auto& [server, at] : wanted) {
         const auto before = followed_.find(server);
         if (before == followed_.end() || before->second != at) emit(CacheFollow{server, at.first, at.second});
+        // Kept from before this edge started: of use once the engine proves to be the same process.
+        const auto kept = snapshots_.find(server);
+        if (kept == snapshots_.end()) continue;
+        const auto from = prefixes_->restore(server, kept->second);
+        snapshots_.erase(kept);
+        if (!from) {
+            emit(Note{observe::ServerRecord{server, "cache_snapshot", from.error()}});
+            emit(CacheDrop{server});
+            continue;
+        }
+        replays_[server] = now_ + settings_.cache_events.replay_timeout;
+        emit(CacheReplay{server, *from});
     }
     followed_ = std::move(wanted);
     tell_prefixes();
@@ -931,6 +963,7 @@
         emit(CallAbort{id});
         end_other(call, Ending::timed_out, "");
     }
+    keep_snapshot();
     for (auto it = replays_.begin(); it != replays_.end();) {
         if (it->second > now_) {
             ++it;
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -96,10 +96,14 @@
 struct CacheReplayEnded {  // all past ones that it has are in, or it can't be had
     std::string server;
 };
+struct CacheSnapshots {  // by server: what CacheKeep gave before this edge started
+    std::map<std::string, std::string> kept;
+};
 struct TrustChanged {};  // what servers are verified against is not what it was
 struct DrainBegins {};   // no new request is taken from now on
 using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallHead, CallBody, CallDone,
-                           CallFailed, ServerList, CacheMessage, CacheReplayEnded, TrustChanged, DrainBegins>;
+                           CallFailed, ServerList, CacheMessage, CacheReplayEnded, CacheSnapshots,
+                           TrustChanged, DrainBegins>;
 
 // ---- effects: what the shell is to do ----
 
@@ -157,11 +161,18 @@
     std::string server;
     std::uint64_t from = 0;
 };
+struct CacheKeep {  // to be stored in place of the server's former one
+    std::string server;
+    std::string snapshot;
+};
+struct CacheDrop {  // it is of no use any more
+    std::string server;
+};
 struct Note {
     observe::Record record;
 };
 using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, Call, CallAbort, CallSettled,
-                            CallFlow, CacheFollow, CacheLeave, CacheReplay, Note>;
+                            CallFlow, CacheFollow, CacheLeave, CacheReplay, CacheKeep, CacheDrop, Note>;
 
 struct Gauges {
     std::size_t open_requests = 0;  // without a final answer
@@ -218,6 +229,8 @@
     // What servers keep, by their cache events.
     void on(const CacheMessage& in);
     void on(const CacheReplayEnded& in);
+    void on(CacheSnapshots& in);
+    void keep_snapshot();
     void follow_caches();
     void tell_prefixes();
     [[nodiscard]] std::vector<KnownPrefix> claims(const Open& open) const;
@@ -275,6 +288,9 @@
     membership::Verification verification_;
     std::unique_ptr<prefix::Knowledge> prefixes_;  // nullptr: no kind publishes cache events
     std::map<std::string, std::pair<Address, std::optional<Address>>> followed_;
+    std::map<std::string, std::string> snapshots_;  // of servers that are not listed yet
+    std::string last_kept_;                         // whose turn it was
+    Time next_keep_ = Time::max();
     std::map<std::string, Time> replays_;  // under way, and when they have taken too long
     std::set<std::pair<Time, RequestId>> due_;
     std::set<std::pair<Time, CallId>> call_due_;  // let-go calls and probes
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -105,6 +105,13 @@
         limits.message = settings_.cache_events.message_bytes;
         limits.queue = static_cast<int>(settings_.cache_events.queue);
         caches_ = std::make_unique<CacheFeed>(loop_, static_cast<CacheFeed::Handler&>(*this), limits);
+        if (const auto& c = settings_.cache_events; !c.snapshots.empty()) {
+            snapshots_ =
+                std::make_unique<store::Store>(c.snapshots + "/" + settings_.name, c.snapshots_bytes);
+            if (snapshots_->set_aside())
+                log_.say("warn", "cache_snapshots", "the file was not usable, and is set aside");
+            inputs_.emplace_back(core::CacheSnapshots{snapshots_->all()});
+        }
     }
     address_ = clients_->listen(settings_.listen,
                                 listener_tls_ ? HttpServer::Speaks::tls : HttpServer::Speaks::clear);
@@ -254,6 +261,10 @@
         caches_->leave(leave->server);
     } else if (const auto* replay = std::get_if<core::CacheReplay>(&output)) {
         caches_->replay(replay->server, replay->from);
+    } else if (const auto* keep = std::get_if<core::CacheKeep>(&output)) {
+        store_snapshot([&] { snapshots_->put(keep->server, keep->snapshot); });
+    } else if (const auto* drop = std::get_if<core::CacheDrop>(&output)) {
+        store_snapshot([&] { snapshots_->erase(drop->server); });
     } else if (const auto* note = std::get_if<core::Note>(&output)) {
         metrics_.count(note->record);
         log_.write(note->record);
@@ -369,6 +380,15 @@
         kDrainLookMs, kDrainLookMs);
 }
 
+// Without a snapshot the index only has to be filled anew: never a reason to stop.
+void EdgeShell::store_snapshot(const std::function<void()>& write) {
+    try {
+        write();
+    } catch (const std::runtime_error& error) {
+        log_.say("error", "cache_snapshots", error.what());
+    }
+}
+
 void EdgeShell::finish() {
     if (finished_) return;
     finished_ = true;
@@ -380,6 +400,8 @@
              [](uv_handle_t* h) { delete reinterpret_cast<uv_check_t*>(h); });
     check_ = nullptr;
     caches_.reset();
+    if (snapshots_) store_snapshot([&] { snapshots_->flush(); });
+    snapshots_.reset();
     clients_.reset();
     admin_.reset();
     servers_.reset();
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -4,6 +4,7 @@
 
 #include <uv.h>
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -19,6 +20,7 @@
 #include "net/tls/files.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
+#include "store/store.hpp"
 
 namespace chalksail::net {
 
@@ -69,7 +71,9 @@
     std::unique_ptr<HttpServer> clients_;
     std::unique_ptr<HttpServer> admin_;
     std::unique_ptr<HttpPool> servers_;
-    std::unique_ptr<CacheFeed> caches_;  // nullptr: no kind publishes cache events
+    void store_snapshot(const std::function<void()>& write);
+    std::unique_ptr<store::Store> snapshots_;  // nullptr: none are kept
+    std::unique_ptr<CacheFeed> caches_;        // nullptr: no kind publishes cache events
     std::vector<core::Input> inputs_;
     std::map<std::string, tls::Rotation> tls_;  // by kind of server
     std::optional<tls::Rotation> listener_tls_;
--- a/src/prefix/feed.cpp
+++ b/src/prefix/feed.cpp
@@ -8,6 +8,7 @@
 void Feed::take(std::uint64_t sequence, Batch batch, Act& act) {
     next_ = sequence + 1;
     newest_ts_ = std::max(newest_ts_, batch.ts);
+    last_ts_ = batch.ts;
     counts_.applied += 1;
     act.apply.push_back(std::move(batch));
 }
@@ -65,6 +66,10 @@
         act.replay_from = more.replay_from;
         return act;
     }
+    if (state_ == State::unproved) {
+        hold(sequence, std::move(batch), act);
+        return act;
+    }
     if (state_ == State::live && sequence == next_) {
         take(sequence, std::move(batch), act);
         return act;
@@ -80,6 +85,14 @@
 
 Feed::Act Feed::replayed(std::uint64_t sequence, Batch batch) {
     Act act;
+    if (state_ == State::unproved && sequence + 1 == next_) {
+        // Guards against another process whose numbers have come as far: only ours had this batch at this
+        // time.
+        if (batch.ts != last_ts_) return restarted();
+        counts_.proved += 1;
+        state_ = State::replaying;
+        return act;
+    }
     if (state_ != State::replaying || sequence < next_) return act;
     if (sequence > next_) {
         // The past does not go back that far.
@@ -96,6 +109,15 @@
 
 Feed::Act Feed::replay_ended() {
     Act act;
+    if (state_ == State::unproved) {
+        // Nothing shows that it is the same process. What comes next asks for the past from its beginning.
+        counts_.unproved += 1;
+        forget(act);
+        state_ = State::unheard;
+        next_ = 0;
+        held_.clear();
+        return act;
+    }
     if (state_ != State::replaying) return act;
     drain(act);
     while (!held_.empty()) {
@@ -110,6 +132,16 @@
     return act;
 }
 
+Feed::Act Feed::resumed(std::uint64_t next, double last_ts) {
+    Act act;
+    state_ = State::unproved;
+    next_ = next;
+    last_ts_ = newest_ts_ = last_ts;
+    held_.clear();
+    act.replay_from = next - 1;
+    return act;
+}
+
 Feed::Act Feed::restarted() {
     Act act;
     forget(act);
--- a/src/prefix/index.cpp
+++ b/src/prefix/index.cpp
@@ -81,28 +81,11 @@
             counts_.unreadable += e.blocks.size() - i;
             return;
         }
-        const NodeId node = enter(parent, text, e.block_size);
-        const auto [it, fresh] = s.blocks.try_emplace(e.blocks[i], node);
-        if (!fresh && it->second != node) {
-            // Guards against one hash for two texts: the later one counts, and the former is let go.
-            const NodeId old = it->second;
-            it->second = node;
-            insert(nodes_[node].holders, engine);
-            leave(old, engine);
-        } else if (fresh) {
-            insert(nodes_[node].holders, engine);
-            held_blocks_ += 1;
-            counts_.stored += 1;
-            s.order.push_back(e.blocks[i]);
-        }
+        const NodeId node =
+            enter(parent, key_of(nodes_[parent].key, text), static_cast<std::uint16_t>(text.size()),
+                  static_cast<std::uint32_t>(e.block_size));
+        hold(engine, e.blocks[i], node);
         parent = node;
-        while (s.blocks.size() > limits_.blocks_each && s.order.front() != e.blocks[i]) {
-            const auto oldest = s.order.front();
-            s.order.pop_front();
-            if (!s.blocks.contains(oldest)) continue;
-            remove_block(engine, oldest);
-            counts_.dropped += 1;
-        }
     }
     // The queue names blocks that were removed since; it is swept before it outgrows what it stands for.
     if (s.order.size() > 2 * limits_.blocks_each + 64) {
@@ -114,6 +97,62 @@
     }
 }
 
+// The engine has this block; its oldest go if it has too many.
+void Index::hold(Engine engine, EngineHash hash, NodeId node) {
+    Slot& s = slots_[engine];
+    const auto [it, fresh] = s.blocks.try_emplace(hash, node);
+    if (!fresh && it->second != node) {
+        // Guards against one hash for two texts: the later one counts, and the former is let go.
+        const NodeId old = it->second;
+        it->second = node;
+        insert(nodes_[node].holders, engine);
+        leave(old, engine);
+    } else if (fresh) {
+        insert(nodes_[node].holders, engine);
+        held_blocks_ += 1;
+        counts_.stored += 1;
+        s.order.push_back(hash);
+    }
+    while (s.blocks.size() > limits_.blocks_each && s.order.front() != hash) {
+        const auto oldest = s.order.front();
+        s.order.pop_front();
+        if (!s.blocks.contains(oldest)) continue;
+        remove_block(engine, oldest);
+        counts_.dropped += 1;
+    }
+}
+
+std::vector<Index::KeptBlock> Index::blocks_of(Engine engine) const {
+    const Slot& s = slots_[engine];
+    std::vector<KeptBlock> out;
+    out.reserve(s.blocks.size());
+    absl::flat_hash_map<EngineHash, bool> seen;
+    for (const auto hash : s.order) {
+        const auto it = s.blocks.find(hash);
+        if (it == s.blocks.end() || !seen.emplace(hash, true).second) continue;
+        const Node& n = nodes_[it->second];
+        out.push_back({hash, nodes_[n.parent].key, n.key, n.tokens - nodes_[n.parent].tokens, n.length});
+    }
+    return out;
+}
+
+void Index::restore(Engine engine, const std::vector<KeptBlock>& blocks) {
+    const NodeId root = slots_[engine].root;
+    for (const auto& b : blocks) {
+        NodeId parent = root;
+        if (b.parent != nodes_[root].key) {
+            const auto it = by_key_.find(b.parent);
+            if (it == by_key_.end()) {
+                counts_.orphans += 1;
+                continue;
+            }
+            parent = it->second;
+        }
+        if (b.length == 0 || b.key == nodes_[root].key) continue;
+        hold(engine, b.hash, enter(parent, b.key, b.length, b.tokens));
+    }
+}
+
 void Index::remove_block(Engine engine, EngineHash hash) {
     Slot& s = slots_[engine];
     const auto it = s.blocks.find(hash);
@@ -136,8 +175,7 @@
     return id;
 }
 
-Index::NodeId Index::enter(NodeId parent, std::string_view text, std::size_t tokens) {
-    const std::uint64_t key = key_of(nodes_[parent].key, text);
+Index::NodeId Index::enter(NodeId parent, std::uint64_t key, std::uint16_t length, std::uint32_t tokens) {
     const auto known = by_key_.find(key);
     if (known != by_key_.end()) return known->second;
     const NodeId id = make_node();
@@ -145,9 +183,9 @@
     Node& n = nodes_[id];
     n.key = key;
     n.parent = parent;
-    n.length = static_cast<std::uint16_t>(text.size());
-    n.tokens = static_cast<std::uint32_t>(tokens) + nodes_[parent].tokens;
-    n.bytes = static_cast<std::uint32_t>(text.size()) + nodes_[parent].bytes;
+    n.length = length;
+    n.tokens = tokens + nodes_[parent].tokens;
+    n.bytes = length + nodes_[parent].bytes;
     child_added(parent, n.length);
     return id;
 }
--- a/src/prefix/index.hpp
+++ b/src/prefix/index.hpp
@@ -47,6 +47,18 @@
     void apply(Engine engine, const Event& event);
     void forget(Engine engine);
 
+    // A block without its text, for snapshots: its own key and its parent's are enough to be found again.
+    struct KeptBlock {
+        EngineHash hash = 0;
+        std::uint64_t parent = 0;
+        std::uint64_t key = 0;
+        std::uint32_t tokens = 0;
+        std::uint16_t length = 0;
+    };
+    [[nodiscard]] std::vector<KeptBlock> blocks_of(Engine engine) const;  // oldest first
+    // Those whose parent is known, in this order.
+    void restore(Engine engine, const std::vector<KeptBlock>& blocks);
+
     struct Held {
         Engine engine = 0;
         std::uint32_t tokens = 0;  // of the longest beginning that it holds
@@ -95,7 +107,8 @@
     void store(Engine engine, const BlockStored& event);
     void remove_block(Engine engine, EngineHash hash);
     [[nodiscard]] NodeId make_node();
-    NodeId enter(NodeId parent, std::string_view text, std::size_t tokens);
+    NodeId enter(NodeId parent, std::uint64_t key, std::uint16_t length, std::uint32_t tokens);
+    void hold(Engine engine, EngineHash hash, NodeId node);
     void child_added(NodeId parent, std::uint16_t length);
     void child_gone(NodeId parent, std::uint16_t length);
     void leave(NodeId node, Engine engine);
--- a/src/prefix/knowledge.cpp
+++ b/src/prefix/knowledge.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "prefix/snapshot.hpp"
+
 namespace chalksail::prefix {
 namespace {
 
@@ -78,6 +80,27 @@
     carry_out(it->second, act);
 }
 
+std::optional<std::string> Knowledge::snapshot(const std::string& server) const {
+    const auto it = servers_.find(server);
+    if (it == servers_.end() || !it->second.feed.known() || it->second.feed.next() == 0) return std::nullopt;
+    const Entry& e = it->second;
+    return encode(Snapshot{e.space, e.feed.next(), e.feed.last_ts(), index_.blocks_of(e.engine)});
+}
+
+tl::expected<std::uint64_t, std::string> Knowledge::restore(const std::string& server,
+                                                            std::string_view bytes) {
+    const auto it = servers_.find(server);
+    if (it == servers_.end()) return tl::unexpected(std::string("not listed"));
+    Entry& e = it->second;
+    if (e.feed.state() != Feed::State::unheard)
+        return tl::unexpected(std::string("it has been heard already"));
+    const auto snapshot = decode_snapshot(bytes, limits_.index.blocks_each);
+    if (!snapshot) return tl::unexpected(snapshot.error());
+    if (snapshot->space != e.space) return tl::unexpected(std::string("it was of another kind then"));
+    index_.restore(e.engine, snapshot->blocks);
+    return *e.feed.resumed(snapshot->next, snapshot->last_ts).replay_from;
+}
+
 std::vector<KnownPrefix> Knowledge::claims(std::string_view space, std::string_view text) const {
     std::vector<KnownPrefix> out;
     for (const auto& h : index_.held(space, text))
@@ -88,7 +111,7 @@
 
 bool Knowledge::told(const std::string& server) const {
     const auto it = servers_.find(server);
-    return it != servers_.end() && it->second.believed && it->second.feed.state() != Feed::State::unheard;
+    return it != servers_.end() && it->second.believed && it->second.feed.known();
 }
 
 void Knowledge::observed(const std::string& server, double claimed, double found) {
@@ -103,7 +126,7 @@
 std::vector<PrefixesTold> Knowledge::changes() {
     std::vector<PrefixesTold> out = std::exchange(gone_, {});
     for (auto& [name, e] : servers_) {
-        const bool now = e.believed && e.feed.state() != Feed::State::unheard;
+        const bool now = e.believed && e.feed.known();
         if (now == e.told_before) continue;
         e.told_before = now;
         out.push_back({{name}, now});
@@ -120,6 +143,8 @@
         out.gaps += e.feed.counts().gaps;
         out.unfilled += e.feed.counts().unfilled;
         out.restarts += e.feed.counts().restarts;
+        out.proved += e.feed.counts().proved;
+        out.unproved += e.feed.counts().unproved;
     }
     return out;
 }
--- a/src/prefix/knowledge.hpp
+++ b/src/prefix/knowledge.hpp
@@ -37,6 +37,14 @@
                                          std::string_view payload, bool replayed);
     void replay_ended(const std::string& server);
 
+    // What is known of a server, to be kept over a restart of this gateway; nothing while that is nothing, or
+    // doubtful.
+    [[nodiscard]] std::optional<std::string> snapshot(const std::string& server) const;
+    // Takes it back for a listed server of which nothing has been heard yet; it counts once a replay from the
+    // number returned has proved it. An error says why it is not taken.
+    [[nodiscard]] tl::expected<std::uint64_t, std::string> restore(const std::string& server,
+                                                                   std::string_view snapshot);
+
     // Tokens of this text that each server says it holds, by server; also of those not believed.
     [[nodiscard]] std::vector<KnownPrefix> claims(std::string_view space, std::string_view text) const;
     // Is its word to be used, and its silence taken for nothing held?
@@ -50,6 +58,7 @@
         std::uint64_t messages = 0, bad_messages = 0, unknown_events = 0;
         std::size_t servers = 0, told = 0, blocks = 0;
         std::uint64_t gaps = 0, unfilled = 0, restarts = 0;
+        std::uint64_t proved = 0, unproved = 0;  // snapshots taken back
     };
     [[nodiscard]] Counts counts() const;
     // What was wrong with the last message that was refused.
--- a/tests/core/prefix_test.cpp
+++ b/tests/core/prefix_test.cpp
@@ -64,6 +64,59 @@
     EXPECT_EQ(of<CacheLeave>(out)[0].server, "r1");
 }
 
+// A gateway that starts anew knows what the one before it knew, once the engine proves that it is the same.
+TEST(Prefix, SnapshotServesTheNextGateway) {
+    auto s = with_events();
+    s.cache_events.snapshot_every = 10s;
+    std::map<std::string, std::string> kept;
+    {
+        Edge before(s);
+        (void)before.step(Time(1000s), {CacheSnapshots{}});
+        (void)before.step(Time(1000s),
+                          {ServerList{ListScope::complete, {publishes("r1"), publishes("r2", 21)}}});
+        (void)before.step(Time(1001s), {holds("r1", 0, 1)});
+        // Each in its turn, five seconds apart; of the one that has said nothing there is none.
+        for (Time at(1002s); at < Time(1030s); at = std::max(at + 1s, *before.next_wake()))
+            for (auto& k : of<CacheKeep>(before.step(at, {}))) kept[k.server] = k.snapshot;
+        ASSERT_EQ(kept.size(), 1U);
+    }
+    Edge edge(s);
+    kept["r2"] = "not one of ours";
+    (void)edge.step(Time(2000s), {CacheSnapshots{kept}});
+    const auto out =
+        edge.step(Time(2000s), {ServerList{ListScope::complete, {publishes("r1"), publishes("r2", 21)}}});
+    ASSERT_EQ(of<CacheReplay>(out).size(), 1U);
+    EXPECT_EQ(of<CacheReplay>(out)[0].server, "r1");
+    EXPECT_EQ(of<CacheReplay>(out)[0].from, 0U);
+    ASSERT_EQ(of<CacheDrop>(out).size(), 1U);
+    EXPECT_EQ(of<CacheDrop>(out)[0].server, "r2");
+    EXPECT_EQ(edge.gauges().prefixes.told, 0U);
+    EXPECT_GT(edge.gauges().prefixes.blocks, 0U);
+    (void)edge.step(Time(2000s), {holds("r1", 0, 1, true), CacheReplayEnded{"r1"}});
+    EXPECT_EQ(edge.gauges().prefixes.told, 1U);
+    // Off the list: what is stored of it goes too.
+    EXPECT_EQ(of<CacheDrop>(edge.step(Time(2001s), {ServerList{ListScope::complete, {publishes("r2", 21)}}}))
+                  .size(),
+              1U);
+}
+
+// Nobody answers the question for the past: nothing is believed after the time-out.
+TEST(Prefix, SnapshotThatNobodyProvesIsForgotten) {
+    auto s = with_events();
+    Edge before(s), edge(s);
+    (void)before.step(Time(1000s), {CacheSnapshots{}});
+    (void)before.step(Time(1000s), {ServerList{ListScope::complete, {publishes("r1")}}});
+    (void)before.step(Time(1001s), {holds("r1", 0, 1)});
+    const auto keep = of<CacheKeep>(before.step(*before.next_wake(), {}));
+    ASSERT_EQ(keep.size(), 1U);
+    (void)edge.step(Time(1000s), {CacheSnapshots{{{"r1", keep[0].snapshot}}}});
+    (void)edge.step(Time(1000s), {ServerList{ListScope::complete, {publishes("r1")}}});
+    EXPECT_GT(edge.gauges().prefixes.blocks, 0U);
+    (void)edge.step(Time(1000s) + s.cache_events.replay_timeout, {});
+    EXPECT_EQ(edge.gauges().prefixes.blocks, 0U);
+    EXPECT_EQ(edge.gauges().prefixes.told, 0U);
+}
+
 TEST(Prefix, ReadGoesWhereTheTextIsHeld) {
     for (const std::string& holder : {std::string("r1"), std::string("r2")}) {
         Driver d(with_events());
--- a/tests/fuzz/prefix_fuzz.cpp
+++ b/tests/fuzz/prefix_fuzz.cpp
@@ -5,8 +5,12 @@
 #include <string>
 #include <string_view>
 
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
 #include "prefix/feed.hpp"
 #include "prefix/index.hpp"
+#include "prefix/snapshot.hpp"
 
 using namespace chalksail::prefix;
 
@@ -21,6 +25,18 @@
     const auto a = index.add("m"), b = index.add("m");
     Feed feed(8);
     std::string_view rest(reinterpret_cast<const char*>(data), size);
+    // A stored snapshot: as it is, and with its checksum made good so that what is behind it is reached.
+    (void)decode_snapshot(rest, 50);
+    const std::string summed = encode_sequence(XXH3_64bits(rest.data(), rest.size())) + std::string(rest);
+    if (const auto snapshot = decode_snapshot(summed, 50)) {
+        Index restored(text, {4, 50, 64, 256});
+        const auto e = restored.add(snapshot->space);
+        restored.restore(e, snapshot->blocks);
+        (void)restored.held(snapshot->space, "abcabc");
+        if (!decode_snapshot(encode(*snapshot), 50)) std::abort();
+        restored.remove(e);
+        if (restored.blocks() != 0 || restored.nodes() != 0) std::abort();
+    }
     while (rest.size() > 2) {
         const auto what = static_cast<unsigned char>(rest[0]);
         const auto length = std::min<std::size_t>(static_cast<unsigned char>(rest[1]), rest.size() - 2);
