Comparison tests build again: names of baselines outside the macro

The change before broke the build: a macro took the commas of a list in a lambda for its own. The names are a function now; all tests of baselines run under their names.

--- a/tests/lab/compare_test.cpp
+++ b/tests/lab/compare_test.cpp
@@ -43,14 +43,14 @@
     EXPECT_EQ(day.figures().guards, 0U);
     EXPECT_GT(v.served, v.asked / 2);
 }
-INSTANTIATE_TEST_SUITE_P(
-    All, BaselineDay,
-    ::testing::Values(Placing::random, Placing::round_robin, Placing::least_outstanding, Placing::two_choices,
-                      Placing::prefix_hash),
-    [](const auto& info) {
-        static const std::array names{"Random", "RoundRobin", "LeastOutstanding", "TwoChoices", "PrefixHash"};
-        return std::string(names[static_cast<std::size_t>(info.param)]);
-    });
+std::string name_of(const ::testing::TestParamInfo<Placing>& info) {
+    static const std::array names{"Random", "RoundRobin", "LeastOutstanding", "TwoChoices", "PrefixHash"};
+    return names[static_cast<std::size_t>(info.param)];
+}
+INSTANTIATE_TEST_SUITE_P(All, BaselineDay,
+                         ::testing::Values(Placing::random, Placing::round_robin, Placing::least_outstanding,
+                                           Placing::two_choices, Placing::prefix_hash),
+                         name_of);
 
 // Twelve readers, forty shared beginnings: more than one reader keeps.
 Scenario with_events(const std::string& more, std::uint64_t seed) {
