--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -47,6 +47,10 @@
             b.whole("queue", c.queue, 1, 1'000'000);
             b.size("message", c.message_bytes);
             b.duration("replay-timeout", c.replay_timeout);
+            b.whole("turn-messages", c.turn_messages, 1, 1'000'000);
+            b.size("turn-bytes", c.turn_bytes);
+            b.duration("reconnect-least", c.reconnect_least);
+            b.duration("reconnect-most", c.reconnect_most);
             b.text("snapshots", c.snapshots);
             b.duration("snapshot-every", c.snapshot_every);
             b.size("snapshots-bytes", c.snapshots_bytes);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -64,6 +64,10 @@
     std::int64_t held_batches = 1'024;  // of one server, while a replay is under way
     std::int64_t queue = 1'000;         // messages of one server that wait to be read; more are lost
     std::size_t message_bytes = 4 * 1024 * 1024;
+    std::int64_t turn_messages = 64;      // taken before other work of the edge has its turn; or once ...
+    std::size_t turn_bytes = 128 * 1024;  // ... so much has come
+    Duration reconnect_least = std::chrono::milliseconds(100);
+    Duration reconnect_most = std::chrono::seconds(2);
     Duration replay_timeout = std::chrono::seconds(1);
     std::string snapshots;  // folder in which what each edge knows outlives it; empty: nothing does
     Duration snapshot_every = std::chrono::seconds(60);             // of one server
--- a/src/net/cache_feed.cpp
+++ b/src/net/cache_feed.cpp
@@ -12,9 +12,10 @@
 namespace {
 
 constexpr std::size_t kFrames = 4;  // more than any message here has
-constexpr int kReconnectLeastMs = 100;
-constexpr int kReconnectMostMs = 2000;
 
+int milliseconds(Duration d) {
+    return static_cast<int>(std::chrono::duration_cast<std::chrono::milliseconds>(d).count());
+}
 std::string endpoint(const Address& address) { return "tcp://" + format_address(address); }
 
 }  // namespace
@@ -75,8 +76,8 @@
     set(ZMQ_RCVHWM, limits_.queue);
     set(ZMQ_SNDHWM, limits_.queue);
     set(ZMQ_MAXMSGSIZE, static_cast<std::int64_t>(limits_.message));
-    set(ZMQ_RECONNECT_IVL, kReconnectLeastMs);
-    set(ZMQ_RECONNECT_IVL_MAX, kReconnectMostMs);
+    set(ZMQ_RECONNECT_IVL, milliseconds(limits_.reconnect_least));
+    set(ZMQ_RECONNECT_IVL_MAX, milliseconds(limits_.reconnect_most));
     if (address.host.find(':') != std::string::npos) set(ZMQ_IPV6, 1);
     if (type == ZMQ_SUB && zmq_setsockopt(out->zmq, ZMQ_SUBSCRIBE, "", 0) != 0) fail("subscribe");
     if (zmq_connect(out->zmq, endpoint(address).c_str()) != 0) fail("connect");
@@ -131,19 +132,26 @@
 }
 
 void CacheFeed::turn() {
-    int most = limits_.each_turn;
+    Budget budget{limits_.each_turn, limits_.each_turn_bytes};
     bool left = false;
-    for (auto& [server, f] : followed_)
+    // Guards against one server's flood taking every turn: each turn begins behind the one read last.
+    std::vector<Followed*> all;
+    for (auto it = followed_.upper_bound(last_turn_); it != followed_.end(); ++it)
+        all.push_back(it->second.get());
+    for (auto it = followed_.begin(); it != followed_.upper_bound(last_turn_); ++it)
+        all.push_back(it->second.get());
+    for (Followed* f : all)
         for (Socket* s : {f->events.get(), f->replay.get()}) {
             if (s == nullptr || !s->more) continue;
-            s->more = take(*s, most);
+            if (budget.messages > 0 && budget.bytes > 0) last_turn_ = f->server;
+            s->more = take(*s, budget);
             left = left || s->more;
         }
     if (!left) uv_idle_stop(idle_);
 }
 
-bool CacheFeed::take(Socket& socket, int& most) {
-    while (most > 0) {
+bool CacheFeed::take(Socket& socket, Budget& left) {
+    while (left.messages > 0 && left.bytes > 0) {
         std::vector<std::string> frames;
         bool more = true, bad = false;
         while (more) {
@@ -159,7 +167,10 @@
             more = zmq_msg_more(&message) != 0;
             zmq_msg_close(&message);
         }
-        --most;
+        left.messages -= 1;
+        std::size_t size = 0;
+        for (const auto& frame : frames) size += frame.size();
+        left.bytes -= std::min(left.bytes, size);
         counts_.messages += 1;
         const auto sequence = !bad && frames.size() == 3 ? prefix::decode_sequence(frames[1]) : std::nullopt;
         if (!sequence) {
--- a/src/net/cache_feed.hpp
+++ b/src/net/cache_feed.hpp
@@ -31,7 +31,12 @@
     struct Limits {
         int queue = 1000;               // messages of one server that wait to be read
         std::size_t message = 4 << 20;  // bytes
-        int each_turn = 64;             // messages taken before the loop goes on to other things
+        // What is taken, in a turn of the loop, before it goes on to other things: so many messages, or once
+        // so many bytes have come.
+        int each_turn = 64;
+        std::size_t each_turn_bytes = 128 * 1024;
+        Duration reconnect_least = std::chrono::milliseconds(100);
+        Duration reconnect_most = std::chrono::seconds(2);
     };
     CacheFeed(uv_loop_t& loop, Handler& handler, Limits limits);
     ~CacheFeed();
@@ -54,8 +59,12 @@
     struct Followed;
     std::unique_ptr<Socket> open(int type, const Address& address, Followed& owner, bool replays);
     void look(Socket& socket);
-    // Takes what is there, up to `most`; true if more may be.
-    bool take(Socket& socket, int& most);
+    struct Budget {
+        int messages = 0;
+        std::size_t bytes = 0;
+    };
+    // Takes what is there, as far as the budget goes; true if more may be.
+    bool take(Socket& socket, Budget& left);
     void turn();
 
     uv_loop_t& loop_;
@@ -64,6 +73,7 @@
     void* context_ = nullptr;
     uv_idle_t* idle_ = nullptr;  // runs while something is left to read
     std::map<std::string, std::unique_ptr<Followed>> followed_;
+    std::string last_turn_;  // the server that was read last
     Counts counts_;
 };
 
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -104,6 +104,10 @@
         CacheFeed::Limits limits;
         limits.message = settings_.cache_events.message_bytes;
         limits.queue = static_cast<int>(settings_.cache_events.queue);
+        limits.each_turn = static_cast<int>(settings_.cache_events.turn_messages);
+        limits.each_turn_bytes = std::max<std::size_t>(1, settings_.cache_events.turn_bytes);
+        limits.reconnect_least = settings_.cache_events.reconnect_least;
+        limits.reconnect_most = settings_.cache_events.reconnect_most;
         caches_ = std::make_unique<CacheFeed>(loop_, static_cast<CacheFeed::Handler&>(*this), limits);
         if (const auto& c = settings_.cache_events; !c.snapshots.empty()) {
             snapshots_ =
@@ -262,7 +266,10 @@
     } else if (const auto* replay = std::get_if<core::CacheReplay>(&output)) {
         caches_->replay(replay->server, replay->from);
     } else if (const auto* keep = std::get_if<core::CacheKeep>(&output)) {
-        store_snapshot([&] { snapshots_->put(keep->server, keep->snapshot); });
+        store_snapshot([&] {
+            snapshots_->put(keep->server, keep->snapshot);
+            snapshots_written_ += 1;
+        });
     } else if (const auto* drop = std::get_if<core::CacheDrop>(&output)) {
         store_snapshot([&] { snapshots_->erase(drop->server); });
     } else if (const auto* note = std::get_if<core::Note>(&output)) {
@@ -338,6 +345,9 @@
             metrics_.set("prefix_gaps", static_cast<double>(p.gaps));
             metrics_.set("prefix_gaps_unfilled", static_cast<double>(p.unfilled));
             metrics_.set("prefix_restarts", static_cast<double>(p.restarts));
+            metrics_.set("prefix_snapshots_written", static_cast<double>(snapshots_written_));
+            metrics_.set("prefix_snapshots_proved", static_cast<double>(p.proved));
+            metrics_.set("prefix_snapshots_unproved", static_cast<double>(p.unproved));
         }
         metrics_.set("server_queue", static_cast<double>(s.waiting));
         http::Headers text;
--- a/tests/net/cache_feed_test.cpp
+++ b/tests/net/cache_feed_test.cpp
@@ -36,7 +36,12 @@
     }
     void on_cache_message(const std::string& server, std::uint64_t sequence, std::string payload,
                           bool replayed) override {
+        if (server == "quiet") {
+            quiet_heard += 1;
+            return;
+        }
         EXPECT_EQ(server, "e");
+        bytes_this_turn += payload.size();
         EXPECT_TRUE(prefix::decode(payload));
         (replayed ? past : heard).push_back(sequence);
         ++this_turn;
@@ -50,12 +55,21 @@
             each();
             publisher->tick();
             this_turn = 0;
+            bytes_this_turn = 0;
             uv_run(&loop, UV_RUN_NOWAIT);
+            most_bytes = std::max(most_bytes, bytes_this_turn);
             most_in_a_turn = std::max(most_in_a_turn, this_turn);
         }
         return so();
     }
     void publish() { publisher->publish({prefix::AllBlocksCleared{}}); }
+    void publish_large(std::size_t bytes) {
+        prefix::BlockStored e;
+        e.block_size = 1;
+        e.blocks.assign(bytes / 6, 0x7fffffff);  // five bytes a hash, one a token
+        e.tokens.assign(bytes / 6, 1);
+        publisher->publish({std::move(e)});
+    }
     // A subscriber hears what is published once its connection is there: until then nothing comes.
     bool joined() {
         return until([this] { return !heard.empty(); }, [this] { publish(); });
@@ -66,7 +80,8 @@
     std::unique_ptr<lab::CachePublisher> publisher;
     std::unique_ptr<CacheFeed> feed;
     std::vector<std::uint64_t> heard, past;
-    int ended = 0, this_turn = 0, most_in_a_turn = 0;
+    int ended = 0, this_turn = 0, most_in_a_turn = 0, quiet_heard = 0;
+    std::size_t bytes_this_turn = 0, most_bytes = 0;
     bool lose = false;
 };
 
@@ -124,5 +139,64 @@
     EXPECT_GT(most_in_a_turn, 1);
 }
 
+// Large messages are counted by their bytes.
+TEST_F(Feeds, LargeMessagesAreReadOneByOne) {
+    CacheFeed::Limits limits;
+    limits.each_turn_bytes = 10'000;
+    begin(10, limits);
+    ASSERT_TRUE(joined());
+    most_bytes = 0;
+    const auto all = heard.size() + 50;
+    for (int i = 0; i < 50; ++i) publish_large(8'000);
+    ASSERT_TRUE(until([&] { return heard.size() >= all; }));
+    EXPECT_LT(most_bytes, 2 * 9'000U);  // the one that went over the limit is the last of its turn
+    EXPECT_GT(most_bytes, 8'000U);
+}
+
+// One engine's flood must not keep another's word from being read.
+TEST_F(Feeds, FloodOfOneDoesNotKeepOutAnother) {
+    CacheFeed::Limits limits;
+    limits.each_turn = 1;
+    limits.queue = 100'000;
+    begin(10, limits);
+    ASSERT_TRUE(joined());
+    lab::CachePublisher quiet(10, [] { return false; });
+    feed->follow("quiet", quiet.events(), std::nullopt);
+    ASSERT_TRUE(until([&] { return quiet_heard > 0; }, [&] { quiet.publish({prefix::AllBlocksCleared{}}); }));
+    const auto all = heard.size() + 800;
+    for (int i = 0; i < 900; ++i) publish();
+    quiet_heard = 0;
+    std::size_t then = 0;
+    ASSERT_TRUE(until(
+        [&] {
+            if (quiet_heard > 0 && then == 0) then = heard.size();
+            return heard.size() >= all;
+        },
+        [&] {
+            if (heard.size() < all - 700) quiet.publish({prefix::AllBlocksCleared{}});
+        }));
+    EXPECT_GT(quiet_heard, 0);
+    EXPECT_LT(then, all - 100);
+}
+
+// A gateway that stands still does not hold the engine up: past the high-water marks its messages are lost to
+// it, and the next that comes shows the gap.
+TEST_F(Feeds, StalledSubscriberLosesAndSeesTheGap) {
+    CacheFeed::Limits limits;
+    limits.queue = 10;
+    begin(5, limits);
+    ASSERT_TRUE(joined());
+    heard.clear();
+    for (int i = 0; i < 1'500; ++i) publish_large(64'000);  // some 100 MB: more than all buffers on the way
+    ASSERT_TRUE(until([&] { return heard.size() > 5; }));
+    const auto gap = [&] {
+        for (std::size_t i = 1; i < heard.size(); ++i)
+            if (heard[i] != heard[i - 1] + 1) return true;
+        return false;
+    };
+    ASSERT_TRUE(until(gap, [&] { publish(); }));
+    EXPECT_LT(heard.size(), 1'500U + 1'000U);
+}
+
 }  // namespace
 }  // namespace chalksail::net::testing
