Trust in a server's word also by how long its reads take

Trust went by the cached tokens that an engine counts itself. vLLM tells them only with an option: without it every honest engine would have been disbelieved after five reads; and one that counts falsely was believed for ever. An answer without the count is now no word at all, and time decides: a read of which at least half was claimed and which takes as long as reads of which nothing was (at that server, or over all) speaks against it, one that takes under 0.6 of that for it. Tests: both kinds of engine, slow boxes, little claimed.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -478,11 +478,14 @@
     // The break of a stream that had started ends the request, as its good end does; so does a verdict on it.
     ended.finished = r.answered || r.started || judged.clients_fault;
     if (read_answer) {
-        ended.remark = read_answer->cached_tokens;
-        const auto claim = std::find_if(r.claims.begin(), r.claims.end(),
-                                        [&](const auto& c) { return c.server.value == call.server; });
-        if (claim != r.claims.end()) {
-            prefixes_->observed(call.server, claim->tokens, read_answer->cached_tokens);
+        ended.remark = read_answer->cached_tokens.value_or(0);
+        if (prefixes_ != nullptr) {
+            const auto claim = std::find_if(r.claims.begin(), r.claims.end(),
+                                            [&](const auto& c) { return c.server.value == call.server; });
+            const double prompt =
+                read_answer->prompt_tokens > 0 ? read_answer->prompt_tokens : r.prompt_tokens;
+            prefixes_->observed(call.server, {prompt, claim == r.claims.end() ? 0 : claim->tokens,
+                                              read_answer->cached_tokens, ended.taken});
             tell_prefixes();
         }
         if (read_answer->prompt_tokens > 0) {
--- a/src/engine/protocol.cpp
+++ b/src/engine/protocol.cpp
@@ -23,10 +23,12 @@
 std::optional<Usage> usage_of(const json::Value& doc) {
     const auto* usage = json::find(doc, "usage");
     if (usage == nullptr || !usage->IsObject()) return std::nullopt;
-    Usage out{number(json::find(*usage, "prompt_tokens")), number(json::find(*usage, "completion_tokens")),
-              0};
+    Usage out{
+        number(json::find(*usage, "prompt_tokens")), number(json::find(*usage, "completion_tokens")), {}};
     if (const auto* details = json::find(*usage, "prompt_tokens_details"))
-        out.cached_tokens = number(json::find(*details, "cached_tokens"));
+        if (const auto* cached = json::find(*details, "cached_tokens");
+            cached != nullptr && cached->IsNumber())
+            out.cached_tokens = number(cached);
     return out;
 }
 
--- a/src/engine/protocol.hpp
+++ b/src/engine/protocol.hpp
@@ -36,9 +36,9 @@
 [[nodiscard]] std::string release_body(std::string_view request_id, std::string_view kv_params);
 
 struct ReadAnswer {
-    std::string kv_params;     // JSON object
-    double prompt_tokens = 0;  // 0: not told
-    double cached_tokens = 0;
+    std::string kv_params;                // JSON object
+    double prompt_tokens = 0;             // 0: not told
+    std::optional<double> cached_tokens;  // found kept; many engines do not tell
 };
 // Nothing if the body is no read's answer: not JSON, or without kv_transfer_params.
 [[nodiscard]] std::optional<ReadAnswer> parse_read_answer(std::string_view body);
@@ -46,7 +46,7 @@
 struct Usage {
     double prompt_tokens = 0;
     double completion_tokens = 0;
-    double cached_tokens = 0;
+    std::optional<double> cached_tokens;  // found kept; many engines do not tell
 };
 enum class ChunkKind {
     chunk,       // passed on as it is
--- a/src/prefix/knowledge.cpp
+++ b/src/prefix/knowledge.cpp
@@ -13,6 +13,15 @@
 constexpr double kTrustStep = 0.2;
 constexpr double kTrustLost = 0.4;
 constexpr double kTrustBack = 0.7;
+// Time tells something of reads of which at least half was claimed: as long as reading it all, nothing was
+// kept; a good deal less, it was. Half the weight of a word that the engine gives itself, for there are
+// queues.
+constexpr double kLittle = 0.2;
+constexpr double kMuch = 0.5;
+constexpr double kQuick = 0.6;
+constexpr double kTimeStep = kTrustStep / 2;
+constexpr double kPaceStep = 0.1;
+constexpr std::uint64_t kPaceHeard = 5;  // before a pace tells anything
 
 }  // namespace
 
@@ -114,11 +123,37 @@
     return it != servers_.end() && it->second.believed && it->second.feed.known();
 }
 
-void Knowledge::observed(const std::string& server, double claimed, double found) {
+void Knowledge::Pace::add(double value) {
+    heard += 1;
+    mean += std::max(kPaceStep, 1 / static_cast<double>(heard)) * (value - mean);
+}
+
+// The part of the claim that was kept, as far as the time tells: none, all, or nothing to go by.
+std::optional<double> Knowledge::by_time(const Pace& own, const ReadSeen& read) const {
+    const Pace& pace = own.heard >= kPaceHeard ? own : pace_;
+    if (pace.heard < kPaceHeard || pace.mean <= 0 || read.claimed < kMuch * read.prompt) return std::nullopt;
+    const double part = std::chrono::duration<double>(read.taken).count() / (pace.mean * read.prompt);
+    if (part >= 1) return 0;
+    if (part <= kQuick) return 1;
+    return std::nullopt;
+}
+
+void Knowledge::observed(const std::string& server, const ReadSeen& read) {
     const auto it = servers_.find(server);
-    if (it == servers_.end() || claimed <= 0) return;
+    if (it == servers_.end() || read.prompt <= 0) return;
     Entry& e = it->second;
-    e.trust += kTrustStep * (std::clamp(found / claimed, 0.0, 1.0) - e.trust);
+    if (read.claimed < kLittle * read.prompt && read.found.value_or(0) < kLittle * read.prompt) {
+        const double pace = std::chrono::duration<double>(read.taken).count() / read.prompt;
+        e.pace.add(pace);
+        pace_.add(pace);
+    }
+    if (read.claimed <= 0) return;
+    const auto time = by_time(e.pace, read);
+    const auto word =
+        read.found ? std::optional(std::clamp(*read.found / read.claimed, 0.0, 1.0)) : std::nullopt;
+    // A good word does not outweigh a read that took as long as if nothing had been kept.
+    if (word && !(time && *time == 0 && *word > kTrustLost)) e.trust += kTrustStep * (*word - e.trust);
+    else if (time) e.trust += kTimeStep * (*time - e.trust);
     if (e.trust < kTrustLost) e.believed = false;
     if (e.trust > kTrustBack) e.believed = true;
 }
--- a/src/prefix/knowledge.hpp
+++ b/src/prefix/knowledge.hpp
@@ -2,7 +2,8 @@
 // publishes its cache events, and how far its word is to be trusted. A stale or false word costs speed only.
 //
 // Trust follows what reads find: a server that keeps less than it says is not believed, and is again once its
-// reads bear it out. No I/O, no clock, no randomness. Not thread-safe.
+// reads bear it out: by the engine's own count of what was found, and by how long the read took beside reads
+// of which nothing was claimed. No I/O, no clock, no randomness. Not thread-safe.
 #pragma once
 
 #include <chalksail/chalksail.hpp>
@@ -49,8 +50,14 @@
     [[nodiscard]] std::vector<KnownPrefix> claims(std::string_view space, std::string_view text) const;
     // Is its word to be used, and its silence taken for nothing held?
     [[nodiscard]] bool told(const std::string& server) const;
-    // A read there found so many of the tokens that were claimed for it.
-    void observed(const std::string& server, double claimed, double found);
+    // How a read went at a server, of whose prompt it had claimed to hold some tokens, or none.
+    struct ReadSeen {
+        double prompt = 0;  // tokens
+        double claimed = 0;
+        std::optional<double> found;  // kept, by the engine's own word; many do not tell
+        Duration taken{};
+    };
+    void observed(const std::string& server, const ReadSeen& read);
     // Servers whose told() is not what it was when this was last asked.
     [[nodiscard]] std::vector<PrefixesTold> changes();
 
@@ -65,6 +72,13 @@
     [[nodiscard]] const std::string& last_error() const { return last_error_; }
 
 private:
+    // Seconds a prompt token of reads that had to read nearly all of it.
+    struct Pace {
+        double mean = 0;
+        std::uint64_t heard = 0;
+        void add(double value);
+    };
+    [[nodiscard]] std::optional<double> by_time(const Pace& own, const ReadSeen& read) const;
     struct Entry {
         std::string space;
         Time born{};
@@ -72,6 +86,7 @@
         Feed feed;
         double trust = 1;
         bool believed = true;
+        Pace pace;
         bool told_before = false;
     };
     void carry_out(Entry& entry, Feed::Act& act);
@@ -81,6 +96,7 @@
     std::map<std::string, Entry> servers_;
     std::vector<std::string> by_engine_;  // names, by their number in the index
     std::vector<PrefixesTold> gone_;
+    Pace pace_;  // of all
     Counts counts_;
     std::string last_error_;
 };
--- a/tests/engine/engine_test.cpp
+++ b/tests/engine/engine_test.cpp
@@ -93,6 +93,9 @@
     ASSERT_TRUE(a);
     EXPECT_EQ(a->prompt_tokens, 9);
     EXPECT_EQ(a->cached_tokens, 4);
+    const auto untold = parse_read_answer(R"({"usage":{"prompt_tokens":9},"kv_transfer_params":{}})");
+    ASSERT_TRUE(untold);
+    EXPECT_FALSE(untold->cached_tokens);
     EXPECT_EQ(a->kv_params, R"({"remote_block_ids":[1],"x":null})");
     for (const char* bad : {"", "{}", "[]", R"({"kv_transfer_params":null})", R"({"kv_transfer_params":[]})"})
         EXPECT_FALSE(parse_read_answer(bad)) << bad;
--- a/tests/prefix/knowledge_test.cpp
+++ b/tests/prefix/knowledge_test.cpp
@@ -54,18 +54,57 @@
     (void)k.message("a", 0, batch(1), false);
     (void)k.changes();
     int wrong = 0;
-    for (; k.told("a"); ++wrong) k.observed("a", 16, 0);
+    for (; k.told("a"); ++wrong) k.observed("a", {20, 16, 0, 10ms});
     EXPECT_GE(wrong, 3);
     EXPECT_LE(wrong, 8);
     EXPECT_FALSE(k.changes().at(0).told);
     EXPECT_EQ(claimed(k, "a"), 16);  // still looked at, or nothing could bear it out
     int right = 0;
-    for (; !k.told("a"); ++right) k.observed("a", 16, 16);
+    for (; !k.told("a"); ++right) k.observed("a", {20, 16, 16, 10ms});
     EXPECT_GE(right, 2);
     EXPECT_LE(right, 8);
-    k.observed("a", 0, 0);  // nothing was claimed: no news
+    k.observed("a", {20, 0, 0, 10ms});  // nothing was claimed: no news
     EXPECT_TRUE(k.told("a"));
-    for (int i = 0; i < 20; ++i) k.observed("a", 16, 12);  // a little is evicted always
+    for (int i = 0; i < 20; ++i) k.observed("a", {20, 16, 12, 10ms});  // a little is evicted always
+    EXPECT_TRUE(k.told("a"));
+}
+
+// An engine that does not count what it found, as many don't, or counts falsely: the time tells.
+TEST(Knowledge, SlowReadsOfClaimedTextEndTrustAndQuickOnesBringItBack) {
+    for (const bool counts : {false, true}) {
+        Knowledge k(four_bytes);
+        k.listed("a", "m", {});
+        k.listed("b", "m", {});
+        (void)k.message("a", 0, batch(1), false);
+        const auto claimed = counts ? std::optional<double>(1000) : std::nullopt;
+        for (int i = 0; i < 10; ++i) k.observed("a", {1000, 1000, std::nullopt, 900ms});
+        EXPECT_TRUE(k.told("a"));  // nothing to compare with yet
+        for (int i = 0; i < 5; ++i) k.observed("b", {1000, 0, std::nullopt, 500ms});
+        for (int i = 0; i < 30; ++i) k.observed("a", {1000, 1000, claimed, 400ms});  // neither quick nor slow
+        EXPECT_TRUE(k.told("a"));
+        for (int i = 0; i < 30; ++i)
+            k.observed("a", {1000, 300, claimed ? std::optional<double>(300) : claimed, 2s});
+        EXPECT_TRUE(k.told("a"));  // little was claimed: the rest takes its time
+        int slow = 0;
+        for (; k.told("a") && slow < 100; ++slow) k.observed("a", {1000, 1000, claimed, 520ms});
+        EXPECT_GE(slow, 5);
+        EXPECT_LE(slow, 16);
+        int quick = 0;
+        for (; !k.told("a") && quick < 100; ++quick) k.observed("a", {1000, 1000, claimed, 60ms});
+        EXPECT_LE(quick, 16);
+        EXPECT_GE(quick, counts ? 2 : 5);
+    }
+}
+
+// A box that is slow by itself is measured by its own reads.
+TEST(Knowledge, SlowBoxIsNoLiar) {
+    Knowledge k(four_bytes);
+    k.listed("a", "m", {});
+    k.listed("b", "m", {});
+    (void)k.message("a", 0, batch(1), false);
+    for (int i = 0; i < 5; ++i) k.observed("b", {1000, 0, std::nullopt, 100ms});
+    for (int i = 0; i < 5; ++i) k.observed("a", {1000, 0, std::nullopt, 800ms});
+    for (int i = 0; i < 50; ++i) k.observed("a", {1000, 900, std::nullopt, 200ms});
     EXPECT_TRUE(k.told("a"));
 }
 
