Module: a request waits for the full reader that is told to keep its text

At 90 clients on 12 readers all ways of placing, even a perfect index, read 80% of the tokens anew: a reader that got room took whoever had waited longest, whose text was elsewhere, and the misses kept the readers full. Where another reader is told to keep much more of the text (0.3 of the prompt) and would win by the penalty but for room, a request now waits for it up to 0.7 of its aim. A popular text spreads as before: once its holder's penalty is worse, others are taken at once.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -36,6 +36,8 @@
 constexpr double kWarmWindows = 4;    // windows over which the work sent to warm servers is averaged
 constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
+constexpr double kWaitForText = 0.7;  // of the aim: a request waits so long for who keeps its text
+constexpr double kMuchText = 0.3;     // of the prompt: by so much more than where there is room
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
 constexpr double kFewRequests = 3;   // our part of a writer holds fewer: our sums tell next to nothing of it
 constexpr double kSizeStep = 0.02;   // weight of an arrival in the usual size: slow, so that it does not flap
@@ -228,6 +230,7 @@
         if (room <= 0) return;  // hold: memory_aware
         Server* reader = best_reader(r);
         if (reader == nullptr && any_usable(Role::prefill, r)) return;  // hold: the readers' queues are long
+        if (reader != nullptr && waits_for_its_text(*reader, r)) return;  // hold: who keeps it is full
         Server* writer = best_writer(r, true);
         Server* mixed = best_mixed(r);
         if (mixed != nullptr && (reader == nullptr || writer == nullptr ||
@@ -295,6 +298,18 @@
                              [](const KnownPrefix& k, const ServerId& id) { return k.server < id; });
         return it != r.in.known.end() && it->server == s.entry.id ? it->tokens : 0;
     }
+    // Exception to the readers' choice: in a jam each reader that gets room would take whoever waits first,
+    // whose text is elsewhere, and reading it anew keeps the readers full. While another reader is told to
+    // keep much more of it and only lacks room, a request waits for that one for a part of its aim.
+    bool waits_for_its_text(const Server& s, const Request& r) const {
+        if (now_ >= r.arrived + from_seconds(kWaitForText * seconds(r.aim - r.arrived))) return false;
+        return std::any_of(r.in.known.begin(), r.in.known.end(), [&](const KnownPrefix& k) {
+            const auto it = servers_.find(k.server);
+            return it != servers_.end() && it->second.prefixes_told && usable(it->second, r) &&
+                   read_score(it->second, r) >= read_score(s, r) &&
+                   k.tokens - told_tokens(s, r) > kMuchText * r.in.prompt_tokens;
+        });
+    }
     static double fresh_tokens(const Server& s, const Request& r) {
         if (s.prefixes_told) return std::max(0.0, r.in.prompt_tokens - told_tokens(s, r));
         const double prefix = r.in.prefix.empty() ? 0 : kept_tokens(s, "p" + r.in.prefix);
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -382,6 +382,44 @@
     }
     EXPECT_TRUE(readers.contains("r"));
 }
+// A reader that keeps the text but has no room is waited for, for a part of the aim; one that drains is not.
+TEST(Reader, FullReaderThatKeepsTheTextIsWaitedFor) {
+    for (const bool drains : {false, true}) {
+        Gateway g;
+        g.list({server("q", "reader"), server("r", "reader"), server("w", "writer")});
+        g.step({PrefixesTold{{"q"}, true}, PrefixesTold{{"r"}, true}});
+        // Reads are slow: a second one at the same reader would take too much of the aim.
+        for (std::uint64_t id = 1; id <= 4; ++id) {
+            g.step({Gateway::request(id, "talk", 3000)});
+            const auto at = g.sent_to();
+            g.pass(900ms);
+            g.step({AttemptEnded{{id}, {0}, {at}, Outcome::read, 900ms, true, 0, {}}});
+        }
+        auto a = Gateway::request(10, "talk", 3000);
+        g.step({a});
+        const std::string holder = g.sent_to();
+        const std::string other = holder == "q" ? "r" : "q";
+        if (drains) {
+            auto q = server(holder, "reader");
+            q.state = ServerState::draining;
+            g.list({q}, ListScope::changes);
+        }
+        a.known = {{{holder}, 3000}};
+        a.id = {11};
+        a.prompt_tokens = 4000;
+        g.step({a});
+        EXPECT_EQ(g.sent_to(), drains ? other : "");
+        if (drains) continue;
+        const Time from = g.now;
+        while (g.sent_to().empty() && g.now < from + 3s) {
+            g.pass(4ms);
+            g.step();
+        }
+        EXPECT_EQ(g.sent_to(), other);  // it has waited long enough
+        EXPECT_GT(g.now - from, 400ms);
+        EXPECT_LT(g.now - from, 1s);
+    }
+}
 TEST(Reader, AServerThatStartsAnewIsGuessedAgain) {
     Gateway g;
     auto q = server("q", "reader");
