Cache events of real models: tokenizer.json and a prompt template in the settings

The index could read engines only whose tokens are four bytes of text. The edge now takes the model's tokenizer.json (byte-level BPE or SentencePiece's pieces, special tokens) and a rendering of one message; text is looked up as far as it can be rendered. Errors name the file.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -41,7 +41,11 @@
         one(top, "cache-events", [&](Block& b) {
             CacheEvents& c = out_.cache_events;
             std::size_t choice = 0;
-            if (b.word("vocabulary", {"four-bytes"}, choice)) c.vocabulary = static_cast<Vocabulary>(choice);
+            if (b.word("vocabulary", {"four-bytes", "tokenizer"}, choice))
+                c.vocabulary = static_cast<Vocabulary>(choice);
+            b.text("tokenizer", c.tokenizer);
+            b.text("prompt-begin", c.prompt_begin);
+            b.text("prompt-message", c.prompt_message);
             b.whole("blocks-per-server", c.blocks_per_server, 1, 100'000'000);
             b.whole("held-batches", c.held_batches, 1, 1'000'000);
             b.whole("queue", c.queue, 1, 1'000'000);
@@ -314,6 +318,12 @@
                 problems_.add(place, "unknown kind '" + kind + "'" +
                                          (near.empty() ? "" : "; did you mean '" + near + "'?"));
             }
+        const CacheEvents& c = out_.cache_events;
+        if (c.vocabulary == Vocabulary::tokenizer &&
+            (c.tokenizer.empty() || c.prompt_message.find("{content}") == std::string::npos))
+            problems_.add(
+                {},
+                "vocabulary \"tokenizer\" needs 'tokenizer', a file, and 'prompt-message', with {content}");
         if (out_.module.tick <= Duration::zero()) problems_.add({}, "'tick' must be above 0");
         if (out_.module.release_within < 4 * out_.module.tick)
             problems_.add({}, "'release-within' must be at least four times 'tick'");
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -57,9 +57,15 @@
     std::vector<std::string> keys;
 };
 // How token ids in engines' cache events become text.
-enum class Vocabulary { four_bytes };  // an id is four bytes of text, the first the highest
+enum class Vocabulary {
+    four_bytes,  // an id is four bytes of text, the first the highest; prompts are their messages' JSON
+    tokenizer,   // by the model's tokenizer.json; prompts as its template renders them
+};
 struct CacheEvents {
     Vocabulary vocabulary = Vocabulary::four_bytes;
+    std::string tokenizer;       // file
+    std::string prompt_begin;    // what the template puts before the first message
+    std::string prompt_message;  // one message, with {role} and {content}
     std::int64_t blocks_per_server = 20'000;
     std::int64_t held_batches = 1'024;  // of one server, while a replay is under way
     std::int64_t queue = 1'000;         // messages of one server that wait to be read; more are lost
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <stdexcept>
 #include <utility>
 
 #include "base/json.hpp"
@@ -105,9 +106,11 @@
 };
 }  // namespace
 
-Edge::Edge(const config::EdgeSettings& settings) : Edge(settings, std::make_unique<Module>(settings)) {}
+Edge::Edge(const config::EdgeSettings& settings, std::shared_ptr<const engine::Vocabulary> vocabulary)
+    : Edge(settings, std::make_unique<Module>(settings), std::move(vocabulary)) {}
 
-Edge::Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider)
+Edge::Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider,
+           std::shared_ptr<const engine::Vocabulary> vocabulary)
     : settings_(settings),
       decider_(std::move(decider)),
       tokens_(settings.module.classes.size(), settings.tokens_per_byte),
@@ -119,7 +122,14 @@
     limits.index.blocks_each = static_cast<std::size_t>(settings_.cache_events.blocks_per_server);
     limits.decode.bytes = settings_.cache_events.message_bytes;
     limits.held_batches = static_cast<std::size_t>(settings_.cache_events.held_batches);
-    prefixes_ = std::make_unique<prefix::Knowledge>(engine::four_bytes_of, limits);
+    prefix::TokenText text = engine::four_bytes_of;
+    if (settings_.cache_events.vocabulary == config::Vocabulary::tokenizer) {
+        if (vocabulary == nullptr) throw std::invalid_argument("cache-events: the tokenizer is missing");
+        text = [vocabulary = std::move(vocabulary)](prefix::Token token, std::string& out) {
+            return vocabulary->text(token, out);
+        };
+    }
+    prefixes_ = std::make_unique<prefix::Knowledge>(std::move(text), limits);
 }
 Edge::~Edge() = default;
 
@@ -727,8 +737,11 @@
     const auto messages = std::find_if(r.in.chat.members.begin(), r.in.chat.members.end(),
                                        [](const auto& m) { return m.name == "messages"; });
     if (messages == r.in.chat.members.end()) return {};
-    const auto text = engine::prompt_text(
-        std::string_view(r.body).substr(messages->value, messages->end - messages->value));
+    const auto value = std::string_view(r.body).substr(messages->value, messages->end - messages->value);
+    const config::CacheEvents& c = settings_.cache_events;
+    const auto text = c.vocabulary == config::Vocabulary::tokenizer
+                          ? engine::prompt_text(value, {c.prompt_begin, c.prompt_message})
+                          : engine::prompt_text(value);
     std::vector<KnownPrefix> out;
     for (const auto& k : settings_.kinds)
         if (k.cache_events)
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -34,6 +34,7 @@
 #include "core/token_estimate.hpp"
 #include "engine/outcome.hpp"
 #include "engine/protocol.hpp"
+#include "engine/vocabulary.hpp"
 #include "http/message.hpp"
 #include "membership/verification.hpp"
 #include "observe/record.hpp"
@@ -186,8 +187,11 @@
 
 class Edge {
 public:
-    explicit Edge(const config::EdgeSettings& settings);  // the module decides
-    Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider);
+    // The module decides. `vocabulary`: where the settings name a tokenizer.
+    explicit Edge(const config::EdgeSettings& settings,
+                  std::shared_ptr<const engine::Vocabulary> vocabulary = nullptr);
+    Edge(const config::EdgeSettings& settings, std::unique_ptr<Decider> decider,
+         std::shared_ptr<const engine::Vocabulary> vocabulary = nullptr);
     ~Edge();
     Edge(const Edge&) = delete;
     Edge& operator=(const Edge&) = delete;
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <cctype>
 #include <ctime>
+#include <fstream>
+#include <iterator>
 #include <stdexcept>
 #include <utility>
 
@@ -60,6 +62,15 @@
     timer = nullptr;
 }
 
+std::shared_ptr<const engine::Vocabulary> vocabulary_of(const config::CacheEvents& c) {
+    if (c.vocabulary != config::Vocabulary::tokenizer) return nullptr;
+    std::ifstream in(c.tokenizer, std::ios::binary);
+    if (!in) throw std::runtime_error("cache-events: " + c.tokenizer + ": can't be read");
+    auto read = engine::Vocabulary::parse(std::string{std::istreambuf_iterator<char>(in), {}});
+    if (!read) throw std::runtime_error("cache-events: " + c.tokenizer + ": " + read.error());
+    return std::make_shared<const engine::Vocabulary>(std::move(*read));
+}
+
 }  // namespace
 
 struct EdgeShell::AdminHandler : HttpServer::Handler {
@@ -76,7 +87,7 @@
       settings_(settings),
       log_(log),
       metrics_(settings.name),
-      edge_(settings),
+      edge_(settings, vocabulary_of(settings.cache_events)),
       admin_handler_(std::make_unique<AdminHandler>(*this)) {
     std::set<std::string> kinds;
     for (const auto& k : settings_.kinds) kinds.insert(k.name);
--- a/tests/core/driver.hpp
+++ b/tests/core/driver.hpp
@@ -52,7 +52,9 @@
 
 class Driver {
 public:
-    explicit Driver(const config::EdgeSettings& s = settings()) : edge(s) {}
+    explicit Driver(const config::EdgeSettings& s = settings(),
+                    std::shared_ptr<const engine::Vocabulary> vocabulary = nullptr)
+        : edge(s, std::move(vocabulary)) {}
 
     void give(std::vector<Input> inputs) {
         for (auto& o : edge.step(now, std::move(inputs))) {
--- a/tests/core/edge_test.cpp
+++ b/tests/core/edge_test.cpp
@@ -436,13 +436,15 @@
     EXPECT_EQ(d.sent().size(), 2U);
 }
 
-// Guards against a list and the word that bytes went out coming in one turn, in that order: the attempt may have run.
+// Guards against a list and the word that bytes went out coming in one turn, in that order: the attempt may
+// have run.
 TEST(Edge, WhatWentOutInTheSameTurnAsTheListMayHaveRun) {
     Driver d;
     d.usual_list();
     const auto write = d.to_write("once");
     const std::string server = d.sent().back().server;
-    d.give({ServerList{ListScope::changes, {listed(server, "writer", ServerState::draining)}}, CallSent{write}});
+    d.give(
+        {ServerList{ListScope::changes, {listed(server, "writer", ServerState::draining)}}, CallSent{write}});
     EXPECT_FALSE(d.was_aborted(write));
     d.give({CallFailed{write, engine::Ending::closed, ""}});
     d.pass(5s);
--- a/tests/core/prefix_test.cpp
+++ b/tests/core/prefix_test.cpp
@@ -132,6 +132,28 @@
     }
 }
 
+// Engines of a real model: their token ids by its tokenizer, the prompt by its template.
+TEST(Prefix, TokenizerAndTemplateFindTheText) {
+    const auto vocabulary = engine::Vocabulary::parse(
+        R"({"model":{"vocab":{"<u>":1,"Is":2," the":3," jollof":4," ready?":5,"</u>":6}}})");
+    ASSERT_TRUE(vocabulary);
+    auto s = with_events();
+    s.cache_events.vocabulary = config::Vocabulary::tokenizer;
+    s.cache_events.prompt_message = "<u>{content}</u>";
+    EXPECT_THROW(Edge{s}, std::invalid_argument);
+    Driver d(s, std::make_shared<const engine::Vocabulary>(*vocabulary));
+    d.list({publishes("r1"), publishes("r2"), listed("w1", "writer")});
+    prefix::BlockStored e;
+    e.block_size = 2;
+    e.blocks = {71, 72, 73};
+    e.tokens = {1, 2, 3, 4, 5, 6};
+    d.give({CacheMessage{"r1", 0, prefix::encode({1, {}, 0}), false},
+            CacheMessage{"r2", 0, prefix::encode({1, {e}, 0}), false}});
+    EXPECT_EQ(d.edge.gauges().prefixes.blocks, 3U);
+    for (std::uint64_t i = 1; i <= 4; ++i) EXPECT_EQ(read_at(d, i, 6), "r2");
+    expect_empty(d);
+}
+
 TEST(Prefix, LiarFallsBackToTheGuess) {
     Driver d(with_events());
     d.list({publishes("r1"), listed("w1", "writer")});
--- a/tests/fuzz/codecs_fuzz.cpp
+++ b/tests/fuzz/codecs_fuzz.cpp
@@ -10,6 +10,7 @@
 #include "config/kdl/kdl.hpp"
 #include "config/settings.hpp"
 #include "engine/protocol.hpp"
+#include "engine/vocabulary.hpp"
 #include "http/message.hpp"
 #include "net/admin.hpp"
 #include "record/record.hpp"
@@ -107,6 +108,8 @@
             (void)engine::parse_read_answer(bytes);
             (void)engine::parse_load_header(bytes).report();
             (void)engine::parse_metrics_page(bytes).report();
+            (void)engine::prompt_text(bytes, {"<s>", "{role}:{content};"});
+            if (const auto v = engine::Vocabulary::parse(bytes)) must(v->size() > 0);
             break;
         case 7: (void)net::parse_server_list(bytes, {"r", "w"}, {}); break;
         case 8:
