--- a/src/prefix/knowledge.cpp
+++ b/src/prefix/knowledge.cpp
@@ -147,7 +147,8 @@
         e.pace.add(pace);
         pace_.add(pace);
     }
-    if (read.claimed <= 0) return;
+    // Guards against a snapshot that is not proved yet: what it claims is no word of the engine.
+    if (read.claimed <= 0 || !e.feed.known()) return;
     const auto time = by_time(e.pace, read);
     const auto word =
         read.found ? std::optional(std::clamp(*read.found / read.claimed, 0.0, 1.0)) : std::nullopt;
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -111,7 +111,7 @@
 
 TEST(Rules, HeldRequestIsAnsweredBeforeItsDeadline) {
     Gateway g;
-    g.list({server("r", "reader")});
+    g.list({server("w", "writer")});  // none that reads
     g.arrive(1);
     const Time start = g.now;
     while (g.all<Refuse>().empty() && g.now < start + 5s) {
--- a/tests/prefix/snapshot_test.cpp
+++ b/tests/prefix/snapshot_test.cpp
@@ -43,6 +43,8 @@
     EXPECT_FALSE(r.k.told("a"));
     (void)r.k.message("a", 3, batch(13, kText.substr(0, kBlock), 90), false);  // published meanwhile
     EXPECT_FALSE(r.k.told("a"));
+    // What an unproved snapshot claims is not the engine's word, and costs it no trust.
+    for (int i = 0; i < 20; ++i) r.k.observed("a", {20, 16, 0, std::chrono::milliseconds(10)});
     (void)r.k.message("a", 1, batch(11, kOther, 50), true);
     (void)r.k.message("a", 2, encode({12, {BlockRemoved{{stored(kOther, 50).blocks[3]}}}, 0}), true);
     r.k.replay_ended("a");
