--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "scenario/scenario.hpp"
 #include "shell/rehearsal.hpp"
 #include "virtual/compare.hpp"
+#include "virtual/day.hpp"
 
 namespace {
 
@@ -78,6 +79,45 @@
     return result->verdict.breaches.empty() && result->verdict.garbled == 0 && result->edges_well ? 0 : 1;
 }
 
+// In virtual time: no socket, no program but this one.
+int simulate(const std::string& file, std::optional<std::uint64_t> seed, const std::string& records) {
+    auto scenario = read_scenario(file);
+    if (!scenario) return 2;
+    if (seed) scenario->seed = *seed;
+    const auto length = scenario->length;
+    std::cout << "'" << scenario->name << "' in virtual time, seed " << scenario->seed << ": "
+              << scenario->engines.size() << " engines, " << scenario->edges << " edges, "
+              << scenario->clients << " clients, " << format_duration(length) << std::endl;
+    VirtualDay day(std::move(*scenario));
+    day.keep_records(false);
+    std::ofstream out;
+    if (!records.empty()) {
+        std::filesystem::create_directories(std::filesystem::absolute(records).parent_path());
+        out.open(records, std::ios::binary | std::ios::trunc);
+        if (!out) {
+            std::cerr << records << ": can't be written\n";
+            return 2;
+        }
+        day.watch([&](const Record& r) { out << format(r) << '\n'; });
+    }
+    day.each_second([&](Duration over) {
+        std::cerr << "\r" << format_duration(std::min(over, length)) << " of " << format_duration(length)
+                  << "   " << std::flush;
+    });
+    const auto begun = std::chrono::steady_clock::now();
+    RehearsalResult result;
+    result.verdict = day.run();
+    const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+    std::cerr << '\n';
+    for (const auto& breach : result.verdict.breaches) std::cout << format(breach) << '\n';
+    const auto& f = day.figures();
+    std::cerr << "wall " << took.count() << " s; acts " << f.acts << "; steps of cores " << f.steps
+              << "; dialled " << f.wires.dialled << ", reused " << f.wires.reused << ", dial failed "
+              << f.wires.dial_failed << '\n';
+    std::cout << result.format() << std::endl;
+    return result.verdict.breaches.empty() && result.verdict.garbled == 0 && f.open_at_end == 0 ? 0 : 1;
+}
+
 int compare(const std::string& file, std::size_t seeds) {
     const auto scenario = read_scenario(file);
     if (!scenario) return 2;
@@ -137,11 +177,17 @@
         command->add_option("--records", folder, "Folder for records, settings and logs")
             ->capture_default_str();
     }
+    bool virtual_time = false;
+    std::optional<std::uint64_t> seed;
+    run_command->add_flag("--virtual", virtual_time, "In virtual time, without sockets; simulated figures");
+    run_command->add_option("--seed", seed, "In place of the scenario's; in virtual time");
+    std::string wire;
+    run_command->add_option("--wire", wire, "In virtual time: file for the records; none without it");
     check_command->add_option("records", file, "A wire.jsonl")->required();
     CLI11_PARSE(app, argc, argv);
     try {
         if (up_command->parsed()) return up(file, folder);
-        if (run_command->parsed()) return run(file, folder);
+        if (run_command->parsed()) return virtual_time ? simulate(file, seed, wire) : run(file, folder);
         if (compare_command->parsed()) return compare(file, seeds);
         return check_records(file);
     } catch (const std::exception& error) {
--- a/lab/clients/crowd.cpp
+++ b/lab/clients/crowd.cpp
@@ -14,20 +14,21 @@
 
 }  // namespace
 
-Crowd::Crowd(const Scenario& scenario) : scenario_(scenario), random_(scenario.seed * 7919 + 17) {
+Crowd::Crowd(const Scenario& scenario) : scenario_(scenario) {
     for (const auto& t : scenario_.traffic) {
         std::vector<std::string> texts;
-        for (int i = 0; i < t.prefixes; ++i) texts.push_back(words(static_cast<std::size_t>(t.system_bytes)));
+        sim::Stream draws(scenario.seed, "beginnings", prefixes_.size());
+        for (int i = 0; i < t.prefixes; ++i)
+            texts.push_back(words(draws, static_cast<std::size_t>(t.system_bytes)));
         prefixes_.push_back(std::move(texts));
     }
 }
 
-std::string Crowd::words(std::size_t bytes) {
+std::string Crowd::words(sim::Stream& draws, std::size_t bytes) {
     static const std::vector<std::string> all = {"menu",   "order", "jollof", "suya",     "price",
                                                  "please", "table", "spicy",  "delivery", "branch"};
     std::string out;
-    while (out.size() < bytes)
-        out += all[static_cast<std::size_t>(draw() * static_cast<double>(all.size()))] + " ";
+    while (out.size() < bytes) (out += all[draws.below(all.size())]) += ' ';
     return out;
 }
 
@@ -44,19 +45,19 @@
 void Crowd::new_session(Client& c) {
     double total = 0;
     for (const auto& t : scenario_.traffic) total += t.share;
-    double at = draw() * total;
+    double at = c.draws.uniform() * total;
     c.cls = 0;
     for (std::size_t i = 0; i < scenario_.traffic.size(); ++i) {
         c.cls = i;
         if ((at -= scenario_.traffic[i].share) < 0) break;
     }
     const auto& t = scenario_.traffic[c.cls];
-    c.session = "s" + std::to_string(++last_session_);
-    c.turns_left = 1 + static_cast<int>(draw() * 2 * (t.turns - 1) + 0.5);
+    c.session = "s" + std::to_string(c.number) + "." + std::to_string(++c.sessions);
+    c.turns_left = 1 + static_cast<int>(c.draws.uniform() * 2 * (t.turns - 1) + 0.5);
     c.messages.clear();
     if (t.system_bytes > 0) {
         const auto& texts = prefixes_[c.cls];
-        const auto& text = texts[static_cast<std::size_t>(draw() * static_cast<double>(texts.size()))];
+        const auto& text = texts[c.draws.below(texts.size())];
         c.messages.push_back(json::ObjectWriter().text("role", "system").text("content", text).done());
     }
 }
@@ -67,39 +68,37 @@
     double most = 1;
     for (const auto& t : scenario_.troubles)
         if (t.kind == TroubleKind::burst) most = std::max(most, t.factor);
-    clients_.resize(static_cast<std::size_t>(std::ceil(scenario_.clients * most)));
-    for (std::size_t i = 0; i < clients_.size(); ++i) {
-        clients_[i].gateway = i;
-        wait_until(i, now + from_seconds(draw()));
+    const auto all = static_cast<std::size_t>(std::ceil(scenario_.clients * most));
+    clients_.reserve(all);
+    for (std::size_t i = 0; i < all; ++i) {
+        clients_.push_back({i, 0, "", i, {}, 0, 0, false, 0, 0, sim::Stream(scenario_.seed, "client", i)});
+        wait_until(i, now + from_seconds(clients_[i].draws.uniform()));
         new_session(clients_[i]);
     }
 }
 
-void Crowd::wait_until(std::size_t client, Time at) {
-    clients_[client].next = at;
-    waiting_.emplace(at, client);
+void Crowd::set_burst(double factor) {
+    burst_ = factor;
+    for (const auto client : resting_) waiting_.emplace(Time{}, client);
+    resting_.clear();
 }
 
+void Crowd::wait_until(std::size_t client, Time at) { waiting_.emplace(at, client); }
+
 std::optional<Time> Crowd::next() const {
-    if (stopping_) return std::nullopt;
-    const std::size_t some = active();
-    for (const auto& [at, client] : waiting_)
-        if (client < some) return at;
-    return std::nullopt;
+    if (stopping_ || waiting_.empty()) return std::nullopt;
+    return waiting_.begin()->first;
 }
 
 std::vector<ClientAsk> Crowd::due(Time now) {
     std::vector<ClientAsk> out;
     if (stopping_) return out;
     const std::size_t some = active();
-    for (auto it = waiting_.begin(); it != waiting_.end() && it->first <= now;) {
-        if (it->second >= some) {
-            ++it;
-            continue;
-        }
-        const std::size_t client = it->second;
-        it = waiting_.erase(it);
-        out.push_back(ask(client, now));
+    while (!waiting_.empty() && waiting_.begin()->first <= now) {
+        const std::size_t client = waiting_.begin()->second;
+        waiting_.erase(waiting_.begin());
+        if (client >= some) resting_.push_back(client);
+        else out.push_back(ask(client, now));
     }
     return out;
 }
@@ -109,20 +108,20 @@
     const auto& t = scenario_.traffic[c.cls];
     const auto& cls = class_of(c);
     if (!c.trying_again) {
-        double bytes = t.turn_bytes * (0.5 + draw());
-        if (draw() < heavy_part_) bytes *= heavy_factor_;
+        double bytes = t.turn_bytes * (0.5 + c.draws.uniform());
+        if (c.draws.chance(heavy_part_)) bytes *= heavy_factor_;
         c.messages.push_back(json::ObjectWriter()
                                  .text("role", "user")
-                                 .text("content", words(static_cast<std::size_t>(bytes)))
+                                 .text("content", words(c.draws, static_cast<std::size_t>(bytes)))
                                  .done());
         c.tries_left = scenario_.client_retries;
     }
     ClientAsk a;
     a.client = client;
-    a.number = "c" + std::to_string(++last_ask_);
+    a.number = "c" + std::to_string(c.number) + "." + std::to_string(++c.asks);
     a.cls = &cls;
     a.asked = now;
-    a.stream = draw() < t.stream_part;
+    a.stream = c.draws.chance(t.stream_part);
     std::string messages = "[";
     for (const auto& m : c.messages) messages += (messages.size() > 1 ? "," : "") + m;
     messages += "]";
@@ -139,7 +138,8 @@
     c.gateway += c.trying_again ? 1 : 0;  // another gateway, if there is one
     a.gateway = c.gateway;
     // At any point: before the read, in it, while the state waits, in the stream.
-    if (draw() < give_up_) a.hang_up_at = now + from_seconds(draw() * draw() * 2 * seconds(cls.deadline));
+    const double early = c.draws.uniform() * c.draws.uniform() * 2;
+    if (c.draws.chance(give_up_)) a.hang_up_at = now + from_seconds(early * seconds(cls.deadline));
     a.headers.add("Content-Type", "application/json");
     a.headers.add("X-Request-Id", a.number);
     a.headers.add("Idempotency-Key", a.number);
@@ -163,7 +163,7 @@
     if (fate == "served")
         c.messages.push_back(json::ObjectWriter().text("role", "assistant").text("content", text).done());
     if (--c.turns_left <= 0 || fate != "served") new_session(c);
-    wait_until(client, now + from_seconds(seconds(think) * (0.5 + draw())));
+    wait_until(client, now + from_seconds(seconds(think) * (0.5 + c.draws.uniform())));
     return false;
 }
 
--- a/lab/clients/crowd.hpp
+++ b/lab/clients/crowd.hpp
@@ -6,7 +6,6 @@
 
 #include <chalksail/chalksail.hpp>
 #include <optional>
-#include <random>
 #include <set>
 #include <string>
 #include <utility>
@@ -15,6 +14,7 @@
 #include "http/message.hpp"
 #include "record/record.hpp"
 #include "scenario/scenario.hpp"
+#include "sim/random.hpp"
 
 namespace chalksail::lab {
 
@@ -47,7 +47,7 @@
     void stop() { stopping_ = true; }
 
     // Troubles.
-    void set_burst(double factor) { burst_ = factor; }
+    void set_burst(double factor);
     void set_heavy_tail(double part, double factor) {
         heavy_part_ = part;
         heavy_factor_ = factor;
@@ -56,6 +56,7 @@
 
 private:
     struct Client {
+        std::size_t number = 0;
         std::size_t cls = 0;
         std::string session;
         std::size_t gateway = 0;
@@ -63,10 +64,11 @@
         int turns_left = 0;
         int tries_left = 0;
         bool trying_again = false;
-        Time next{};
+        std::uint64_t sessions = 0;
+        std::uint64_t asks = 0;
+        sim::Stream draws;
     };
-    [[nodiscard]] double draw() { return std::generate_canonical<double, 53>(random_); }
-    [[nodiscard]] std::string words(std::size_t bytes);
+    [[nodiscard]] static std::string words(sim::Stream& draws, std::size_t bytes);
     [[nodiscard]] const ClassSettings& class_of(const Client& client) const;
     [[nodiscard]] std::size_t active() const;
     void new_session(Client& client);
@@ -74,12 +76,10 @@
     [[nodiscard]] ClientAsk ask(std::size_t client, Time now);
 
     const Scenario& scenario_;
-    std::mt19937_64 random_;
     std::vector<Client> clients_;
     std::set<std::pair<Time, std::size_t>> waiting_;  // to ask
+    std::vector<std::size_t> resting_;                // their time has come, but they ask only in a burst
     std::vector<std::vector<std::string>> prefixes_;  // by class: leading texts
-    std::uint64_t last_ask_ = 0;
-    std::uint64_t last_session_ = 0;
     bool stopping_ = false;
     double burst_ = 1;
     double heavy_part_ = 0;
--- a/lab/record/checker.hpp
+++ b/lab/record/checker.hpp
@@ -1,9 +1,13 @@
 // The five rules, checked from what crossed the sockets and nothing else. It knows no gateway's insides: it
-// reads records and says which rule broke, where and when. No I/O.
+// reads records, one after the other, and says which rule broke, where and when, as soon as that is certain.
+// No I/O.
 #pragma once
 
+#include <functional>
 #include <map>
+#include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "record/record.hpp"
@@ -42,6 +46,79 @@
     std::map<std::string, std::size_t> asked_by_class;
 };
 
+// All that is kept of a run is one story a request. Not copied: what is to be judged later points into it.
+class Checker {
+public:
+    explicit Checker(const RuleFigures& figures) : f_(figures) {}
+    Checker(const Checker&) = delete;
+    Checker& operator=(const Checker&) = delete;
+
+    // In order of time. What had to wait for this time is judged first.
+    void add(const Record& record);
+    // So far; in the order in which they became certain.
+    [[nodiscard]] const std::vector<Breach>& breaches() const { return out_.breaches; }
+    // The records have ended. Breaches are by time then.
+    [[nodiscard]] Verdict5 finish();
+
+private:
+    // One attempt as the engine's socket saw it; or as its gateway did, where that is recorded.
+    struct Seen {
+        std::int64_t number = -1;
+        std::string server;
+        std::string zone;
+        std::int64_t cell = 0;
+        bool read = false;
+        Time from{};
+        std::optional<Time> to;  // it ended, or its gateway closed it
+        bool not_run = false;
+        bool by_gateway = false;  // its gateway's records tell when it was out
+        bool awaited = false;     // its gateway has sent it, its engine has not seen it yet
+    };
+    struct Held {
+        std::string server;
+        Time from{};
+        std::optional<Time> gone;
+    };
+    // All that was seen of one request.
+    struct Story {
+        std::string id;
+        std::optional<Record> asked;
+        std::optional<Time> first;
+        std::vector<Record> finals;  // answers and hang-ups
+        std::vector<Seen> attempts;  // by arrival
+        std::vector<Held> states;
+        std::map<std::string, Time> let_go;  // by server: its gateway's last let-go there
+    };
+
+    void broke(int rule, Time at, const std::string& request, const std::string& server, std::string text);
+    [[nodiscard]] Story& story(const std::string& request);
+    // Judges then; those that only the passing of time makes true are dropped if the records end before.
+    void later(Time when, bool at_end_too, std::function<void()> judge);
+    void told(const Record& record);
+    void taken(const Record& record);
+    void ended(const Record& record);
+    void answered(Story& story, const Record& record);
+    void unanswered(const Story& story, Time due);
+    void attempt(const Story& story, std::size_t which);
+    void final_word(const Story& story);
+    void look_at_states(Story& story, Time from);
+    void pinned(const Story& story, Time from);
+    [[nodiscard]] static const Seen* first_run(const Story& story, std::size_t before);
+
+    RuleFigures f_;
+    Verdict5 out_;
+    Time end_{};
+    std::map<std::string, Story> stories_;
+    struct Judgement {
+        bool at_end_too = false;
+        std::function<void()> judge;
+    };
+    std::multimap<Time, Judgement> waiting_;
+    std::map<std::pair<std::string, std::string>, std::optional<Time>> out_of_service_;  // gateway, server
+};
+
 [[nodiscard]] Verdict5 check(std::vector<Record> records, const RuleFigures& figures);
+// What was recorded of the breach's request and, around its time, of its server: one line each.
+[[nodiscard]] std::string trace(const std::vector<Record>& records, const Breach& breach);
 
 }  // namespace chalksail::lab
--- a/lab/record/record.cpp
+++ b/lab/record/record.cpp
@@ -8,9 +8,9 @@
 namespace chalksail::lab {
 namespace {
 
-constexpr std::array<std::string_view, 13> kNames = {"asked", "first", "answered", "hung_up",  "taken",
-                                                     "ended", "state", "fetched",  "released", "expired",
-                                                     "lost",  "fell",  "told"};
+constexpr std::array<std::string_view, 16> kNames = {
+    "asked",    "first",   "answered", "hung_up", "taken", "ended", "state",  "fetched",
+    "released", "expired", "lost",     "fell",    "told",  "sent",  "closed", "let_go"};
 
 }  // namespace
 
--- a/lab/record/record.hpp
+++ b/lab/record/record.hpp
@@ -29,6 +29,12 @@
     fell,      // the engine fell over; value: part of the pressure from gateways that had been told
     // the list
     told,  // a gateway answered that it has this: server, fate: up, draining, removed, started
+    // Virtual time only, where the way between the two can be long: what the gateway did. The engine may hear
+    // of it
+    // later, or never; the gateway answers for these, not for the way.
+    sent,    // handed an attempt to a connection
+    closed,  // closed its end of one, or saw it end
+    let_go,  // called for a let-go of a state
 };
 [[nodiscard]] std::string_view name(What what);
 
--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -13,10 +13,10 @@
 using config::Properties;
 
 constexpr std::array kPolicies = {"random", "round-robin", "least-outstanding", "two-choices", "prefix-hash"};
-constexpr std::array<const char*, 15> kTroubles = {
+constexpr std::array<const char*, kTroubleKinds> kTroubles = {
     "crash",       "vanish",          "hang",      "slow",    "ageing", "fast_errors", "answer_lost",
     "origin_slow", "discovery_stale", "zone_loss", "preempt", "burst",  "heavy_tail",  "give_up",
-    "wrong_name"};
+    "wrong_name",  "partition",       "half_open", "resets"};
 
 int small(std::int64_t n) { return static_cast<int>(n); }
 
@@ -31,10 +31,11 @@
         std::int64_t n = 0;
         if (top.whole("seed", n, 0, INT64_MAX)) out_.seed = static_cast<std::uint64_t>(n);
         top.duration("length", out_.length);
-        if (top.whole("edges", n, 1, 64)) out_.edges = small(n);
-        if (top.whole("clients", n, 1, 20'000)) out_.clients = small(n);
+        if (top.whole("edges", n, 1, 1000)) out_.edges = small(n);
+        if (top.whole("clients", n, 1, 100'000)) out_.clients = small(n);
         if (top.whole("client-retries", n, 0, 10)) out_.client_retries = small(n);
         top.duration("list-lag", out_.list_lag);
+        top.duration("list-spread", out_.list_spread);
         top.duration("measuring", out_.measuring);
         bool zones = false;
         top.each("zone", 1, [&](const kdl::Node& z) {
@@ -50,6 +51,15 @@
             b.real("zone-factor", out_.links.zone_factor, 1, 1000);
             b.done();
         });
+        top.each("network", 0, [&](const kdl::Node& node) {
+            Block b(node.children, node.place, "'network'", problems_);
+            b.duration("same-zone", out_.network.same_zone);
+            b.duration("other-zone", out_.network.other_zone);
+            b.duration("jitter", out_.network.jitter);
+            b.real("bytes-per-second", out_.network.bytes_per_second, 0, 1e12);
+            b.real("lost", out_.network.lost, 0, 1);
+            b.done();
+        });
         bool edge = false;
         top.each("edge", 0, [&](const kdl::Node& node) {
             edge = true;
@@ -232,6 +242,8 @@
 
 }  // namespace
 
+std::string_view name(TroubleKind kind) { return kTroubles[static_cast<std::size_t>(kind)]; }
+
 tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text,
                                                                     const std::string& file) {
     Problems problems(file);
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -12,6 +12,7 @@
 #include "baseline/baseline.hpp"
 #include "config/settings.hpp"
 #include "model/engine.hpp"
+#include "sim/network.hpp"
 
 namespace chalksail::lab {
 
@@ -32,7 +33,17 @@
     heavy_tail,       // "part" of the prompts are "factor" times as long
     give_up,          // "part" of the clients hang up early
     wrong_name,       // an engine's certificate is of another name, from its restart on until "for" is over
+    // In virtual time only:
+    partition,  // with zone=, that zone is cut off; else engines are, for "part" of the edges, which are not
+                // told
+    half_open,  // "part" of the connections to engines go silent, and neither end learns of it
+    resets,     // "part" of the connections to engines that are made in that time are broken
 };
+inline constexpr std::size_t kTroubleKinds = 18;
+[[nodiscard]] std::string_view name(TroubleKind kind);
+[[nodiscard]] constexpr bool only_in_virtual_time(TroubleKind kind) {
+    return kind == TroubleKind::partition || kind == TroubleKind::half_open || kind == TroubleKind::resets;
+}
 struct Trouble {
     TroubleKind kind = TroubleKind::crash;
     Duration at{};
@@ -91,6 +102,8 @@
     int clients = 20;
     int client_retries = 2;
     Duration list_lag = std::chrono::milliseconds(500);
+    Duration list_spread{};    // virtual time: each edge hears of the list up to so much later still
+    sim::NetworkSpec network;  // virtual time: between edges and engines
     Duration measuring = std::chrono::milliseconds(100);
     std::vector<std::string> zones = {"here"};
     std::vector<EngineSpec> engines;
--- /dev/null
+++ b/lab/scenario/troubles.hpp
@@ -0,0 +1,73 @@
+// What a scenario's troubles do, whatever the fleet runs in: sockets or virtual time. One table for both; the
+// victims are drawn from a stream of their own, so that both have the same. No I/O, no clock.
+#pragma once
+
+#include <chalksail/chalksail.hpp>
+#include <functional>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "clients/crowd.hpp"
+#include "model/engine.hpp"
+#include "scenario/scenario.hpp"
+#include "sim/random.hpp"
+
+namespace chalksail::lab {
+
+// The fleet as troubles see it.
+class World {
+public:
+    virtual ~World() = default;
+    [[nodiscard]] virtual Time now() const = 0;
+    virtual void after(Duration delay, std::function<void()> act) = 0;
+    // nullptr: it is down.
+    [[nodiscard]] virtual EngineModel* running(const std::string& server) = 0;
+    // Its model was changed from outside.
+    virtual void changed(const std::string& server) = 0;
+    // It dies with all its connections; the list is told. It comes back cold after `lasts`.
+    virtual void kill(const std::string& server, Duration lasts) = 0;
+    // It goes silent, and the list is told; it comes back as a new process after `lasts`.
+    virtual void vanish(const std::string& server, Duration lasts) = 0;
+    virtual void list(const std::string& server, const std::string& state) = 0;
+    virtual void set_list_lag(Duration lag) = 0;
+    [[nodiscard]] virtual Duration list_lag() const = 0;
+    [[nodiscard]] virtual Links& links() = 0;
+    [[nodiscard]] virtual Crowd& crowd() = 0;
+    // The crowd's numbers were changed.
+    virtual void crowd_changed() = 0;
+    // Where there is no TLS, nothing.
+    virtual void misname(const std::string&, Duration) {}
+    // Where the network is real, nothing. `servers` are engines' names.
+    virtual void cut_zone(const std::string&, Duration) {}
+    virtual void cut_servers(const std::vector<std::string>&, double, Duration) {}
+    virtual void silence(const std::vector<std::string>&, double, Duration) {}
+    virtual void reset(const std::vector<std::string>&, double, Duration) {}
+};
+
+class Troubles {
+public:
+    // Both outlive it.
+    Troubles(const Scenario& scenario, World& world)
+        : scenario_(scenario), world_(world), draws_(scenario.seed, "troubles") {}
+    // Puts all of the scenario's on the world's timeline.
+    void schedule();
+
+private:
+    using Engines = std::vector<std::string>;
+    void begin(const Trouble& trouble);
+    [[nodiscard]] Engines victims(const Trouble& trouble);
+    // `begin` on each victim that runs, `end` after the trouble's time on those that still run as the same
+    // process; of troubles of one kind that overlap on an engine only the last one's end counts.
+    void each(const Trouble& trouble, const Engines& victims, const std::function<void(EngineModel&)>& begin,
+              const std::function<void(EngineModel&)>& end);
+    void whole(const Trouble& trouble, const std::function<void()>& begin, const std::function<void()>& end);
+
+    const Scenario& scenario_;
+    World& world_;
+    sim::Stream draws_;
+    std::map<std::pair<TroubleKind, std::string>, int> under_way_;
+};
+
+}  // namespace chalksail::lab
--- a/lab/shell/rehearsal.cpp
+++ b/lab/shell/rehearsal.cpp
@@ -109,7 +109,7 @@
     : loop_(loop),
       scenario_(std::move(scenario)),
       paths_(std::move(paths)),
-      random_(scenario_.seed * 104'729 + 3) {
+      troubles_(scenario_, static_cast<World&>(*this)) {
     std::filesystem::create_directories(paths_.folder);
     recorder_ = Recorder(paths_.folder + "/wire.jsonl");
     if (scenario_.tls.edges > 0)
@@ -371,21 +371,35 @@
     });
 }
 
-std::vector<std::string> Rehearsal::victims(const Trouble& t) {
-    if (!t.server.empty()) return {t.server};
-    std::vector<std::string> all;
-    for (const auto& e : scenario_.engines)
-        if ((t.engines.empty() || e.kind == t.engines) && (t.zone.empty() || e.zone == t.zone))
-            all.push_back(e.name);
-    if (t.kind == TroubleKind::zone_loss) return all;
-    std::shuffle(all.begin(), all.end(), random_);
-    all.resize(
-        std::min(all.size(), static_cast<std::size_t>(std::ceil(t.share * static_cast<double>(all.size())))));
-    return all;
+void Rehearsal::vanish(const std::string& server, Duration lasts) {
+    EngineHost* host = fleet_->find(server);
+    if (host == nullptr || !host->up()) return;
+    host->vanish(true);
+    // The list sees that its process is gone no sooner than at the end of its lag.
+    list(server, "removed");
+    after(lasts, [this, host, server] {
+        std::erase_if(fleet_->told_cold, [&](const auto& p) { return p.second == server; });
+        host->restart(net::uv_now_time());
+        list(server, "started");
+    });
 }
 
-void Rehearsal::schedule_troubles() {
-    for (const auto& t : scenario_.troubles) after(t.at, [this, t] { begin_trouble(t); });
+void Rehearsal::misname(const std::string& server, Duration lasts) {
+    if (tls_ == nullptr) return;
+    EngineHost* host = fleet_->find(server);
+    tls_->misname(server, "elsewhere.engines.example.org");
+    kill(server, std::chrono::milliseconds(100));
+    after(lasts, [this, host, server] {
+        tls_->misname(server, "");
+        host->show(tls_->start(server));
+    });
+}
+
+Time Rehearsal::now() const { return net::uv_now_time(); }
+
+EngineModel* Rehearsal::running(const std::string& server) {
+    EngineHost* host = fleet_->find(server);
+    return host != nullptr && host->up() ? &host->model() : nullptr;
 }
 
 void Rehearsal::schedule_tls() {
@@ -401,107 +415,6 @@
         });
 }
 
-void Rehearsal::begin_trouble(const Trouble& t) {
-    const auto each = [&](const std::function<void(EngineHost&)>& begin,
-                          const std::function<void(EngineHost&)>& end) {
-        for (const auto& name : victims(t)) {
-            EngineHost* host = fleet_->find(name);
-            if (!host->up()) continue;
-            begin(*host);
-            after(t.lasts, [host, end] {
-                if (host->up()) end(*host);
-            });
-        }
-    };
-    switch (t.kind) {
-        case TroubleKind::crash:
-        case TroubleKind::zone_loss:
-            for (const auto& name : victims(t)) kill(name, t.lasts);
-            break;
-        case TroubleKind::vanish:
-            for (const auto& name : victims(t)) {
-                EngineHost* host = fleet_->find(name);
-                if (!host->up()) continue;
-                host->vanish(true);
-                // The list sees that its process is gone no sooner than at the end of its lag.
-                list(name, "removed");
-                after(t.lasts, [this, host, name] {
-                    std::erase_if(fleet_->told_cold, [&](const auto& p) { return p.second == name; });
-                    host->restart(net::uv_now_time());
-                    list(name, "started");
-                });
-            }
-            break;
-        case TroubleKind::wrong_name:
-            for (const auto& name : victims(t)) {
-                EngineHost* host = fleet_->find(name);
-                tls_->misname(name, "elsewhere.engines.example.org");
-                kill(name, std::chrono::milliseconds(100));
-                after(t.lasts, [this, host, name] {
-                    tls_->misname(name, "");
-                    host->show(tls_->start(name));
-                });
-            }
-            break;
-        case TroubleKind::hang:
-            each([](EngineHost& h) { h.model().set_paused(net::uv_now_time(), true); },
-                 [](EngineHost& h) { h.model().set_paused(net::uv_now_time(), false); });
-            break;
-        case TroubleKind::slow:
-            each([&](EngineHost& h) { h.model().set_slow(net::uv_now_time(), t.factor); },
-                 [](EngineHost& h) { h.model().set_slow(net::uv_now_time(), 1); });
-            break;
-        case TroubleKind::ageing: {
-            constexpr int steps = 10;
-            for (const auto& name : victims(t)) {
-                EngineHost* host = fleet_->find(name);
-                for (int i = 1; i <= steps; ++i)
-                    after(t.lasts * i / (steps + 1), [host, f = 1 + (t.factor - 1) * i / steps] {
-                        if (host->up()) host->model().set_slow(net::uv_now_time(), f);
-                    });
-                after(t.lasts, [host] {
-                    if (host->up()) host->model().set_slow(net::uv_now_time(), 1);
-                });
-            }
-            break;
-        }
-        case TroubleKind::fast_errors:
-            each([&](EngineHost& h) { h.model().set_error_share(t.part); },
-                 [](EngineHost& h) { h.model().set_error_share(0); });
-            break;
-        case TroubleKind::answer_lost:
-            each([&](EngineHost& h) { h.model().set_lost_share(t.part); },
-                 [](EngineHost& h) { h.model().set_lost_share(0); });
-            break;
-        case TroubleKind::origin_slow:
-            fleet_->links().set_slow(t.factor);
-            after(t.lasts, [this] { fleet_->links().set_slow(1); });
-            break;
-        case TroubleKind::discovery_stale:
-            lag_ = t.lag;
-            after(t.lasts, [this] { lag_ = scenario_.list_lag; });
-            break;
-        case TroubleKind::preempt:
-            for (const auto& name : victims(t)) {
-                list(name, "draining");
-                after(t.notice + lag_, [this, name, t] { kill(name, t.lasts); });
-            }
-            break;
-        case TroubleKind::burst:
-            load_->crowd().set_burst(t.factor);
-            after(t.lasts, [this] { load_->crowd().set_burst(1); });
-            break;
-        case TroubleKind::heavy_tail:
-            load_->crowd().set_heavy_tail(t.part, t.factor);
-            after(t.lasts, [this] { load_->crowd().set_heavy_tail(0, 1); });
-            break;
-        case TroubleKind::give_up:
-            load_->crowd().set_give_up(t.part);
-            after(t.lasts, [this] { load_->crowd().set_give_up(0); });
-            break;
-    }
-}
-
 TlsFigures& TlsFigures::operator+=(const TlsFigures& other) {
     handshakes += other.handshakes;
     resumed += other.resumed;
@@ -516,7 +429,7 @@
     const Time begin = net::uv_now_time();
     begun_ = begin;
     load_->begin(begin);
-    schedule_troubles();
+    troubles_.schedule();
     schedule_tls();
     const Time end = begin + scenario_.length;
     while (net::uv_now_time() < end) {
--- a/lab/shell/rehearsal.hpp
+++ b/lab/shell/rehearsal.hpp
@@ -17,6 +17,7 @@
 #include "record/record.hpp"
 #include "record/tally.hpp"
 #include "scenario/scenario.hpp"
+#include "scenario/troubles.hpp"
 #include "shell/engine_host.hpp"
 #include "shell/load.hpp"
 
@@ -57,7 +58,7 @@
     [[nodiscard]] std::string format() const;
 };
 
-class Rehearsal : net::HttpPool::Handler {
+class Rehearsal : net::HttpPool::Handler, World {
 public:
     // Throws std::runtime_error where something can't be started.
     Rehearsal(uv_loop_t& loop, Scenario scenario, RehearsalPaths paths);
@@ -82,15 +83,24 @@
     void stop_edges();
     void turn();  // one turn of the loop, with the models moved on
     void turn_until(const std::function<bool()>& done, Duration most, const std::string& what);
-    void after(Duration delay, std::function<void()> act);
-    void schedule_troubles();
     void schedule_tls();
     void look_at_edges();
     void take_page(const std::string& edge, const std::string& page);
-    void begin_trouble(const Trouble& trouble);
-    [[nodiscard]] std::vector<std::string> victims(const Trouble& trouble);
-    void list(const std::string& server, const std::string& state);  // after the list's lag
-    void kill(const std::string& server, Duration lasts);
+    // ---- World: what troubles do ----
+    [[nodiscard]] Time now() const override;
+    void after(Duration delay, std::function<void()> act) override;
+    EngineModel* running(const std::string& server) override;
+    void changed(const std::string&) override {}  // each turn moves all models on
+    void kill(const std::string& server, Duration lasts) override;
+    void vanish(const std::string& server, Duration lasts) override;
+    void list(const std::string& server, const std::string& state) override;  // after the list's lag
+    void set_list_lag(Duration lag) override { lag_ = lag; }
+    [[nodiscard]] Duration list_lag() const override { return lag_; }
+    Links& links() override { return fleet_->links(); }
+    Crowd& crowd() override { return load_->crowd(); }
+    void crowd_changed() override {}
+    void misname(const std::string& server, Duration lasts) override;
+
     void push_list(std::size_t edge, bool complete);
     [[nodiscard]] std::string entry_json(const std::string& server, bool tls) const;
 
@@ -112,6 +122,7 @@
     };
     std::map<std::string, Listed> list_;
     Duration lag_{};
+    Troubles troubles_;
     std::map<net::HttpPool::Call, std::pair<std::string, std::vector<std::pair<std::string, Listed>>>>
         pushes_;
     std::map<net::HttpPool::Call, std::pair<std::string, std::string>> pages_;  // edges' figures, coming in
@@ -119,7 +130,6 @@
     double tls_busiest_ = 0;
     Time begun_{};
     std::uint64_t last_push_ = 0;
-    std::mt19937_64 random_;
     bool interrupted_ = false;
 };
 
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -1,7 +1,6 @@
 #include "virtual/day.hpp"
 
 #include <algorithm>
-#include <cmath>
 #include <deque>
 #include <utility>
 
@@ -11,7 +10,14 @@
 namespace chalksail::lab {
 namespace {
 
-constexpr Duration kWay = std::chrono::microseconds(500);  // one way between any two
+RuleFigures rules_of(const Settings& m) {
+    RuleFigures out;
+    out.answer_slack = m.answer_slack;
+    out.release_within = m.release_within;
+    out.max_attempts = m.max_attempts;
+    out.measuring = std::chrono::milliseconds(2);  // the steps of the timeline, not the way
+    return out;
+}
 
 }  // namespace
 
@@ -21,29 +27,33 @@
     std::unique_ptr<core::Edge> edge;
     std::vector<core::Input> inputs;
     std::optional<Time> wake;  // for which a step is on the timeline
-    bool stepping = false;
-    std::map<std::uint64_t, std::string> clients;  // peer -> the client's number
-    std::set<std::string> hears;                   // cache events of these engines
+    Time told{};               // when it hears the last news of the list that are on their way
+    std::vector<bool> hears;   // cache events of these engines
 };
 
 struct VirtualDay::Host {
+    std::size_t number = 0;
     EngineModel model;
     bool up = true;
     bool vanished = false;
+    std::uint64_t process = 1;
     std::string listed = "up";
     Time born{};
     std::optional<Time> wake;
-    std::map<JobId, std::uint64_t> jobs;
+    std::map<JobId, sim::Connection> jobs;
+    std::vector<bool> told_cold;  // these gateways know that it has started
+    sim::Stream draws;
     std::uint64_t next_batch = 0;
     std::deque<std::pair<std::uint64_t, std::string>> past;  // batches that can be replayed
-    explicit Host(const EngineSpec& spec) : model(spec) {}
+    Host(std::size_t n, const EngineSpec& spec, std::uint64_t seed, std::size_t gateways)
+        : number(n), model(spec), told_cold(gateways), draws(seed, "engine", n) {}
 };
 
 struct VirtualDay::Exchange {
-    std::uint64_t id = 0;
-    Gateway* gateway = nullptr;
-    Host* host = nullptr;
+    JobId job = 0;
+    sim::Connection on = 0;
     core::CallId call;
+    Host* host = nullptr;
     Asked asked;
     bool begun = false;
 };
@@ -51,50 +61,73 @@
 struct VirtualDay::Ask {
     ClientAsk what;
     Gateway* gateway = nullptr;
-    std::uint64_t peer = 0;
     Transcript got;
 };
 
 VirtualDay::VirtualDay(Scenario scenario, std::optional<Placing> baseline)
     : scenario_(std::move(scenario)),
+      checker_(rules_of(scenario_.edge.module)),
       links_(scenario_.links),
-      random_(scenario_.seed),
-      now_(std::chrono::seconds(1000)),
+      timeline_(Time(std::chrono::seconds(1000))),
+      cache_losses_(scenario_.seed, "cache losses"),
+      list_spread_(scenario_.seed, "list"),
+      partitions_(scenario_.seed, "partitions"),
       crowd_(scenario_),
+      troubles_(scenario_, *this),
       lag_(scenario_.list_lag) {
-    for (const auto& spec : scenario_.engines) hosts_.push_back(std::make_unique<Host>(spec));
-    for (int i = 0; i < scenario_.edges; ++i) {
+    const auto zone_number = [&](const std::string& zone) {
+        return static_cast<std::size_t>(std::find(scenario_.zones.begin(), scenario_.zones.end(), zone) -
+                                        scenario_.zones.begin());
+    };
+    std::vector<std::size_t> gateway_zones, engine_zones;
+    const auto gateways = static_cast<std::size_t>(scenario_.edges);
+    for (const auto& spec : scenario_.engines) {
+        by_name_[spec.name] = hosts_.size();
+        engine_zones.push_back(zone_number(spec.zone));
+        hosts_.push_back(std::make_unique<Host>(hosts_.size(), spec, scenario_.seed, gateways));
+    }
+    for (std::size_t i = 0; i < gateways; ++i) {
         auto g = std::make_unique<Gateway>();
-        g->number = static_cast<std::size_t>(i);
+        g->number = i;
         g->name = "edge" + std::to_string(i + 1);
+        g->hears.resize(hosts_.size());
         auto settings = scenario_.edge;
         settings.name = g->name;
-        settings.module.zone = scenario_.zones[static_cast<std::size_t>(i) % scenario_.zones.size()];
-        settings.seed = scenario_.seed * 1000 + static_cast<std::uint64_t>(i) + 1;
+        gateway_zones.push_back(i % scenario_.zones.size());
+        settings.module.zone = scenario_.zones[gateway_zones.back()];
+        settings.seed = scenario_.seed * 1000 + i + 1;
         settings.module.gateways = scenario_.edges;
-        settings.module.gateway = i;
+        settings.module.gateway = static_cast<int>(i);
         g->edge = baseline
                       ? std::make_unique<core::Edge>(
                             settings, std::make_unique<Baseline>(settings.module, settings.seed, *baseline))
                       : std::make_unique<core::Edge>(settings);
         gateways_.push_back(std::move(g));
     }
+    network_ =
+        std::make_unique<sim::Network>(scenario_.network, std::move(gateway_zones), std::move(engine_zones),
+                                       sim::Stream(scenario_.seed, "network"));
+    wires_ = std::make_unique<Wires>(
+        timeline_, *network_, static_cast<Wires::Ends&>(*this), gateways, hosts_.size(),
+        Wires::Limits{scenario_.edge.module.dial_timeout, scenario_.edge.limits.server_idle},
+        sim::Stream(scenario_.seed, "connections"));
 }
 VirtualDay::~VirtualDay() = default;
 
-void VirtualDay::at(Time when, std::function<void()> act) {
-    timeline_.emplace(std::max(now_, when), std::move(act));
+VirtualDay::Host* VirtualDay::find(const std::string& name) {
+    const auto it = by_name_.find(name);
+    return it == by_name_.end() ? nullptr : hosts_[it->second].get();
 }
 
-VirtualDay::Host* VirtualDay::find(const std::string& name) {
-    const auto it = std::find_if(hosts_.begin(), hosts_.end(),
-                                 [&](const auto& h) { return h->model.spec().name == name; });
-    return it == hosts_.end() ? nullptr : it->get();
+void VirtualDay::add(Record record) {
+    record.at = timeline_.now();
+    checker_.add(record);
+    for (const auto& watcher : watchers_) watcher(record);
+    if (keeps_) records_.push_back(std::move(record));
 }
 
 void VirtualDay::note(What what, const Host& host, const Asked& asked, const std::string& fate) {
     Record r;
-    r.at = now_;
     r.what = what;
     r.request = asked.client_request;
     r.gateway = asked.gateway;
@@ -104,85 +137,80 @@
     r.attempt = asked.attempt;
     r.read = asked.read;
     r.fate = fate;
-    recorder_.add(std::move(r));
+    add(std::move(r));
 }
 void VirtualDay::note_state(What what, const Host& host, const std::string& edge_request) {
     Record r;
-    r.at = now_;
     r.what = what;
     r.request = client_number_[edge_request];
     r.server = host.model.spec().name;
-    recorder_.add(std::move(r));
+    add(std::move(r));
 }
 
 // ================= gateways =================
 
-void VirtualDay::give(Gateway& g, core::Input input) {
-    if (g.inputs.empty()) at(now_, [this, &g] { step(g); });
+void VirtualDay::give(std::size_t gateway, core::Input input) {
+    Gateway& g = *gateways_[gateway];
+    if (g.inputs.empty()) timeline_.at(now(), [this, &g] { step(g); });
     g.inputs.push_back(std::move(input));
 }
 
 void VirtualDay::step(Gateway& g) {
+    figures_.steps += 1;
     auto inputs = std::exchange(g.inputs, {});
     if (tampering_.before) tampering_.before(inputs);
-    auto outputs = g.edge->step(now_, std::move(inputs));
+    auto outputs = g.edge->step(now(), std::move(inputs));
     if (tampering_.after) tampering_.after(outputs);
     for (auto& output : outputs) carry_out(g, output);
     const auto wake = g.edge->next_wake();
-    if (!wake || (g.wake && *g.wake <= *wake && *g.wake > now_)) return;
-    g.wake = std::max(*wake, now_ + Duration(1));
-    at(*g.wake, [this, &g, when = *g.wake] {
-        if (g.wake == when) g.wake.reset();
+    if (!wake || (g.wake && *g.wake <= *wake && *g.wake > now())) return;
+    g.wake = std::max(*wake, now() + Duration(1));
+    timeline_.at(*g.wake, [this, &g, when = *g.wake] {
+        if (g.wake != when) return;  // one that is sooner has been asked for
+        g.wake.reset();
         step(g);
     });
 }
 
+VirtualDay::Ask* VirtualDay::find_ask(core::ClientId client) {
+    const auto it = asks_.find(client.value);
+    return it == asks_.end() ? nullptr : it->second.get();
+}
+
 void VirtualDay::carry_out(Gateway& g, core::Output& output) {
-    const auto ask_of = [&](core::ClientId client) -> Ask* {
-        const auto number = g.clients.find(client.value);
-        if (number == g.clients.end()) return nullptr;
-        const auto it = asks_.find(number->second);
-        return it == asks_.end() ? nullptr : it->second.get();
-    };
     if (auto* call = std::get_if<core::Call>(&output)) {
-        give(g, core::CallSent{call->call});
-        at(now_ + kWay, [this, &g, call = std::move(*call)] { reach(g, call); });
+        const auto to = by_name_.at(call->server);
+        if (call->kind == core::CallKind::release) {
+            // Its part is done, though the way to the engine may be cut.
+            json::Document doc;
+            json::parse(call->body, doc);
+            note_state(What::let_go, *hosts_[to], std::string(json::text(json::find(doc, "request_id"))));
+        }
+        wires_->call(g.number, to, std::move(*call));
     } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
-        at(now_ + kWay, [this, key = std::pair(g.number, abort->call.value)] {
-            const auto it = by_call_.find(key);
-            if (it == by_call_.end()) return;
-            Exchange& e = *exchanges_.at(it->second);
-            note(What::ended, *e.host, e.asked, "left");
-            e.host->model.cancel(now_, e.id);
-            e.host->jobs.erase(e.id);
-            Host& host = *e.host;
-            exchanges_.erase(it->second);
-            by_call_.erase(it);
-            move(host);
-        });
+        wires_->abort(g.number, abort->call);
     } else if (const auto* begin = std::get_if<core::StreamBegin>(&output)) {
-        if (Ask* ask = ask_of(begin->client)) ask->got.head(200, 0);
+        if (Ask* ask = find_ask(begin->client)) ask->got.head(200, 0);
     } else if (const auto* bytes = std::get_if<core::StreamBytes>(&output)) {
-        Ask* ask = ask_of(bytes->client);
+        Ask* ask = find_ask(bytes->client);
         if (ask == nullptr || !ask->got.body(ask->what, bytes->bytes)) return;
         Record r;
-        r.at = now_;
         r.what = What::first;
         r.request = ask->what.number;
-        recorder_.add(std::move(r));
+        add(std::move(r));
     } else if (const auto* end = std::get_if<core::StreamEnd>(&output)) {
-        if (Ask* ask = ask_of(end->client)) answered(ask->what.number, ask->got.end(ask->what));
+        if (Ask* ask = find_ask(end->client)) answered(end->client.value, ask->got.end(ask->what));
     } else if (const auto* reply = std::get_if<core::Reply>(&output)) {
-        Ask* ask = ask_of(reply->client);
+        Ask* ask = find_ask(reply->client);
         if (ask == nullptr) return;
         const std::string advice(reply->headers.get("retry-after-ms"));
         ask->got.head(reply->status, std::atoll(advice.c_str()));
         ask->got.body(ask->what, reply->body);
-        answered(ask->what.number, ask->got.end(ask->what));
+        answered(reply->client.value, ask->got.end(ask->what));
     } else if (const auto* follow = std::get_if<core::CacheFollow>(&output)) {
-        g.hears.insert(follow->server);
+        g.hears[by_name_.at(follow->server)] = true;
     } else if (const auto* leave = std::get_if<core::CacheLeave>(&output)) {
-        g.hears.erase(leave->server);
+        g.hears[by_name_.at(leave->server)] = false;
     } else if (const auto* wanted = std::get_if<core::CacheReplay>(&output)) {
         replay(g, *wanted);
     } else if (const auto* told = std::get_if<core::Note>(&output)) {
@@ -190,154 +218,163 @@
     }
 }
 
+void VirtualDay::sent(std::size_t, std::size_t engine, const Asked* asked) {
+    const Host& host = *hosts_[engine];
+    if (asked == nullptr) return;
+    client_number_[asked->request] = asked->client_request;
+    note(What::sent, host, *asked, "");
+}
+
+void VirtualDay::closed(std::size_t, std::size_t engine, const Asked& asked) {
+    note(What::closed, *hosts_[engine], asked, "");
+}
+
 // ================= engines =================
 
-// A call reaches its server.
-void VirtualDay::reach(Gateway& g, const core::Call& call) {
-    Host& host = *find(call.server);
-    const auto later = [&](core::Input input) {
-        at(now_ + kWay, [this, &g, input = std::move(input)] { give(g, input); });
-    };
-    if (!host.up) return later(core::CallFailed{call.call, engine::Ending::closed, "down"});
+bool VirtualDay::listens(std::size_t engine) const { return hosts_[engine]->up; }
+bool VirtualDay::silent(std::size_t engine) const { return hosts_[engine]->vanished; }
+
+void VirtualDay::arrived(sim::Connection on, std::size_t gateway, std::size_t engine, const core::Call& call,
+                         const Asked* asked) {
+    Host& host = *hosts_[engine];
     if (call.kind == core::CallKind::release) {
         json::Document doc;
         json::parse(call.body, doc);
         const std::string id(json::text(json::find(doc, "request_id")));
         if (host.model.drop_state(id)) note_state(What::released, host, id);
     }
-    if (call.kind != core::CallKind::attempt) {
-        if (host.vanished) return;
-        later(core::CallHead{call.call, 200, {}});
-        return later(core::CallDone{call.call});
-    }
-    auto asked = read_request(call.headers, call.body);
+    if (asked == nullptr)
+        return wires_->answer(on, {core::CallHead{call.call, 200, {}}, core::CallDone{call.call}}, true);
+
     auto e = std::make_unique<Exchange>();
-    e->id = ++last_exchange_;
-    e->gateway = &g;
-    e->host = &host;
+    e->job = ++last_job_;
+    e->on = on;
     e->call = call.call;
-    e->asked = std::move(*asked);
-    client_number_[e->asked.request] = e->asked.client_request;
+    e->host = &host;
+    e->asked = *asked;
     note(What::taken, host, e->asked, "");
     Exchange& x = *e;
-    by_call_[{g.number, call.call.value}] = x.id;
-    exchanges_.emplace(x.id, std::move(e));
+    exchanges_[on] = std::move(e);
 
-    Job job = job_of(x.asked, x.id);
-    job.told_cold = told_cold_.contains({g.name, host.model.spec().name});
+    Job job = job_of(x.asked, x.job);
+    job.told_cold = host.told_cold[gateway];
     Host* from = x.asked.fetches ? find(x.asked.fetch_from) : nullptr;
-    if (from != nullptr && (!from->up || from->vanished || from->model.state(x.asked.request) == nullptr))
+    if (from != nullptr && (!from->up || from->vanished || network_->apart(from->number, engine, now()) ||
+                            from->model.state(x.asked.request) == nullptr))
         from = nullptr;
-    if (x.asked.fetches && from == nullptr && !host.vanished) return answer(x, 503, "{}", "no-state");
+    if (x.asked.fetches && from == nullptr) return finish(x, 503, "{}", "no-state");
     if (from != nullptr) {
         job.has_state = true;
-        job.transfer = links_.transfer(now_, from->model.spec(), host.model.spec(), x.asked.prompt_tokens);
+        job.transfer = links_.transfer(now(), from->model.spec(), host.model.spec(), x.asked.prompt_tokens);
     }
-    const auto verdict = host.model.submit(now_, std::move(job), draw());
+    const auto verdict = host.model.submit(now(), std::move(job), host.draws.uniform());
     if (const auto told = host.model.take_fall()) {
         figures_.fell += 1;
         Record r;
-        r.at = now_;
         r.what = What::fell;
         r.server = host.model.spec().name;
         r.value = *told;
-        recorder_.add(std::move(r));
-        kill(host.model.spec().name, Duration::zero());
-        return;
-    }
-    if (!host.vanished) {
-        if (verdict == Verdict::full) return answer(x, 503, "{}", "full");
-        if (verdict == Verdict::draining) return answer(x, 503, "{}", "draining");
-        if (verdict == Verdict::no_state) return answer(x, 503, "{}", "no-state");
-        if (verdict == Verdict::error) return answer(x, 500, "{}");
+        add(std::move(r));
+        return kill(host.model.spec().name, Duration::zero());
     }
+    if (verdict == Verdict::full) return finish(x, 503, "{}", "full");
+    if (verdict == Verdict::draining) return finish(x, 503, "{}", "draining");
+    if (verdict == Verdict::no_state) return finish(x, 503, "{}", "no-state");
+    if (verdict == Verdict::error) return finish(x, 500, "{}");
     if (from != nullptr && verdict == Verdict::taken) {
         from->model.drop_state(x.asked.request);
         note_state(What::fetched, *from, x.asked.request);
+        move(*from);  // room there is room for the next read
     }
-    host.jobs[x.id] = x.id;
+    host.jobs[x.job] = on;
     move(host);
 }
 
 // The whole of an answer, and the end of its exchange.
-void VirtualDay::answer(Exchange& e, int status, const std::string& body, const std::string& not_run) {
+void VirtualDay::finish(Exchange& e, int status, const std::string& body, const std::string& not_run) {
     note(What::ended, *e.host, e.asked, status == 200 ? "done" : not_run.empty() ? "error" : "not_run");
     http::Headers headers;
     if (!not_run.empty()) headers.add(std::string(engine::kNotRunHeader), not_run);
-    Gateway& g = *e.gateway;
-    const auto call = e.call;
-    at(now_ + kWay, [this, &g, call, status, headers, body] {
-        give(g, core::CallHead{call, status, headers});
-        give(g, core::CallBody{call, body});
-        give(g, core::CallDone{call});
-    });
-    by_call_.erase({g.number, call.value});
-    e.host->jobs.erase(e.id);
-    exchanges_.erase(e.id);
-}
-
-// Its connection breaks.
-void VirtualDay::cut(std::uint64_t id) {
-    const Exchange& e = *exchanges_.at(id);
-    note(What::ended, *e.host, e.asked, "cut");
-    Gateway& g = *e.gateway;
-    at(now_ + kWay, [this, &g, call = e.call] {
-        give(g, core::CallFailed{call, engine::Ending::closed, "cut"});
-    });
-    by_call_.erase({g.number, e.call.value});
-    exchanges_.erase(id);
+    wires_->answer(e.on,
+                   {core::CallHead{e.call, status, std::move(headers)}, core::CallBody{e.call, body},
+                    core::CallDone{e.call}},
+                   true);
+    e.host->jobs.erase(e.job);
+    exchanges_.erase(e.on);
+}
+
+// The gateway has gone from it.
+void VirtualDay::left(sim::Connection on) {
+    const auto it = exchanges_.find(on);
+    if (it == exchanges_.end()) return;
+    const std::unique_ptr<Exchange> e = std::move(it->second);
+    exchanges_.erase(it);
+    note(What::ended, *e->host, e->asked, "left");
+    e->host->model.cancel(now(), e->job);
+    e->host->jobs.erase(e->job);
+    move(*e->host);
 }
 
 // Lets the model catch up, and wakes it when next something happens there.
 void VirtualDay::move(Host& host) {
-    if (!host.up) return;
-    if (!host.vanished)
-        for (const auto& p : host.model.advance(now_)) {
-            const auto it = exchanges_.find(p.job);
-            if (it == exchanges_.end()) continue;
-            Exchange& e = *it->second;
-            Gateway& g = *e.gateway;
-            const auto send = [&](std::string data) {
-                at(now_ + kWay, [this, &g, call = e.call, bytes = chat::format_event(data)] {
-                    give(g, core::CallBody{call, bytes});
-                });
-            };
-            switch (p.what) {
-                case Progress::What::read_done:
-                    figures_.read_tokens += e.asked.prompt_tokens;
-                    figures_.kept_tokens += p.kept;
-                    note_state(What::state, host, e.asked.request);
-                    answer(e, 200,
-                           read_answer(e.asked, e.id, p.kept, {host.model.spec().name, "virtual", 1}));
-                    break;
-                case Progress::What::tokens:
-                    if (!e.begun) {
-                        e.begun = true;
-                        at(now_ + kWay, [this, &g, call = e.call] {
-                            give(g, core::CallHead{call, 200, {}});
-                        });
-                        send(opening_chunk(e.asked));
-                    }
-                    for (std::size_t i = p.first; i < p.first + p.count; ++i) send(token_chunk(e.asked, i));
-                    break;
-                case Progress::What::finished:
-                    note(What::ended, host, e.asked, "done");
-                    send(usage_chunk(e.asked));
-                    send(std::string(chat::kDone));
-                    at(now_ + kWay, [this, &g, call = e.call] { give(g, core::CallDone{call}); });
-                    by_call_.erase({g.number, e.call.value});
-                    host.jobs.erase(e.id);
-                    exchanges_.erase(e.id);
-                    break;
-                case Progress::What::dropped: break;
+    if (!host.up || host.vanished) return;
+    const auto progress = host.model.advance(now());
+    for (std::size_t i = 0; i < progress.size();) {
+        // What one job has done goes out together.
+        const JobId job = progress[i].job;
+        const auto at = host.jobs.find(job);
+        if (at == host.jobs.end()) {
+            ++i;
+            continue;
+        }
+        Exchange& e = *exchanges_.at(at->second);
+        std::vector<core::Input> parts;
+        std::string bytes;
+        bool over = false;
+        for (; !over && i < progress.size() && progress[i].job == job; ++i) {
+            const auto& p = progress[i];
+            if (p.what == Progress::What::read_done) {
+                figures_.read_tokens += e.asked.prompt_tokens;
+                figures_.kept_tokens += p.kept;
+                note_state(What::state, host, e.asked.request);
+                finish(e, 200, read_answer(e.asked, e.job, p.kept, {host.model.spec().name, "virtual", 1}));
+                over = true;
+                break;
+            }
+            if (p.what == Progress::What::tokens) {
+                if (!e.begun) {
+                    e.begun = true;
+                    parts.emplace_back(core::CallHead{e.call, 200, {}});
+                    bytes += chat::format_event(opening_chunk(e.asked));
+                }
+                for (std::size_t t = p.first; t < p.first + p.count; ++t)
+                    bytes += chat::format_event(token_chunk(e.asked, t));
+            } else if (p.what == Progress::What::finished) {
+                bytes += chat::format_event(usage_chunk(e.asked));
+                bytes += chat::format_event(std::string(chat::kDone));
+                parts.emplace_back(core::CallBody{e.call, std::move(bytes)});
+                parts.emplace_back(core::CallDone{e.call});
+                note(What::ended, host, e.asked, "done");
+                wires_->answer(e.on, std::move(parts), true);
+                host.jobs.erase(at);
+                exchanges_.erase(e.on);
+                over = true;
             }
         }
+        if (over) {
+            while (i < progress.size() && progress[i].job == job) ++i;
+            continue;
+        }
+        if (bytes.empty()) continue;
+        parts.emplace_back(core::CallBody{e.call, std::move(bytes)});
+        wires_->answer(e.on, std::move(parts), false);
+    }
     publish(host);
-    for (const auto& s : host.model.expire_states(now_)) note_state(What::expired, host, s.request);
+    for (const auto& s : host.model.expire_states(now())) note_state(What::expired, host, s.request);
     const auto next = host.model.next();
-    if (!next || host.vanished || (host.wake && *host.wake <= *next && *host.wake > now_)) return;
-    host.wake = std::max(*next, now_ + Duration(1));
-    at(*host.wake, [this, &host, when = *host.wake] {
+    if (!next || (host.wake && *host.wake <= *next && *host.wake > now())) return;
+    host.wake = std::max(*next, now() + Duration(1));
+    timeline_.at(*host.wake, [this, &host, when = *host.wake] {
         if (host.wake != when) return;
         host.wake.reset();
         move(host);
@@ -350,34 +387,42 @@
 void VirtualDay::publish(Host& host) {
     auto events = host.model.take_cache_events();
     if (events.empty()) return;
-    const double ts = std::chrono::duration<double>(now_.time_since_epoch()).count();
+    const double ts = std::chrono::duration<double>(now().time_since_epoch()).count();
     const std::uint64_t sequence = host.next_batch++;
     const std::string payload = prefix::encode({ts, std::move(events), 0});
     host.past.emplace_back(sequence, payload);
     if (host.past.size() > scenario_.caches.past) host.past.pop_front();
     const std::string& name = host.model.spec().name;
     for (auto& g : gateways_) {
-        if (!g->hears.contains(name)) continue;
+        if (!g->hears[host.number]) continue;
         figures_.cache_batches += 1;
-        if (draw() < scenario_.caches.lost) {
+        if (cache_losses_.chance(scenario_.caches.lost) || network_->blocked(g->number, host.number, now())) {
             figures_.cache_lost += 1;
             continue;
         }
         core::CacheMessage message{name, sequence, payload, false};
-        if (scenario_.caches.instant) give(*g, std::move(message));
-        else at(now_ + kWay, [this, g = g.get(), message = std::move(message)] { give(*g, message); });
+        if (scenario_.caches.instant) {
+            give(g->number, std::move(message));
+            continue;
+        }
+        timeline_.after(network_->delay(g->number, host.number),
+                        [this, to = g->number, message = std::move(message)] { give(to, message); });
     }
 }
 
 void VirtualDay::replay(Gateway& g, const core::CacheReplay& wanted) {
-    at(now_ + kWay, [this, &g, wanted] {
-        const Host& host = *find(wanted.server);
-        if (!host.up || host.vanished) return;  // no answer: the edge's own time-out ends it
-        at(now_ + kWay, [this, &g, name = wanted.server, from = wanted.from, past = host.past] {
-            for (const auto& [sequence, payload] : past)
-                if (sequence >= from) give(g, core::CacheMessage{name, sequence, payload, true});
-            give(g, core::CacheReplayEnded{name});
-        });
+    const auto number = by_name_.at(wanted.server);
+    timeline_.after(network_->delay(g.number, number), [this, &g, number, wanted] {
+        const Host& host = *hosts_[number];
+        // No answer: the edge's own time-out ends it.
+        if (!host.up || host.vanished || network_->blocked(g.number, number, now())) return;
+        timeline_.after(network_->delay(g.number, number),
+                        [this, &g, name = wanted.server, from = wanted.from, past = host.past] {
+                            for (const auto& [sequence, payload] : past)
+                                if (sequence >= from)
+                                    give(g.number, core::CacheMessage{name, sequence, payload, true});
+                            give(g.number, core::CacheReplayEnded{name});
+                        });
     });
 }
 
@@ -385,11 +430,11 @@
 
 // Lets those ask whose time has come, and looks again when the next one's comes.
 void VirtualDay::move_clients() {
-    for (auto& ask : crowd_.due(now_)) this->ask(std::move(ask));
+    for (auto& ask : crowd_.due(now())) this->ask(std::move(ask));
     const auto next = crowd_.next();
-    if (!next || (clients_wake_ && *clients_wake_ <= *next && *clients_wake_ > now_)) return;
-    clients_wake_ = std::max(*next, now_ + Duration(1));
-    at(*clients_wake_, [this, when = *clients_wake_] {
+    if (!next || (clients_wake_ && *clients_wake_ <= *next && *clients_wake_ > now())) return;
+    clients_wake_ = std::max(*next, now() + Duration(1));
+    timeline_.at(*clients_wake_, [this, when = *clients_wake_] {
         if (clients_wake_ != when) return;
         clients_wake_.reset();
         move_clients();
@@ -398,57 +443,48 @@
 
 void VirtualDay::ask(ClientAsk what) {
     Gateway& g = *gateways_[what.gateway % gateways_.size()];
-    recorder_.add(asked_record(what, g.name));
+    add(asked_record(what, g.name));
     http::Request request;
     request.method = "POST";
     request.target = engine::kChatPath;
     request.headers = what.headers;
-    request.body = what.body;
+    request.body = std::move(what.body);
     auto a = std::make_unique<Ask>();
     a->gateway = &g;
-    a->peer = ++last_peer_;
-    const std::uint64_t peer = a->peer;
-    const std::string number = what.number;
-    g.clients[peer] = number;
-    if (what.hang_up_at != Time{}) at(what.hang_up_at, [this, number] { hang_up(number); });
+    const std::uint64_t peer = ++last_peer_;
+    if (what.hang_up_at != Time{}) timeline_.at(what.hang_up_at, [this, peer] { hang_up(peer); });
     a->what = std::move(what);
-    asks_[number] = std::move(a);
-    give(g, core::ClientRequest{{peer}, std::move(request)});
+    asks_[peer] = std::move(a);
+    give(g.number, core::ClientRequest{{peer}, std::move(request)});
 }
 
-void VirtualDay::answered(const std::string& number, const Transcript::End& end) {
-    const auto it = asks_.find(number);
+void VirtualDay::answered(std::uint64_t peer, const Transcript::End& end) {
+    const auto it = asks_.find(peer);
     const std::unique_ptr<Ask> ask = std::move(it->second);
     asks_.erase(it);
-    ask->gateway->clients.erase(ask->peer);
     Record r;
-    r.at = now_;
     r.what = What::answered;
-    r.request = number;
+    r.request = ask->what.number;
     r.gateway = ask->gateway->name;
     r.fate = end.fate;
     r.status = ask->got.status();
     r.intact = end.intact;
-    recorder_.add(std::move(r));
-    crowd_.ended(ask->what.client, now_, end.fate, ask->got.text(), ask->got.retry_after_ms());
+    add(std::move(r));
+    crowd_.ended(ask->what.client, now(), end.fate, ask->got.text(), ask->got.retry_after_ms());
     move_clients();
 }
 
-void VirtualDay::hang_up(const std::string& number) {
-    const auto it = asks_.find(number);
+void VirtualDay::hang_up(std::uint64_t peer) {
+    const auto it = asks_.find(peer);
     if (it == asks_.end()) return;
-    Gateway& g = *it->second->gateway;
+    const std::unique_ptr<Ask> ask = std::move(it->second);
+    asks_.erase(it);
     Record r;
-    r.at = now_;
     r.what = What::hung_up;
-    r.request = number;
-    recorder_.add(std::move(r));
-    const auto peer = it->second->peer;
-    const auto client = it->second->what.client;
-    g.clients.erase(peer);
-    asks_.erase(it);
-    give(g, core::ClientClosed{{peer}});
-    crowd_.hung_up(client, now_);
+    r.request = ask->what.number;
+    add(std::move(r));
+    give(ask->gateway->number, core::ClientClosed{{peer}});
+    crowd_.hung_up(ask->what.client, now());
     move_clients();
 }
 
@@ -470,159 +506,133 @@
     return out;
 }
 
-// The list's service sees this now; the gateways are told after its lag.
-void VirtualDay::tell(const std::string& server, const std::string& state) {
-    const Time born = state == "started" ? now_ : Time{};
-    at(now_ + lag_, [this, server, state, born] {
-        Host& host = *find(server);
-        host.listed = state == "started" ? "up" : state;
-        if (born != Time{}) host.born = born;
-        for (auto& g : gateways_) {
+// The list's service sees this now; each gateway is told after its lag, of one thing after the other.
+void VirtualDay::list(const std::string& server, const std::string& state) {
+    Host& host = *find(server);
+    host.listed = state == "started" ? "up" : state;
+    if (state == "started") host.born = now();
+    for (auto& gateway : gateways_) {
+        Gateway& g = *gateway;
+        const Duration spread(static_cast<std::int64_t>(list_spread_.uniform() *
+                                                        static_cast<double>(scenario_.list_spread.count())));
+        g.told = std::max(g.told, now() + lag_ + spread);
+        timeline_.at(g.told, [this, &g, &host, state, news = entry(host)] {
             Record r;
-            r.at = now_;
             r.what = What::told;
-            r.gateway = g->name;
-            r.server = server;
+            r.gateway = g.name;
+            r.server = host.model.spec().name;
             r.fate = state;
-            recorder_.add(std::move(r));
-            if (state == "started") told_cold_.emplace(g->name, server);
-            give(*g, core::ServerList{ListScope::changes, {entry(host)}});
-        }
-    });
+            add(std::move(r));
+            if (state == "started") host.told_cold[g.number] = true;
+            give(g.number, core::ServerList{ListScope::changes, {news}});
+        });
+    }
 }
 
-void VirtualDay::kill(const std::string& server, Duration lasts) {
-    Host& host = *find(server);
-    if (!host.up) return;
-    host.up = false;
-    host.vanished = false;
-    std::vector<std::uint64_t> gone;
-    for (const auto& [id, e] : exchanges_)
-        if (e->host == &host) gone.push_back(id);
-    for (const auto id : gone) cut(id);
-    host.jobs.clear();
+EngineModel* VirtualDay::running(const std::string& server) {
+    Host* host = find(server);
+    return host != nullptr && host->up ? &host->model : nullptr;
+}
+void VirtualDay::changed(const std::string& server) { move(*find(server)); }
+
+// Its process is gone, and all that it had in hand.
+void VirtualDay::forget(Host& host) {
+    for (const auto& [job, on] : std::exchange(host.jobs, {})) {
+        const std::unique_ptr<Exchange> e = std::move(exchanges_.at(on));
+        exchanges_.erase(on);
+        note(What::ended, host, e->asked, "cut");
+    }
     for (const auto& s : host.model.expire_states(Time::max() - std::chrono::hours(24)))
         note_state(What::lost, host, s.request);
     host.model.stop();
+    host.process += 1;
     host.next_batch = 0;
     host.past.clear();
-    std::erase_if(told_cold_, [&](const auto& p) { return p.second == server; });
-    tell(server, "removed");
+    std::fill(host.told_cold.begin(), host.told_cold.end(), false);
+    wires_->died(host.number);
+}
+
+void VirtualDay::kill(const std::string& server, Duration lasts) {
+    Host& host = *find(server);
+    if (!host.up || host.vanished) return;
+    host.up = false;
+    forget(host);
+    list(server, "removed");
     if (lasts == Duration::zero()) return;  // it stays down
-    at(now_ + lasts, [this, server] {
-        Host& back = *find(server);
-        back.up = true;
-        back.model.start_cold(now_);
-        tell(server, "started");
+    timeline_.after(lasts, [this, &host, server] {
+        host.up = true;
+        host.model.start_cold(now());
+        list(server, "started");
     });
 }
 
-void VirtualDay::trouble(const Trouble& t) {
-    std::vector<std::string> victims;
-    if (!t.server.empty()) victims = {t.server};
-    else {
-        for (const auto& e : scenario_.engines)
-            if ((t.engines.empty() || e.kind == t.engines) && (t.zone.empty() || e.zone == t.zone))
-                victims.push_back(e.name);
-        if (t.kind != TroubleKind::zone_loss) {
-            for (std::size_t i = victims.size(); i > 1; --i)
-                std::swap(victims[i - 1], victims[static_cast<std::size_t>(draw() * static_cast<double>(i))]);
-            victims.resize(std::min(victims.size(), static_cast<std::size_t>(std::ceil(
-                                                        t.share * static_cast<double>(victims.size())))));
-        }
-    }
-    const auto each = [&](const std::function<void(Host&)>& begin, const std::function<void(Host&)>& end) {
-        for (const auto& name : victims) {
-            Host* host = find(name);
-            if (!host->up) continue;
-            begin(*host);
-            move(*host);
-            at(now_ + t.lasts, [this, host, end] {
-                if (!host->up) return;
-                end(*host);
-                move(*host);
-            });
-        }
-    };
-    const auto later = [&](std::function<void()> act) { at(now_ + t.lasts, std::move(act)); };
-    switch (t.kind) {
-        case TroubleKind::crash:
-        case TroubleKind::zone_loss:
-            for (const auto& name : victims) kill(name, t.lasts);
-            break;
-        case TroubleKind::vanish:
-            each(
-                [&](Host& h) {
-                    h.vanished = true;
-                    h.model.set_paused(now_, true);
-                    tell(h.model.spec().name, "removed");
-                },
-                [this](Host& h) { kill(h.model.spec().name, std::chrono::milliseconds(1)); });
-            break;
-        case TroubleKind::hang:
-            each([&](Host& h) { h.model.set_paused(now_, true); },
-                 [this](Host& h) { h.model.set_paused(now_, false); });
-            break;
-        case TroubleKind::slow:
-        case TroubleKind::ageing:
-            each([&](Host& h) { h.model.set_slow(now_, t.factor); },
-                 [this](Host& h) { h.model.set_slow(now_, 1); });
-            break;
-        case TroubleKind::fast_errors:
-            each([&](Host& h) { h.model.set_error_share(t.part); },
-                 [](Host& h) { h.model.set_error_share(0); });
-            break;
-        case TroubleKind::answer_lost:
-            each([&](Host& h) { h.model.set_lost_share(t.part); },
-                 [](Host& h) { h.model.set_lost_share(0); });
-            break;
-        case TroubleKind::origin_slow:
-            links_.set_slow(t.factor);
-            later([this] { links_.set_slow(1); });
-            break;
-        case TroubleKind::discovery_stale:
-            lag_ = t.lag;
-            later([this] { lag_ = scenario_.list_lag; });
-            break;
-        case TroubleKind::preempt:
-            for (const auto& name : victims) {
-                tell(name, "draining");
-                at(now_ + t.notice + lag_, [this, name, lasts = t.lasts] { kill(name, lasts); });
-            }
-            break;
-        case TroubleKind::burst:
-            crowd_.set_burst(t.factor);
-            move_clients();
-            later([this] { crowd_.set_burst(1); });
-            break;
-        case TroubleKind::heavy_tail:
-            crowd_.set_heavy_tail(t.part, t.factor);
-            later([this] { crowd_.set_heavy_tail(0, 1); });
-            break;
-        case TroubleKind::wrong_name: break;  // there is no TLS in virtual time
-        case TroubleKind::give_up:
-            crowd_.set_give_up(t.part);
-            later([this] { crowd_.set_give_up(0); });
-            break;
-    }
+void VirtualDay::vanish(const std::string& server, Duration lasts) {
+    Host& host = *find(server);
+    if (!host.up || host.vanished) return;
+    host.vanished = true;
+    host.model.set_paused(now(), true);
+    list(server, "removed");
+    timeline_.after(lasts, [this, &host, server] {
+        // Now it answers again, as another process.
+        host.vanished = false;
+        forget(host);
+        host.model.start_cold(now());
+        list(server, "started");
+    });
+}
+
+std::vector<std::size_t> VirtualDay::numbers(const std::vector<std::string>& servers) {
+    std::vector<std::size_t> out;
+    for (const auto& name : servers) out.push_back(by_name_.at(name));
+    return out;
+}
+
+void VirtualDay::cut_zone(const std::string& zone, Duration lasts) {
+    sim::Network::Cut cut;
+    cut.off = true;
+    cut.until = now() + lasts;
+    for (const auto& g : gateways_)
+        cut.gateways.push_back(scenario_.zones[g->number % scenario_.zones.size()] == zone);
+    for (const auto& h : hosts_) cut.engines.push_back(h->model.spec().zone == zone);
+    network_->cut(std::move(cut));
+}
+
+void VirtualDay::cut_servers(const std::vector<std::string>& servers, double part, Duration lasts) {
+    sim::Network::Cut cut;
+    cut.until = now() + lasts;
+    for (std::size_t i = 0; i < gateways_.size(); ++i) cut.gateways.push_back(partitions_.chance(part));
+    cut.engines.resize(hosts_.size());
+    for (const auto e : numbers(servers)) cut.engines[e] = true;
+    network_->cut(std::move(cut));
+}
+
+void VirtualDay::silence(const std::vector<std::string>& servers, double part, Duration lasts) {
+    wires_->silence(numbers(servers), part, now() + lasts);
+}
+void VirtualDay::reset(const std::vector<std::string>& servers, double part, Duration lasts) {
+    wires_->break_later(numbers(servers), part, now() + lasts);
 }
 
 Verdict5 VirtualDay::run(Duration rest) {
-    end_ = now_ + scenario_.length;
-    core::ServerList list;
-    for (const auto& h : hosts_) list.servers.push_back(entry(*h));
-    for (auto& g : gateways_) give(*g, list);
-    crowd_.begin(now_);
+    const Time begin = now();
+    end_ = begin + scenario_.length;
+    core::ServerList all;
+    for (const auto& h : hosts_) all.servers.push_back(entry(*h));
+    for (auto& g : gateways_) give(g->number, all);
+    crowd_.begin(begin);
     move_clients();
-    at(end_, [this] { crowd_.stop(); });
-    for (const auto& t : scenario_.troubles) at(now_ + t.at, [this, t] { trouble(t); });
+    timeline_.at(end_, [this] { crowd_.stop(); });
+    troubles_.schedule();
     const Time last = end_ + rest;
-    while (!timeline_.empty() && timeline_.begin()->first <= last) {
-        now_ = timeline_.begin()->first;
-        const auto act = std::move(timeline_.begin()->second);
-        timeline_.erase(timeline_.begin());
-        act();
+    Duration seconds{};
+    while (timeline_.play_one(last)) {
+        if (stops_at_breach_ && !checker_.breaches().empty()) break;
+        if (!each_second_) continue;
+        const auto over = std::chrono::floor<std::chrono::seconds>(now() - begin);
+        if (over > seconds) each_second_(seconds = over);
     }
+    figures_.acts = timeline_.played();
+    figures_.wires = wires_->figures();
     for (const auto& g : gateways_) {
         const auto gauges = g->edge->gauges();
         figures_.open_at_end +=
@@ -635,13 +645,7 @@
         figures_.prefixes.unfilled += p.unfilled;
         figures_.prefixes.restarts += p.restarts;
     }
-    RuleFigures figures;
-    const Settings& m = scenario_.edge.module;
-    figures.answer_slack = m.answer_slack;
-    figures.release_within = m.release_within;
-    figures.max_attempts = m.max_attempts;
-    figures.measuring = std::chrono::milliseconds(2);  // the way between gateway and engine, and back
-    return check(recorder_.all(), figures);
+    return checker_.finish();
 }
 
 }  // namespace chalksail::lab
--- a/lab/virtual/day.hpp
+++ b/lab/virtual/day.hpp
@@ -1,15 +1,15 @@
 // Real edges' cores and the stand-in engines' models in virtual time: no socket, no clock, the same bytes for
-// the same seed. A small one: what a later laboratory grows from. Records as the sockets' stand-ins do, for
-// the same checker.
+// the same seed. Records as the sockets' stand-ins do, and what the gateways did beside; the rules are judged
+// at each record.
 #pragma once
 
 #include <chalksail/chalksail.hpp>
 #include <functional>
 #include <map>
 #include <memory>
-#include <random>
-#include <set>
+#include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 #include "clients/crowd.hpp"
@@ -19,6 +19,11 @@
 #include "model/exchange.hpp"
 #include "record/checker.hpp"
 #include "scenario/scenario.hpp"
+#include "scenario/troubles.hpp"
+#include "sim/network.hpp"
+#include "sim/random.hpp"
+#include "sim/timeline.hpp"
+#include "virtual/wires.hpp"
 
 namespace chalksail::lab {
 
@@ -30,7 +35,10 @@
     double kept_tokens = 0;  // of these, found kept
     std::uint64_t cache_batches = 0;
     std::uint64_t cache_lost = 0;
+    std::uint64_t acts = 0;              // of the timeline
+    std::uint64_t steps = 0;             // of the edges' cores
     prefix::Knowledge::Counts prefixes;  // over all edges, at the end
+    Wires::Figures wires;
 };
 
 // For tests of the checker: a gateway that is broken on purpose, by changing what its core hears and says.
@@ -39,16 +47,27 @@
     std::function<void(std::vector<core::Output>&)> after;
 };
 
-class VirtualDay {
+class VirtualDay : World, Wires::Ends {
 public:
-    void tamper(Tampering tampering) { tampering_ = std::move(tampering); }
-    // Plays `scenario` (its length is of virtual time); troubles as on sockets, but for the edges' own
-    // processes.
+    // Plays `scenario` (its length is of virtual time).
     explicit VirtualDay(Scenario scenario, std::optional<Placing> baseline = std::nullopt);
-    ~VirtualDay();
+    ~VirtualDay() override;
+    VirtualDay(const VirtualDay&) = delete;
+    VirtualDay& operator=(const VirtualDay&) = delete;
+
+    void tamper(Tampering tampering) { tampering_ = std::move(tampering); }
+    // Called with each record, in order of time.
+    void watch(std::function<void(const Record&)> watcher) { watchers_.push_back(std::move(watcher)); }
+    // Otherwise all records are kept in memory, some 2 kB a request.
+    void keep_records(bool keep) { keeps_ = keep; }
+    // Ends the run at the first breach of a rule.
+    void stop_at_breach() { stops_at_breach_ = true; }
+    // Called with each second of virtual time that is over.
+    void each_second(std::function<void(Duration)> act) { each_second_ = std::move(act); }
+
     // Runs to the end, and on until nothing is open or `rest` is over. Returns what the checker says.
     Verdict5 run(Duration rest = std::chrono::seconds(60));
-    [[nodiscard]] const std::vector<Record>& records() const { return recorder_.all(); }
+    [[nodiscard]] const std::vector<Record>& records() const { return records_; }
     [[nodiscard]] const VirtualFigures& figures() const { return figures_; }
 
 private:
@@ -57,46 +76,78 @@
     struct Exchange;
     struct Ask;
 
-    void at(Time when, std::function<void()> act);
-    void give(Gateway& gateway, core::Input input);
+    void add(Record record);
     void step(Gateway& gateway);
     void carry_out(Gateway& gateway, core::Output& output);
-    void reach(Gateway& gateway, const core::Call& call);
-    void answer(Exchange& exchange, int status, const std::string& body, const std::string& not_run = "");
-    void cut(std::uint64_t exchange);
+    void finish(Exchange& exchange, int status, const std::string& body, const std::string& not_run = "");
     void move(Host& host);
     void publish(Host& host);
     void replay(Gateway& gateway, const core::CacheReplay& wanted);
     void move_clients();
     void ask(ClientAsk ask);
-    void answered(const std::string& request, const Transcript::End& end);
-    void hang_up(const std::string& request);
-    void tell(const std::string& server, const std::string& state);
-    void kill(const std::string& server, Duration lasts);
-    void trouble(const Trouble& trouble);
+    void answered(std::uint64_t peer, const Transcript::End& end);
+    void hang_up(std::uint64_t peer);
+    void forget(Host& host);
     void note(What what, const Host& host, const Asked& asked, const std::string& fate);
     void note_state(What what, const Host& host, const std::string& edge_request);
+    Ask* find_ask(core::ClientId client);
     Host* find(const std::string& name);
-    double draw() { return std::generate_canonical<double, 53>(random_); }
     core::ListedServer entry(const Host& host) const;
 
+    // ---- World ----
+    [[nodiscard]] Time now() const override { return timeline_.now(); }
+    void after(Duration delay, std::function<void()> act) override { timeline_.after(delay, std::move(act)); }
+    EngineModel* running(const std::string& server) override;
+    void changed(const std::string& server) override;
+    void kill(const std::string& server, Duration lasts) override;
+    void vanish(const std::string& server, Duration lasts) override;
+    void list(const std::string& server, const std::string& state) override;
+    void set_list_lag(Duration lag) override { lag_ = lag; }
+    [[nodiscard]] Duration list_lag() const override { return lag_; }
+    Links& links() override { return links_; }
+    Crowd& crowd() override { return crowd_; }
+    void crowd_changed() override { move_clients(); }
+    void cut_zone(const std::string& zone, Duration lasts) override;
+    void cut_servers(const std::vector<std::string>& servers, double part, Duration lasts) override;
+    void silence(const std::vector<std::string>& servers, double part, Duration lasts) override;
+    void reset(const std::vector<std::string>& servers, double part, Duration lasts) override;
+
+    // ---- Wires::Ends ----
+    void give(std::size_t gateway, core::Input input) override;
+    [[nodiscard]] bool listens(std::size_t engine) const override;
+    [[nodiscard]] bool silent(std::size_t engine) const override;
+    void arrived(sim::Connection on, std::size_t gateway, std::size_t engine, const core::Call& call,
+                 const Asked* asked) override;
+    void left(sim::Connection on) override;
+    void sent(std::size_t gateway, std::size_t engine, const Asked* asked) override;
+    void closed(std::size_t gateway, std::size_t engine, const Asked& asked) override;
+    std::vector<std::size_t> numbers(const std::vector<std::string>& servers);
+
     Scenario scenario_;
-    Recorder recorder_;
+    std::vector<Record> records_;
+    bool keeps_ = true;
+    bool stops_at_breach_ = false;
+    std::vector<std::function<void(const Record&)>> watchers_;
+    std::function<void(Duration)> each_second_;
+    Checker checker_;
     VirtualFigures figures_;
     Links links_;
-    std::mt19937_64 random_;
-    Time now_{};
+    sim::Timeline timeline_;
+    sim::Stream cache_losses_;
+    sim::Stream list_spread_;
+    sim::Stream partitions_;
     Time end_{};
-    std::multimap<Time, std::function<void()>> timeline_;
     std::vector<std::unique_ptr<Gateway>> gateways_;
     std::vector<std::unique_ptr<Host>> hosts_;
-    std::map<std::uint64_t, std::unique_ptr<Exchange>> exchanges_;
-    std::map<std::pair<std::size_t, std::uint64_t>, std::uint64_t> by_call_;  // gateway, call -> exchange
-    std::map<std::string, std::unique_ptr<Ask>> asks_;                        // by the client's number
-    std::map<std::string, std::string> client_number_;
-    std::set<std::pair<std::string, std::string>> told_cold_;
-    std::uint64_t last_exchange_ = 0;
+    std::unordered_map<std::string, std::size_t> by_name_;
+    std::unique_ptr<sim::Network> network_;
+    std::unique_ptr<Wires> wires_;
+    std::unordered_map<sim::Connection, std::unique_ptr<Exchange>> exchanges_;  // looked up, never walked
+    std::unordered_map<std::uint64_t, std::unique_ptr<Ask>> asks_;              // by peer; never walked
+    std::unordered_map<std::string, std::string> client_number_;
+    JobId last_job_ = 0;
     Crowd crowd_;
+    Troubles troubles_;
     std::optional<Time> clients_wake_;
     std::uint64_t last_peer_ = 0;
     Duration lag_{};
--- /dev/null
+++ b/lab/virtual/wires.cpp
@@ -0,0 +1,231 @@
+#include "virtual/wires.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace chalksail::lab {
+namespace {
+
+constexpr std::size_t kHeadBytes = 400;  // of a request or an answer, about
+constexpr std::size_t kNothing = 40;     // a segment without content
+
+std::size_t size_of(const core::Input& input) {
+    if (const auto* body = std::get_if<core::CallBody>(&input)) return body->bytes.size();
+    return std::holds_alternative<core::CallHead>(input) ? kHeadBytes : kNothing;
+}
+
+}  // namespace
+
+Wires::Wires(sim::Timeline& timeline, sim::Network& network, Ends& ends, std::size_t gateways,
+             std::size_t engines, Limits limits, sim::Stream faults)
+    : timeline_(timeline),
+      network_(network),
+      ends_(ends),
+      limits_(limits),
+      faults_(faults),
+      calls_(gateways),
+      dialling_(gateways),
+      idle_(gateways * engines),
+      process_(engines, 1),
+      silencing_(engines),
+      breaking_(engines) {}
+
+Wires::Wire* Wires::find(sim::Connection number) {
+    const auto it = wires_.find(number);
+    return it == wires_.end() ? nullptr : &it->second;
+}
+
+void Wires::fail(std::size_t gateway, core::CallId call, engine::Ending ending, const char* why) {
+    ends_.give(gateway, core::CallFailed{call, ending, why});
+}
+
+void Wires::call(std::size_t gateway, std::size_t engine, core::Call call) {
+    auto& kept = idle_[gateway * process_.size() + engine];
+    while (!kept.empty()) {
+        const auto number = kept.back();
+        kept.pop_back();
+        Wire* w = find(number);
+        if (w == nullptr) continue;
+        if (timeline_.now() - w->idle_since > limits_.idle) {
+            w->gateway_open = false;
+            drop(number);
+            continue;
+        }
+        figures_.reused += 1;
+        return send(number, std::move(call));
+    }
+    const core::CallId id = call.call;
+    dialling_[gateway][id.value] = true;
+    const Time patience = timeline_.now() + limits_.dial_timeout;
+    const auto give_up = [this, gateway, id] {
+        if (dialling_[gateway].erase(id.value) == 0) return;
+        figures_.dial_failed += 1;
+        fail(gateway, id, engine::Ending::dial_failed, "not established in time");
+    };
+    const auto dialled = network_.dial(gateway, engine, timeline_.now(), limits_.dial_timeout);
+    if (!dialled) return timeline_.at(patience, give_up);
+    const auto number = dialled->connection;
+    timeline_.at(dialled->stands,
+                 [this, gateway, engine, number, patience, give_up, call = std::move(call)]() mutable {
+                     if (!dialling_[gateway].contains(call.call.value)) return network_.close(number);
+                     if (ends_.silent(engine)) {
+                         network_.close(number);
+                         return timeline_.at(patience, give_up);
+                     }
+                     dialling_[gateway].erase(call.call.value);
+                     if (!ends_.listens(engine)) {
+                         network_.close(number);
+                         figures_.dial_failed += 1;
+                         return fail(gateway, call.call, engine::Ending::dial_failed, "refused");
+                     }
+                     figures_.dialled += 1;
+                     Wire& w = wires_[number];
+                     w.gateway = gateway;
+                     w.engine = engine;
+                     w.process = process_[engine];
+                     befall(number, engine);
+                     send(number, std::move(call));
+                 });
+}
+
+void Wires::send(sim::Connection number, core::Call call) {
+    Wire& w = *find(number);
+    w.call = call.call;
+    w.asked.reset();
+    if (call.kind == core::CallKind::attempt)
+        if (auto asked = read_request(call.headers, call.body))
+            w.asked = std::make_shared<const Asked>(std::move(*asked));
+    calls_[w.gateway][call.call.value] = number;
+    ends_.sent(w.gateway, w.engine, w.asked.get());
+    ends_.give(w.gateway, core::CallSent{call.call});
+    const auto arrives =
+        network_.arrival(number, sim::Way::to_engine, timeline_.now(), kHeadBytes + call.body.size());
+    if (!arrives) {
+        figures_.never_arrived += 1;
+        return;
+    }
+    timeline_.at(*arrives, [this, number, call = std::move(call), asked = w.asked] {
+        Wire* to = find(number);
+        if (to == nullptr || !to->engine_open) return;
+        if (ends_.silent(to->engine)) return;
+        if (to->process != process_[to->engine] || !ends_.listens(to->engine)) {
+            to->engine_open = false;
+            return reset(number);
+        }
+        ends_.arrived(number, to->gateway, to->engine, call, asked.get());
+    });
+}
+
+void Wires::abort(std::size_t gateway, core::CallId call) {
+    if (dialling_[gateway].erase(call.value) > 0) return;
+    const auto it = calls_[gateway].find(call.value);
+    if (it == calls_[gateway].end()) return;
+    const auto number = it->second;
+    calls_[gateway].erase(it);
+    Wire& w = *find(number);
+    w.gateway_open = false;
+    w.call = {};
+    if (w.asked) ends_.closed(w.gateway, w.engine, *w.asked);
+    const auto arrives = network_.arrival(number, sim::Way::to_engine, timeline_.now(), kNothing);
+    if (arrives) timeline_.at(*arrives, [this, number] { engine_sees_end(number); });
+}
+
+void Wires::engine_sees_end(sim::Connection number) {
+    Wire* w = find(number);
+    if (w == nullptr || ends_.silent(w->engine)) return;
+    const bool open = std::exchange(w->engine_open, false);
+    if (open && w->process == process_[w->engine]) ends_.left(number);
+    drop(number);
+}
+
+void Wires::answer(sim::Connection on, std::vector<core::Input> parts, bool last) {
+    Wire* w = find(on);
+    if (w == nullptr) return;
+    std::size_t bytes = 0;
+    for (const auto& p : parts) bytes += size_of(p);
+    const auto arrives = network_.arrival(on, sim::Way::to_gateway, timeline_.now(), bytes);
+    if (!arrives) return;
+    timeline_.at(*arrives, [this, on, call = w->call, last, parts = std::move(parts)]() mutable {
+        Wire* to = find(on);
+        if (to == nullptr || !to->gateway_open || to->call != call || call.value == 0) return;
+        const auto gateway = to->gateway;
+        if (last) {
+            if (to->asked) ends_.closed(gateway, to->engine, *to->asked);
+            calls_[gateway].erase(call.value);
+            to->call = {};
+            to->asked.reset();
+            to->idle_since = timeline_.now();
+            idle_[gateway * process_.size() + to->engine].push_back(on);
+        }
+        for (auto& p : parts) ends_.give(gateway, std::move(p));
+    });
+}
+
+void Wires::gateway_sees_end(sim::Connection number, const char* why) {
+    Wire* w = find(number);
+    if (w == nullptr) return;
+    if (std::exchange(w->gateway_open, false) && w->call.value != 0) {
+        const auto call = std::exchange(w->call, {});
+        calls_[w->gateway].erase(call.value);
+        if (w->asked) ends_.closed(w->gateway, w->engine, *w->asked);
+        fail(w->gateway, call, engine::Ending::closed, why);
+    }
+    drop(number);
+}
+
+void Wires::reset(sim::Connection on) {
+    Wire* w = find(on);
+    if (w == nullptr) return;
+    w->engine_open = false;
+    const auto arrives = network_.arrival(on, sim::Way::to_gateway, timeline_.now(), kNothing);
+    if (arrives) timeline_.at(*arrives, [this, on] { gateway_sees_end(on, "reset"); });
+}
+
+void Wires::died(std::size_t engine) {
+    process_[engine] += 1;
+    for (const auto number : network_.connections_of(engine)) reset(number);
+}
+
+// Forgets a wire whose gateway has closed it; what the engine still does on it goes nowhere.
+void Wires::drop(sim::Connection number) {
+    const Wire* w = find(number);
+    if (w == nullptr || w->gateway_open) return;
+    network_.close(number);
+    wires_.erase(number);
+}
+
+void Wires::befall(sim::Connection number, std::size_t engine) {
+    const Time now = timeline_.now();
+    const auto& s = silencing_[engine];
+    if (s.until > now && faults_.chance(s.part)) {
+        figures_.silenced += 1;
+        network_.silence(number);
+    }
+    const auto& b = breaking_[engine];
+    if (b.until <= now || !faults_.chance(b.part)) return;
+    // In the dialling's first second, mostly while something is on it.
+    timeline_.after(Duration(static_cast<std::int64_t>(faults_.uniform() * 1e9)), [this, number] {
+        Wire* w = find(number);
+        if (w == nullptr) return;
+        figures_.broken += 1;
+        if (std::exchange(w->engine_open, false) && w->process == process_[w->engine]) ends_.left(number);
+        gateway_sees_end(number, "reset on the way");
+    });
+}
+
+void Wires::silence(const std::vector<std::size_t>& engines, double part, Time until) {
+    for (const auto e : engines) {
+        silencing_[e] = {part, until};
+        for (const auto number : network_.connections_of(e))
+            if (faults_.chance(part)) {
+                figures_.silenced += 1;
+                network_.silence(number);
+            }
+    }
+}
+
+void Wires::break_later(const std::vector<std::size_t>& engines, double part, Time until) {
+    for (const auto e : engines) breaking_[e] = {part, until};
+}
+
+}  // namespace chalksail::lab
--- a/tests/lab/virtual_day_test.cpp
+++ b/tests/lab/virtual_day_test.cpp
@@ -55,6 +55,11 @@
             Kind{"burst", R"(burst at="5s" for="8s" factor=4)"},
             Kind{"heavy_tail", R"(heavy_tail at="5s" for="10s" part=0.1 factor=20)"},
             Kind{"give_up", R"(give_up at="1s" for="28s" part=0.5)"},
+            Kind{"zone_cut_off", R"(partition at="5s" for="4s" zone="apapa")"},
+            Kind{"writers_cut_off", R"(partition at="5s" for="6s" engines="decode" share=0.5 part=0.5)"},
+            Kind{"readers_cut_off", R"(partition at="5s" for="6s" engines="prefill" share=0.5 part=0.5)"},
+            Kind{"half_open", R"(half_open at="5s" for="8s" share=0.5 part=0.4)"},
+            Kind{"resets", R"(resets at="5s" for="8s" share=0.7 part=0.5)"},
             Kind{"all_zones", R"(zone_loss at="4s" for="5s" zone="apapa"
                                  zone_loss at="6s" for="5s" zone="lekki"
                                  zone_loss at="8s" for="5s" zone="ikeja"
