Large fleets cost the module and the laboratory less: fewer walks, prompts read once

The stand-in reads the messages once, and not at all where a state is fetched; kept blocks no longer carry their own text; the tokens in a writer's memory are a running sum.

--- a/lab/model/engine.cpp
+++ b/lab/model/engine.cpp
@@ -32,16 +32,10 @@
 }
 
 double EngineModel::memory_share() const {
-    const double used = spec_.role == Role::prefill ? state_tokens_ : write_memory();
+    const double used = spec_.role == Role::prefill ? state_tokens_ : write_tokens_;
     return std::min(1.0, used / std::max(1.0, spec_.memory_tokens));
 }
 
-double EngineModel::write_memory() const {
-    double used = 0;
-    for (const auto& [id, r] : writes_) used += r.job.prompt_tokens + static_cast<double>(r.done);
-    return used;
-}
-
 // A cold engine that is sent more than a multiple of what it can do, for a whole window, falls over and stays
 // down. Work that it turns away counts too.
 void EngineModel::press(Time now, const Job& job) {
@@ -97,7 +91,7 @@
         }
         fresh_from = i;
         const double own = std::max(0.0, b.tokens - (i == 0 ? 0 : job.blocks[i - 1].tokens));
-        kept_order_.push_back({b.hash, own, {}});
+        kept_order_.push_back({b.hash, own});
         kept_[b.hash] = std::prev(kept_order_.end());
         kept_total_ += own;
     }
@@ -108,10 +102,10 @@
         for (std::size_t i = fresh_from; i < job.blocks.size(); ++i) {
             const auto& b = job.blocks[i];
             e.blocks.push_back(b.hash);
-            for (std::size_t t = 0; t < b.text.size(); t += 4) {
+            for (std::size_t t = i * kBlockBytes; t < (i + 1) * kBlockBytes; t += 4) {
                 prefix::Token token = 0;
                 for (std::size_t j = 0; j < 4; ++j)
-                    token = token << 8U | static_cast<unsigned char>(b.text[t + j]);
+                    token = token << 8U | static_cast<unsigned char>(job.text.at(t + j));
                 e.tokens.push_back(token);
             }
         }
@@ -147,6 +141,7 @@
         wait = from_seconds((kReadOverhead + r.job.prompt_tokens + static_cast<double>(r.done)) /
                             spec_.read_pace * slow_ / warmth(now));
     auto& placed = writes_.emplace(id, std::move(r)).first->second;
+    write_tokens_ += placed.job.prompt_tokens + static_cast<double>(placed.done);
     placed.next =
         now + wait +
         Duration(static_cast<std::int64_t>(kFirstToken * static_cast<double>(interval(now).count())));
@@ -157,7 +152,7 @@
     while (!queue_.empty() && static_cast<int>(running()) < spec_.slots) {
         const Job& job = queue_.front().job;
         if (job.read && state_tokens_ + job.prompt_tokens > spec_.memory_tokens && state_tokens_ > 0) return;
-        if (!job.read && !writes_.empty() && write_memory() + job.prompt_tokens > spec_.memory_tokens) return;
+        if (!job.read && !writes_.empty() && write_tokens_ + job.prompt_tokens > spec_.memory_tokens) return;
         Running r = std::move(queue_.front());
         queue_.pop_front();
         begin(now, std::move(r));
@@ -200,18 +195,21 @@
         Running& r = writes_.at(id);
         pending_.push_back({Progress::What::tokens, id, r.done, 1, 0});
         r.done += 1;
+        write_tokens_ += 1;
         if (r.done >= r.job.output_tokens) {
             pending_.push_back({Progress::What::finished, id, 0, 0, 0});
+            write_tokens_ -= r.job.prompt_tokens + static_cast<double>(r.done);
             writes_.erase(id);
             fill(when);
             continue;
         }
         r.next = when + interval(when);
         due_.emplace(r.next, id);
-        if (write_memory() > spec_.memory_tokens && writes_.size() > 1) {
+        if (write_tokens_ > spec_.memory_tokens && writes_.size() > 1) {
             auto newest = std::prev(writes_.end());
             due_.erase({newest->second.next, newest->first});
             Running back = std::move(newest->second);
+            write_tokens_ -= back.job.prompt_tokens + static_cast<double>(back.done);
             back.preempted = true;
             writes_.erase(newest);
             queue_.push_front(std::move(back));
@@ -240,6 +238,7 @@
     reads_.erase(job);
     if (const auto it = writes_.find(job); it != writes_.end()) {
         due_.erase({it->second.next, job});
+        write_tokens_ -= it->second.job.prompt_tokens + static_cast<double>(it->second.done);
         writes_.erase(it);
     }
     if (alive_ && !paused_) fill(now);
@@ -273,6 +272,7 @@
     queue_.clear();
     reads_.clear();
     writes_.clear();
+    write_tokens_ = 0;
     due_.clear();
     states_.clear();
     state_tokens_ = 0;
--- a/lab/model/engine.hpp
+++ b/lab/model/engine.hpp
@@ -56,6 +56,7 @@
     bool told_cold = false;  // that gateway had been told that this engine had started
     double prompt_tokens = 0;
     std::vector<PrefixBlock> blocks;
+    std::string text;  // of which they are; only what publishes needs it
     std::size_t output_tokens = 0;
     bool has_state = false;  // a state comes with it ...
     Duration transfer{};     // ... and takes so long to arrive once the job has its slot
@@ -129,7 +130,6 @@
     [[nodiscard]] double kept_of(const Job& job) const;
     void keep(const Job& job);
     [[nodiscard]] Duration interval(Time now) const;
-    [[nodiscard]] double write_memory() const;
     void press(Time now, const Job& job);
     [[nodiscard]] double capacity() const;  // work a second when warm
     static double work_of(const Job& job, double kept);
@@ -146,6 +146,7 @@
     std::deque<Running> queue_;
     std::map<JobId, Running> reads_;
     std::map<JobId, Running> writes_;
+    double write_tokens_ = 0;  // prompts and tokens given of these
     std::set<std::pair<Time, JobId>> due_;
     std::map<std::string, State> states_;
     double state_tokens_ = 0;
--- a/lab/model/exchange.cpp
+++ b/lab/model/exchange.cpp
@@ -53,31 +53,35 @@
     out.gateway = gateway_of(out.request);
     out.attempt = std::atoll(std::string(headers.get(engine::kAttemptHeader)).c_str());
     const auto parsed = chat::parse_request(body);
-    json::Document doc;
-    if (!parsed || !json::parse(body, doc)) return std::nullopt;
+    if (!parsed) return std::nullopt;
     out.model = parsed->model;
     out.streaming = parsed->stream;
     out.usage = parsed->include_usage;
-    std::vector<std::string> messages;
-    for (const auto& m : doc["messages"].GetArray()) messages.push_back(json::dump(m));
-    out.blocks = prefix_blocks(messages);
+    std::string_view messages;
+    json::Document params;
     for (const auto& m : parsed->members) {
-        if (m.name != "messages") continue;
         const std::string_view raw = body.substr(m.value, m.end - m.value);
-        out.key = prompt_key(raw);
-        out.prompt_tokens = count_tokens(raw.size());
+        if (m.name == "messages") messages = raw;
+        if (m.name == "kv_transfer_params" && !json::parse(raw, params)) return std::nullopt;
     }
+    out.key = prompt_key(messages);
+    out.prompt_tokens = count_tokens(messages.size());
     out.output =
         answer_length(out.key, static_cast<std::size_t>(parsed->max_output > 0 ? parsed->max_output : 64));
-    if (const auto* params = json::find(doc, "kv_transfer_params")) {
+    if (params.IsObject()) {
         const auto truth = [&](const char* name) {
-            const auto* v = json::find(*params, name);
+            const auto* v = json::find(params, name);
             return v != nullptr && v->IsBool() && v->GetBool();
         };
         out.read = truth("do_remote_decode");
         out.fetches = truth("do_remote_prefill");
-        out.fetch_from = json::text(json::find(*params, "remote_engine_id"));
+        out.fetch_from = json::text(json::find(params, "remote_engine_id"));
     }
+    if (out.fetches) return out;  // nothing is read here
+    json::Document doc;
+    if (!json::parse(messages, doc) || !doc.IsArray()) return std::nullopt;
+    for (const auto& m : doc.GetArray()) out.text += json::dump(m);
+    out.blocks = prefix_blocks(out.text);
     return out;
 }
 
@@ -89,6 +93,7 @@
     job.gateway = asked.gateway;
     job.prompt_tokens = asked.prompt_tokens;
     job.blocks = asked.blocks;
+    job.text = asked.text;
     job.output_tokens = asked.output;
     return job;
 }
--- a/lab/model/exchange.hpp
+++ b/lab/model/exchange.hpp
@@ -26,7 +26,8 @@
     std::uint64_t key = 0;
     double prompt_tokens = 0;
     std::size_t output = 0;
-    std::vector<PrefixBlock> blocks;
+    std::vector<PrefixBlock> blocks;  // of what is to be read here
+    std::string text;                 // of which they are
 };
 // Nothing if the body is no chat request.
 [[nodiscard]] std::optional<Asked> read_request(const http::Headers& headers, std::string_view body);
--- a/lab/model/text.cpp
+++ b/lab/model/text.cpp
@@ -45,15 +45,13 @@
     return std::max(1.0, std::ceil(static_cast<double>(bytes) / kBytesPerToken));
 }
 
-std::vector<PrefixBlock> prefix_blocks(const std::vector<std::string>& messages) {
-    constexpr std::size_t bytes = kBlockTokens * static_cast<std::size_t>(kBytesPerToken);
-    std::string text;
-    for (const auto& m : messages) text += m;
+std::vector<PrefixBlock> prefix_blocks(std::string_view text) {
     std::vector<PrefixBlock> out;
+    out.reserve(text.size() / kBlockBytes);
     std::uint64_t hash = 0;
-    for (std::size_t at = 0; at + bytes <= text.size(); at += bytes) {
-        hash = mix(hash, XXH3_64bits(text.data() + at, bytes));
-        out.push_back({hash, static_cast<double>((at / bytes + 1) * kBlockTokens), text.substr(at, bytes)});
+    for (std::size_t at = 0; at + kBlockBytes <= text.size(); at += kBlockBytes) {
+        hash = mix(hash, XXH3_64bits(text.data() + at, kBlockBytes));
+        out.push_back({hash, static_cast<double>((at / kBlockBytes + 1) * kBlockTokens)});
     }
     return out;
 }
--- a/lab/model/text.hpp
+++ b/lab/model/text.hpp
@@ -23,13 +23,13 @@
 [[nodiscard]] double count_tokens(std::size_t bytes);
 
 // A prompt in blocks of sixteen tokens, as engines keep it: the hash of all up to its end, with the tokens so
-// far, and its own text. What is left over at the end is in none.
+// far. What is left over at the end is in none. `text`: the messages' JSON, one after the other.
 inline constexpr std::size_t kBlockTokens = 16;
+inline constexpr std::size_t kBlockBytes = kBlockTokens * static_cast<std::size_t>(kBytesPerToken);
 struct PrefixBlock {
     std::uint64_t hash = 0;
     double tokens = 0;
-    std::string text;
 };
-[[nodiscard]] std::vector<PrefixBlock> prefix_blocks(const std::vector<std::string>& messages);
+[[nodiscard]] std::vector<PrefixBlock> prefix_blocks(std::string_view text);
 
 }  // namespace chalksail::lab
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -479,6 +479,7 @@
     void lower_limit(Server& s, Time evidence_sent) {
         if (s.limit_lowered != Time{} && evidence_sent < s.limit_lowered) return;
         s.limit_lowered = now_;
+        any_lowered_ = true;
         s.limit = std::max(kLimitFloor * starting_limit(s), kLimitDown * std::min(s.limit, load(s)));
     }
     void recover_limits(double passed) {
@@ -486,7 +487,11 @@
             if (const double start = starting_limit(s); s.limit < start)
                 s.limit = std::min(start, s.limit + kLimitBack * start * passed);
         };
-        for (auto& [id, s] : servers_) recover(s);
+        if (std::exchange(any_lowered_, false))  // seldom: at large size each walk over the servers costs
+            for (auto& [id, s] : servers_) {
+                recover(s);
+                any_lowered_ = any_lowered_ || s.limit < starting_limit(s);
+            }
         recover(pool_);
     }
     void raise_limit(Server& s, double tokens) {
@@ -707,6 +712,7 @@
     // Out for the shortest aim, then twice as long each time, up to the time that a restart takes to warm.
     void eject(Server& s) {
         if (ejected(s) && now_ < s.ejected_until) return;  // failures of the same moment count once
+        any_ejected_ = true;
         s.ejection = s.ejection == Duration::zero()
                          ? shortest_aim_
                          : std::min(2 * s.ejection, std::max(shortest_aim_, s_.cold_for));
@@ -716,7 +722,9 @@
     }
     // The way back: a probe where allowed, then one repeatable request at a time.
     void review_ejected() {
+        if (!std::exchange(any_ejected_, false)) return;
         for (auto& [id, s] : servers_) {
+            any_ejected_ = any_ejected_ || s.ejection > Duration::zero();
             if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing)
                 continue;
             if (!in_service(s) || s.in_use > 0) continue;
@@ -903,9 +911,10 @@
         const auto want = [&](Time at) { next = next ? std::min(*next, at) : at; };
         for (const auto& [id, r] : requests_)
             if (!r.ended && (!r.out || (!r.out->started && !r.out->cancelled))) want(now_ + 2 * s_.tick);
-        for (const auto& [id, s] : servers_)
-            if (s.ejection > Duration::zero() && !s.trial_open && !s.probing && s.in_use == 0)
-                want(std::max(s.ejected_until, now_ + 2 * s_.tick));
+        if (any_ejected_)
+            for (const auto& [id, s] : servers_)
+                if (s.ejection > Duration::zero() && !s.trial_open && !s.probing && s.in_use == 0)
+                    want(std::max(s.ejected_until, now_ + 2 * s_.tick));
         if (!next || (wake_at_ && *wake_at_ <= *next && *wake_at_ > now_)) return;
         wake_at_ = std::max(*next, now_ + s_.tick);
         wake_id_ = {wake_id_.value + 1};
@@ -936,6 +945,8 @@
     Server pool_;                              // all writers together
     double average_report_ = 0;
     bool probes_queue_ = false;
+    bool any_lowered_ = false;  // a server's limit may be below its start
+    bool any_ejected_ = false;  // a server may not be in good standing
     std::map<std::int64_t, std::pair<RunningMean, Time>> links_;  // by cell: first tokens of states leaving
     std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
     double writer_memory_ = 0;
--- a/tests/lab/engine_model_test.cpp
+++ b/tests/lab/engine_model_test.cpp
@@ -35,7 +35,7 @@
     j.read = true;
     j.request = "q" + std::to_string(id);
     j.prompt_tokens = tokens;
-    j.blocks = {{id * 1000 + 1, tokens, {}}};
+    j.blocks = {{id * 1000 + 1, tokens}};
     return j;
 }
 Job write_job(JobId id, std::size_t output, double prompt = 10) {
@@ -96,17 +96,17 @@
     std::size_t known = 0;
     for (JobId id = 1; id <= 300; ++id) {
         // Three leading texts, and turns of a few sessions: some beginnings come back, some were evicted.
-        const std::vector<std::string> messages = {
-            std::string(200 + id % 3 * 100, static_cast<char>('a' + id % 3)),
-            std::string(id * 7 % 11 * 64, static_cast<char>('k' + id % 5))};
+        const std::string text = std::string(200 + id % 3 * 100, static_cast<char>('a' + id % 3)) +
+                                 std::string(id * 7 % 11 * 64, static_cast<char>('k' + id % 5));
         Job j;
         j.id = id;
         j.read = true;
         j.request = "q" + std::to_string(id);
-        j.blocks = prefix_blocks(messages);
+        j.text = text;
+        j.blocks = prefix_blocks(text);
         j.prompt_tokens = 1000;
         std::uint32_t claimed = 0;
-        for (const auto& h : index.held("m", messages[0] + messages[1])) claimed = h.tokens;
+        for (const auto& h : index.held("m", text)) claimed = h.tokens;
         ASSERT_EQ(e.submit(now, j, 0.5), Verdict::taken);
         now += 1s;
         for (const auto& p : e.advance(now))
