A swarm of random fleets and troubles, and seven broken cores that it has to catch

Need: troubles were tried one by one on one fleet; mixtures, odd sizes and slow networks were not, and nothing showed that the checker would catch a core that breaks a rule.

Change: lab/swarm draws a scenario from its seed (one to six edges, five to sixteen engines, delays, losses and rates of the network, classes, two to seven troubles of all kinds), plays it in virtual time and stops at the first breach, with the records of its request; the scenario is written out and can be replayed. What must hold: the five rules, nothing open at the end, no garbled answer, no send that a guard had to stop.

On the way the swarm corrected the checker three times, not the core: an attempt that is being dialled is out, as the wire's rule 5 has it; an engine's end counts once its gateway has heard of it; a state whose read had been called off before the news could arrive is not the gateway's.

--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -14,6 +14,7 @@
 #include "record/checker.hpp"
 #include "scenario/scenario.hpp"
 #include "shell/rehearsal.hpp"
+#include "swarm/swarm.hpp"
 #include "virtual/compare.hpp"
 #include "virtual/day.hpp"
 
@@ -130,6 +131,37 @@
     return std::all_of(arms.begin(), arms.end(), [](const auto& a) { return a.rules_broken == 0; }) ? 0 : 1;
 }
 
+int swarm(std::uint64_t from, std::size_t seeds, const std::string& mutation, const std::string& folder) {
+    std::optional<Mutation> mutant;
+    for (std::size_t i = 0; i < kMutations; ++i)
+        if (name(static_cast<Mutation>(i)) == mutation) mutant = static_cast<Mutation>(i);
+    if (!mutation.empty() && !mutant) {
+        std::cerr << "no mutation is called '" << mutation << "'\n";
+        return 2;
+    }
+    std::size_t found = 0;
+    for (std::uint64_t seed = from; seed < from + seeds; ++seed) {
+        std::cerr << "\rseed " << seed << std::flush;
+        const auto one = try_seed(seed, mutant);
+        if (!one) continue;
+        found += 1;
+        const auto file = folder + "/swarm-" + std::to_string(seed) + ".kdl";
+        std::filesystem::create_directories(folder);
+        std::ofstream(file, std::ios::binary) << one->scenario;
+        std::cout << "\rseed " << seed << ": " << one->what << "\n"
+                  << one->trace << "again: chalksail-lab run --virtual " << file << std::endl;
+        if (mutant) break;
+    }
+    std::cout << json::ObjectWriter()
+                     .flag("simulated", true)
+                     .whole("from", static_cast<std::int64_t>(from))
+                     .whole("seeds", static_cast<std::int64_t>(seeds))
+                     .whole("found", static_cast<std::int64_t>(found))
+                     .done()
+              << std::endl;
+    return found == 0 ? 0 : 1;
+}
+
 int check_records(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
@@ -184,11 +216,23 @@
     std::string wire;
     run_command->add_option("--wire", wire, "In virtual time: file for the records; none without it");
     check_command->add_option("records", file, "A wire.jsonl")->required();
+    std::uint64_t from = 1;
+    std::size_t swarm_seeds = 20;
+    std::string mutation;
+    auto* swarm_command = app.add_subcommand(
+        "swarm",
+        "Play random fleets and troubles in virtual time; exit 1 if anything that must hold does not");
+    swarm_command->add_option("--from", from, "The first seed")->capture_default_str();
+    swarm_command->add_option("--seeds", swarm_seeds, "How many")->capture_default_str();
+    swarm_command->add_option("--mutation", mutation, "Break the core on purpose, until it is caught");
+    swarm_command->add_option("--found", folder, "Folder for the scenarios of what is found")
+        ->capture_default_str();
     CLI11_PARSE(app, argc, argv);
     try {
         if (up_command->parsed()) return up(file, folder);
         if (run_command->parsed()) return virtual_time ? simulate(file, seed, wire) : run(file, folder);
         if (compare_command->parsed()) return compare(file, seeds);
+        if (swarm_command->parsed()) return swarm(from, swarm_seeds, mutation, folder);
         return check_records(file);
     } catch (const std::exception& error) {
         std::cerr << "chalksail-lab: " << error.what() << '\n';
--- a/lab/record/checker.cpp
+++ b/lab/record/checker.cpp
@@ -57,10 +57,11 @@
             // One that comes of a read which its gateway had called off, and let go of, before it came to be:
             // the gateway has done its part, the news were held up on the way.
             const auto let_go = s.let_go.find(r.server);
-            const bool done_with = let_go != s.let_go.end() &&
-                                   std::none_of(s.attempts.begin(), s.attempts.end(), [&](const Seen& a) {
-                                       return a.read && a.server == r.server && a.from > let_go->second;
-                                   });
+            const bool done_with =
+                let_go != s.let_go.end() &&
+                std::any_of(s.attempts.begin(), s.attempts.end(), [&](const Seen& a) {
+                    return a.number == r.attempt && a.to && *a.to < r.at && a.from <= let_go->second;
+                });
             if (done_with) break;
             s.states.push_back({r.server, r.at, std::nullopt});
             look_at_states(s, r.at);
--- a/lab/record/record.hpp
+++ b/lab/record/record.hpp
@@ -21,7 +21,7 @@
     taken,    // a request reached the engine: request, gateway, server, attempt, read
     ended,    // its answer, or its connection, ended: fate is done, not_run, error, cut (by us), left (by the
               // peer)
-    state,    // a read state waits: request, server
+    state,    // a read state waits: request, server; in virtual time the attempt that read it
     fetched,  // it was taken by a write; server: where it waited
     released,  // it was let go
     expired,   // nobody wanted it for too long
--- /dev/null
+++ b/lab/swarm/swarm.cpp
@@ -0,0 +1,245 @@
+#include "swarm/swarm.hpp"
+
+#include <array>
+#include <cstdio>
+#include <memory>
+#include <stdexcept>
+#include <utility>
+
+#include "record/checker.hpp"
+#include "sim/random.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+constexpr std::array<std::string_view, kMutations> kNames = {
+    "lost-release",  "second-attempt", "ignored-drain", "cold-flood",
+    "double-answer", "once-again",     "lost-answer"};
+constexpr std::array<const char*, 4> kZones = {"ikeja", "lekki", "apapa", "yaba"};
+
+std::string text(double value) {
+    std::array<char, 32> out{};
+    std::snprintf(out.data(), out.size(), "%.3f", value);
+    return out.data();
+}
+std::string ms(double value) { return "\"" + std::to_string(static_cast<int>(value)) + "ms\""; }
+
+// One trouble, drawn; each kind with the figures that matter to it.
+std::string draw_trouble(sim::Stream& s, std::size_t zones, double seconds) {
+    const auto kind = static_cast<TroubleKind>(s.below(kTroubleKinds));
+    if (kind == TroubleKind::wrong_name) return "";  // there is no TLS in virtual time
+    std::string out = "    " + std::string(name(kind));
+    out += " at=" + ms(s.between(500, seconds * 800));
+    out += " for=" + ms(s.between(200, seconds * 500));
+    const auto zone = std::string(kZones[s.below(zones)]);
+    if (kind == TroubleKind::zone_loss || (kind == TroubleKind::partition && s.chance(0.5)))
+        return out + " zone=\"" + zone + "\"\n";
+    if (s.chance(0.7)) out += std::string(" engines=\"") + (s.chance(0.5) ? "prefill" : "decode") + "\"";
+    out += " share=" + text(s.between(0.05, 1));
+    out += " factor=" + text(s.between(1.5, 8));
+    out += " part=" + text(s.between(0.05, 0.9));
+    out += " lag=" + ms(s.between(0, 6000));
+    out += " notice=" + ms(s.between(0, 3000));
+    return out + "\n";
+}
+
+}  // namespace
+
+std::string_view name(Mutation mutation) { return kNames[static_cast<std::size_t>(mutation)]; }
+
+std::string draw_scenario(std::uint64_t seed) {
+    sim::Stream s(seed, "swarm");
+    const auto whole = [&](int low, int high) {
+        return std::to_string(low + static_cast<int>(s.below(static_cast<std::size_t>(high - low + 1))));
+    };
+    const double seconds = s.between(8, 14);
+    const std::size_t zones = 1 + s.below(kZones.size());
+    std::string out = "name \"swarm-" + std::to_string(seed) + "\"\nseed " + std::to_string(seed) + "\n";
+    out += "length " + ms(seconds * 1000) + "\nedges " + whole(1, 6) + "\nclients " + whole(5, 60) +
+           "\nclient-retries " + whole(0, 3) + "\n";
+    out += "list-lag " + ms(s.between(0, 1500)) + "\nlist-spread " +
+           ms(s.chance(0.5) ? s.between(0, 800) : 0) + "\n";
+    for (std::size_t i = 0; i < zones; ++i) out += std::string("zone \"") + kZones[i] + "\"\n";
+    out += "network {\n    same-zone \"" + whole(50, 800) + "us\"\n    other-zone \"" + whole(500, 9000) +
+           "us\"\n    jitter \"" + whole(0, 4000) + "us\"\n    lost " + text(s.chance(0.4) ? 0.01 : 0) +
+           "\n    bytes-per-second " + text(s.chance(0.3) ? s.between(1e6, 1e8) : 0) + "\n}\n";
+    out += "links { in-cell " + whole(50'000, 400'000) + "; rack " + whole(20'000, 200'000) +
+           "; zone-factor " + whole(1, 4) + "; }\n";
+    const auto times = [&](double low, double high) {
+        const double aim = s.between(low, high);
+        return "aim " + ms(aim) + "; deadline " + ms(aim + s.between(500, 5000));
+    };
+    static constexpr std::array<const char*, 3> kGroups = {"all", "zone", "cell"};
+    out += "edge {\n    class \"once\" { when model=\"once\"; " + times(500, 3000) +
+           "; effect \"once\"; worth 3; late-worth " + text(s.uniform()) + "; }\n";
+    out += "    class \"keyed\" { when model=\"keyed\"; " + times(500, 3000) +
+           "; effect \"by-key\"; group \"" + kGroups[s.below(3)] + "\"; window " + ms(s.between(1000, 6000)) +
+           "; }\n";
+    out += "    class \"chat\" { " + times(300, 2000) + "; aim-per-1000-tokens " + ms(s.between(0, 150)) +
+           "; }\n";
+    const std::string events = s.chance(0.4) ? "; cache-events #true" : "";
+    out +=
+        "    kind \"prefill\" { role \"prefill\"; memory-tokens " + whole(20'000, 250'000) + events + "; }\n";
+    out += "    kind \"decode\" { role \"decode\"; memory-tokens " + whole(15'000, 200'000) + "; }\n";
+    out += "    rules { max-attempts " + whole(2, 5) + "; cold-for " + ms(s.between(1000, 8000)) + "; }\n}\n";
+    out += "caches { lost " + text(s.chance(0.5) ? 0.1 : 0) + "; past " + whole(5, 200) + "; }\n";
+    out += "engines \"prefill\" kind=\"prefill\" count=" + whole(2, 6) + " { slots " + whole(1, 8) +
+           "; queue " + whole(0, 40) + "; read-pace " + whole(4000, 25'000) + "; kept-tokens " +
+           whole(0, 60'000) + "; }\n";
+    out += "engines \"decode\" kind=\"decode\" count=" + whole(3, 10) + " { slots " + whole(2, 50) +
+           "; queue " + whole(0, 30) + "; token-interval " + ms(s.between(5, 40)) + "; read-pace " +
+           whole(2000, 9000) + "; state-ttl " + ms(s.between(5000, 30'000)) + "; }\n";
+    for (const char* cls : {"chat", "once", "keyed"})
+        out += std::string("traffic \"") + cls + "\" { model \"" + cls + "\"; share " + whole(1, 10) +
+               "; streamed " + text(s.uniform()) + "; turns " + whole(1, 4) + "; prefixes " + whole(1, 8) +
+               "; system-bytes " + whole(0, 12'000) + "; turn-bytes " + whole(50, 6000) + "; max-tokens " +
+               whole(1, 60) + "; think " + ms(s.between(50, 1500)) + "; }\n";
+    out += "troubles {\n";
+    const std::size_t troubles = 2 + s.below(6);
+    for (std::size_t i = 0; i < troubles; ++i) out += draw_trouble(s, zones, seconds);
+    return out + "}\n";
+}
+
+namespace {
+
+template <class T, class Act>
+void each_of(std::vector<core::Output>& outputs, const Act& act) {
+    for (std::size_t i = 0, n = outputs.size(); i < n; ++i)
+        if (auto* o = std::get_if<T>(&outputs[i])) act(*o);
+}
+template <class T, class Act>
+void each_of(std::vector<core::Input>& inputs, const Act& act) {
+    for (auto& i : inputs)
+        if (auto* in = std::get_if<T>(&i)) act(*in);
+}
+bool is_attempt(const core::Call& call) { return call.kind == core::CallKind::attempt; }
+
+Tampering lost_release() {
+    return {{}, [](std::vector<core::Output>& outputs) {
+                std::erase_if(outputs, [](const core::Output& o) {
+                    const auto* call = std::get_if<core::Call>(&o);
+                    return call != nullptr && call->kind == core::CallKind::release;
+                });
+            }};
+}
+Tampering second_attempt() {
+    return {{}, [](std::vector<core::Output>& outputs) {
+                std::vector<core::Call> copies;
+                each_of<core::Call>(outputs, [&](const core::Call& call) {
+                    if (is_attempt(call)) copies.push_back(call);
+                });
+                for (auto& copy : copies) {
+                    copy.call.value += 1'000'000'000;
+                    outputs.emplace_back(std::move(copy));
+                }
+            }};
+}
+Tampering ignored_drain() {
+    return {[](std::vector<core::Input>& inputs) {
+                each_of<core::ServerList>(inputs, [](core::ServerList& list) {
+                    for (auto& s : list.servers) s.entry.state = ServerState::up;
+                });
+            },
+            {}};
+}
+Tampering cold_flood() {
+    auto cold = std::make_shared<std::map<std::string, std::string>>();  // by kind: the last that started
+    return {[cold](std::vector<core::Input>& inputs) {
+                each_of<core::ServerList>(inputs, [&](const core::ServerList& list) {
+                    for (const auto& s : list.servers)
+                        if (s.entry.born != Time{} && s.entry.state == ServerState::up)
+                            (*cold)[s.entry.kind] = s.entry.id.value;
+                });
+            },
+            [cold](std::vector<core::Output>& outputs) {
+                each_of<core::Call>(outputs, [&](core::Call& call) {
+                    const auto it = cold->find(call.server_kind);
+                    if (is_attempt(call) && it != cold->end()) call.server = it->second;
+                });
+            }};
+}
+Tampering double_answer() {
+    return {{}, [](std::vector<core::Output>& outputs) {
+                std::vector<core::Output> again;
+                each_of<core::Reply>(outputs, [&](const core::Reply& reply) { again.emplace_back(reply); });
+                each_of<core::StreamEnd>(outputs,
+                                         [&](const core::StreamEnd& end) { again.emplace_back(end); });
+                for (auto& o : again) outputs.push_back(std::move(o));
+            }};
+}
+Tampering once_again() {
+    return {[](std::vector<core::Input>& inputs) {
+                std::erase_if(inputs,
+                              [](const auto& i) { return std::holds_alternative<core::CallSent>(i); });
+                each_of<core::CallFailed>(
+                    inputs, [](core::CallFailed& f) { f.ending = engine::Ending::dial_failed; });
+            },
+            {}};
+}
+Tampering lost_answer() {
+    auto seen = std::make_shared<int>(0);
+    return {{}, [seen](std::vector<core::Output>& outputs) {
+                std::erase_if(outputs, [&](const core::Output& o) {
+                    return std::holds_alternative<core::Reply>(o) && ++*seen % 10 == 0;
+                });
+            }};
+}
+
+}  // namespace
+
+Tampering tampering(Mutation mutation) {
+    switch (mutation) {
+        case Mutation::lost_release: return lost_release();
+        case Mutation::second_attempt: return second_attempt();
+        case Mutation::ignored_drain: return ignored_drain();
+        case Mutation::cold_flood: return cold_flood();
+        case Mutation::double_answer: return double_answer();
+        case Mutation::once_again: return once_again();
+        case Mutation::lost_answer: return lost_answer();
+    }
+    return {};
+}
+
+std::optional<std::string> what_fails(const Verdict5& v, const VirtualFigures& f) {
+    if (!v.breaches.empty()) return format(v.breaches.front());
+    const auto count = [](std::size_t n, const char* what) {
+        return n == 0 ? std::nullopt : std::optional(std::to_string(n) + " " + what);
+    };
+    if (auto out = count(v.garbled, "answers with another text than the prompt gives")) return out;
+    if (auto out = count(f.open_at_end, "requests, calls or states still open at the end")) return out;
+    if (auto out = count(f.guards, "sends that the edges' guards had to stop")) return out;
+    const auto ended = v.served + v.refused + v.failed + v.gone + v.rejected;
+    if (auto out = count(v.asked - ended, "requests without an account")) return out;
+    return std::nullopt;
+}
+
+std::optional<Found> try_scenario(const std::string& text, std::uint64_t seed,
+                                  std::optional<Mutation> mutation) {
+    const auto play = [&](bool keep) {
+        auto scenario = parse_scenario(text, "swarm-" + std::to_string(seed));
+        if (!scenario) throw std::invalid_argument(format(scenario.error().front()));
+        scenario->seed = seed;
+        auto day = std::make_unique<VirtualDay>(std::move(*scenario));
+        day->keep_records(keep);
+        day->stop_at_breach();
+        if (mutation) day->tamper(tampering(*mutation));
+        auto verdict = day->run();
+        return std::pair(std::move(day), std::move(verdict));
+    };
+    const auto [day, verdict] = play(false);
+    const auto what = what_fails(verdict, day->figures());
+    if (!what) return std::nullopt;
+    Found out{seed, *what, "", text};
+    if (!verdict.breaches.empty()) {
+        // The same again, for its records.
+        const auto again = play(true);
+        out.trace = trace(again.first->records(), verdict.breaches.front());
+    }
+    return out;
+}
+
+std::optional<Found> try_seed(std::uint64_t seed, std::optional<Mutation> mutation) {
+    return try_scenario(draw_scenario(seed), seed, mutation);
+}
+
+}  // namespace chalksail::lab
--- /dev/null
+++ b/lab/swarm/swarm.hpp
@@ -0,0 +1,50 @@
+// Random fleets, traffic and troubles, played in virtual time until something that must hold does not. Each
+// is a function of its seed, written as a scenario that can be kept and replayed. No I/O.
+#pragma once
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "scenario/scenario.hpp"
+#include "virtual/day.hpp"
+
+namespace chalksail::lab {
+
+// A scenario of 8 to 14 s, in KDL: one to six edges, five to sixteen engines, two to seven troubles.
+[[nodiscard]] std::string draw_scenario(std::uint64_t seed);
+
+// Cores that are broken on purpose: what must be caught, or the checker is worth nothing.
+enum class Mutation {
+    lost_release,    // states are never let go
+    second_attempt,  // each attempt goes out twice
+    ignored_drain,   // the list's "draining" and "removed" are not heard
+    cold_flood,      // what goes to an engine's kind goes to the one that has just started
+    double_answer,   // an answer is given twice
+    once_again,      // a break is taken for "no connection": what may have run goes again
+    lost_answer,     // one answer in ten is never given
+};
+inline constexpr std::size_t kMutations = 7;
+[[nodiscard]] std::string_view name(Mutation mutation);
+[[nodiscard]] Tampering tampering(Mutation mutation);
+
+struct Found {
+    std::uint64_t seed = 0;
+    std::string what;   // the first thing that does not hold
+    std::string trace;  // its records, where it is a breach
+    std::string scenario;
+};
+// What must hold at the end, beside the five rules: nothing left open, no answer garbled, all asked accounted
+// for. Nothing if all holds.
+[[nodiscard]] std::optional<std::string> what_fails(const Verdict5& verdict, const VirtualFigures& figures);
+// Plays one; nothing if all holds. The same seed finds the same.
+[[nodiscard]] std::optional<Found> try_seed(std::uint64_t seed,
+                                            std::optional<Mutation> mutation = std::nullopt);
+// The same for a scenario's text, whose seed is `seed`.
+[[nodiscard]] std::optional<Found> try_scenario(const std::string& text, std::uint64_t seed,
+                                                std::optional<Mutation> mutation = std::nullopt);
+
+}  // namespace chalksail::lab
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -177,6 +177,16 @@
     return it == asks_.end() ? nullptr : it->second.get();
 }
 
+// Its client has its answer: there must be no other.
+void VirtualDay::answered_again(core::ClientId client) {
+    const auto it = over_.find(client.value);
+    if (it == over_.end()) return;  // it hung up
+    Record r;
+    r.what = What::answered;
+    r.request = it->second;
+    add(std::move(r));
+}
+
 void VirtualDay::carry_out(Gateway& g, core::Output& output) {
     if (auto* call = std::get_if<core::Call>(&output)) {
         const auto to = by_name_.at(call->server);
@@ -200,9 +210,10 @@
         add(std::move(r));
     } else if (const auto* end = std::get_if<core::StreamEnd>(&output)) {
         if (Ask* ask = find_ask(end->client)) answered(end->client.value, ask->got.end(ask->what));
+        else answered_again(end->client);
     } else if (const auto* reply = std::get_if<core::Reply>(&output)) {
         Ask* ask = find_ask(reply->client);
-        if (ask == nullptr) return;
+        if (ask == nullptr) return answered_again(reply->client);
         const std::string advice(reply->headers.get("retry-after-ms"));
         ask->got.head(reply->status, std::atoll(advice.c_str()));
         ask->got.body(ask->what, reply->body);
@@ -218,15 +229,13 @@
     }
 }
 
-void VirtualDay::sent(std::size_t, std::size_t engine, const Asked* asked) {
-    const Host& host = *hosts_[engine];
-    if (asked == nullptr) return;
-    client_number_[asked->request] = asked->client_request;
-    note(What::sent, host, *asked, "");
+void VirtualDay::sent(std::size_t, std::size_t engine, const Asked& asked) {
+    client_number_[asked.request] = asked.client_request;
+    note(What::sent, *hosts_[engine], asked, "");
 }
 
-void VirtualDay::closed(std::size_t, std::size_t engine, const Asked& asked) {
-    note(What::closed, *hosts_[engine], asked, "");
+void VirtualDay::closed(std::size_t, std::size_t engine, const Asked& asked, bool went) {
+    note(What::closed, *hosts_[engine], asked, went ? "" : "not_run");
 }
 
 // ================= engines =================
@@ -336,7 +345,7 @@
             if (p.what == Progress::What::read_done) {
                 figures_.read_tokens += e.asked.prompt_tokens;
                 figures_.kept_tokens += p.kept;
-                note_state(What::state, host, e.asked.request);
+                note(What::state, host, e.asked, "");
                 finish(e, 200, read_answer(e.asked, e.job, p.kept, {host.model.spec().name, "virtual", 1}));
                 over = true;
                 break;
@@ -462,6 +471,7 @@
     const auto it = asks_.find(peer);
     const std::unique_ptr<Ask> ask = std::move(it->second);
     asks_.erase(it);
+    over_.emplace(peer, ask->what.number);
     Record r;
     r.what = What::answered;
     r.request = ask->what.number;
--- a/lab/virtual/day.hpp
+++ b/lab/virtual/day.hpp
@@ -91,6 +91,7 @@
     void note(What what, const Host& host, const Asked& asked, const std::string& fate);
     void note_state(What what, const Host& host, const std::string& edge_request);
     Ask* find_ask(core::ClientId client);
+    void answered_again(core::ClientId client);
     Host* find(const std::string& name);
     core::ListedServer entry(const Host& host) const;
 
@@ -119,8 +120,8 @@
     void arrived(sim::Connection on, std::size_t gateway, std::size_t engine, const core::Call& call,
                  const Asked* asked) override;
     void left(sim::Connection on) override;
-    void sent(std::size_t gateway, std::size_t engine, const Asked* asked) override;
-    void closed(std::size_t gateway, std::size_t engine, const Asked& asked) override;
+    void sent(std::size_t gateway, std::size_t engine, const Asked& asked) override;
+    void closed(std::size_t gateway, std::size_t engine, const Asked& asked, bool went) override;
     std::vector<std::size_t> numbers(const std::vector<std::string>& servers);
 
     Scenario scenario_;
@@ -144,6 +145,7 @@
     std::unique_ptr<Wires> wires_;
     std::unordered_map<sim::Connection, std::unique_ptr<Exchange>> exchanges_;  // looked up, never walked
     std::unordered_map<std::uint64_t, std::unique_ptr<Ask>> asks_;              // by peer; never walked
+    std::unordered_map<std::uint64_t, std::string> over_;                       // by peer: answered requests
     std::unordered_map<std::string, std::string> client_number_;
     JobId last_job_ = 0;
     Crowd crowd_;
--- a/lab/virtual/wires.cpp
+++ b/lab/virtual/wires.cpp
@@ -39,7 +39,23 @@
     ends_.give(gateway, core::CallFailed{call, ending, why});
 }
 
+// Ends the dialling for a call, of which nothing has gone out; false if there is none.
+bool Wires::undial(std::size_t gateway, core::CallId call) {
+    const auto it = dialling_[gateway].find(call.value);
+    if (it == dialling_[gateway].end()) return false;
+    const Dialling over = std::move(it->second);
+    dialling_[gateway].erase(it);
+    if (over.asked) ends_.closed(gateway, over.engine, *over.asked, false);
+    return true;
+}
+
 void Wires::call(std::size_t gateway, std::size_t engine, core::Call call) {
+    AskedPtr asked;
+    if (call.kind == core::CallKind::attempt)
+        if (auto read = read_request(call.headers, call.body)) {
+            asked = std::make_shared<const Asked>(std::move(*read));
+            ends_.sent(gateway, engine, *asked);
+        }
     auto& kept = idle_[gateway * process_.size() + engine];
     while (!kept.empty()) {
         const auto number = kept.back();
@@ -52,51 +68,51 @@
             continue;
         }
         figures_.reused += 1;
-        return send(number, std::move(call));
+        return send(number, std::move(call), std::move(asked));
     }
     const core::CallId id = call.call;
-    dialling_[gateway][id.value] = true;
+    dialling_[gateway][id.value] = {engine, std::move(asked)};
     const Time patience = timeline_.now() + limits_.dial_timeout;
     const auto give_up = [this, gateway, id] {
-        if (dialling_[gateway].erase(id.value) == 0) return;
+        if (!undial(gateway, id)) return;
         figures_.dial_failed += 1;
         fail(gateway, id, engine::Ending::dial_failed, "not established in time");
     };
     const auto dialled = network_.dial(gateway, engine, timeline_.now(), limits_.dial_timeout);
     if (!dialled) return timeline_.at(patience, give_up);
-    const auto number = dialled->connection;
-    timeline_.at(dialled->stands,
-                 [this, gateway, engine, number, patience, give_up, call = std::move(call)]() mutable {
-                     if (!dialling_[gateway].contains(call.call.value)) return network_.close(number);
-                     if (ends_.silent(engine)) {
-                         network_.close(number);
-                         return timeline_.at(patience, give_up);
-                     }
-                     dialling_[gateway].erase(call.call.value);
-                     if (!ends_.listens(engine)) {
-                         network_.close(number);
-                         figures_.dial_failed += 1;
-                         return fail(gateway, call.call, engine::Ending::dial_failed, "refused");
-                     }
-                     figures_.dialled += 1;
-                     Wire& w = wires_[number];
-                     w.gateway = gateway;
-                     w.engine = engine;
-                     w.process = process_[engine];
-                     befall(number, engine);
-                     send(number, std::move(call));
-                 });
-}
-
-void Wires::send(sim::Connection number, core::Call call) {
+    timeline_.at(dialled->stands, [this, gateway, engine, number = dialled->connection, give_up, patience,
+                                   call = std::move(call)]() mutable {
+        if (!dialling_[gateway].contains(call.call.value)) return network_.close(number);
+        if (!ends_.silent(engine)) return connected(gateway, engine, number, std::move(call));
+        network_.close(number);
+        timeline_.at(patience, give_up);
+    });
+}
+
+void Wires::connected(std::size_t gateway, std::size_t engine, sim::Connection number, core::Call call) {
+    if (!ends_.listens(engine)) {
+        network_.close(number);
+        undial(gateway, call.call);
+        figures_.dial_failed += 1;
+        return fail(gateway, call.call, engine::Ending::dial_failed, "refused");
+    }
+    figures_.dialled += 1;
+    Wire& w = wires_[number];
+    w.gateway = gateway;
+    w.engine = engine;
+    w.process = process_[engine];
+    befall(number, engine);
+    const auto waiting = dialling_[gateway].find(call.call.value);
+    AskedPtr asked = std::move(waiting->second.asked);
+    dialling_[gateway].erase(waiting);
+    send(number, std::move(call), std::move(asked));
+}
+
+void Wires::send(sim::Connection number, core::Call call, AskedPtr asked) {
     Wire& w = *find(number);
     w.call = call.call;
-    w.asked.reset();
-    if (call.kind == core::CallKind::attempt)
-        if (auto asked = read_request(call.headers, call.body))
-            w.asked = std::make_shared<const Asked>(std::move(*asked));
+    w.asked = std::move(asked);
     calls_[w.gateway][call.call.value] = number;
-    ends_.sent(w.gateway, w.engine, w.asked.get());
     ends_.give(w.gateway, core::CallSent{call.call});
     const auto arrives =
         network_.arrival(number, sim::Way::to_engine, timeline_.now(), kHeadBytes + call.body.size());
@@ -117,7 +133,7 @@
 }
 
 void Wires::abort(std::size_t gateway, core::CallId call) {
-    if (dialling_[gateway].erase(call.value) > 0) return;
+    if (undial(gateway, call)) return;
     const auto it = calls_[gateway].find(call.value);
     if (it == calls_[gateway].end()) return;
     const auto number = it->second;
@@ -125,7 +141,7 @@
     Wire& w = *find(number);
     w.gateway_open = false;
     w.call = {};
-    if (w.asked) ends_.closed(w.gateway, w.engine, *w.asked);
+    if (w.asked) ends_.closed(w.gateway, w.engine, *w.asked, true);
     const auto arrives = network_.arrival(number, sim::Way::to_engine, timeline_.now(), kNothing);
     if (arrives) timeline_.at(*arrives, [this, number] { engine_sees_end(number); });
 }
@@ -150,7 +166,7 @@
         if (to == nullptr || !to->gateway_open || to->call != call || call.value == 0) return;
         const auto gateway = to->gateway;
         if (last) {
-            if (to->asked) ends_.closed(gateway, to->engine, *to->asked);
+            if (to->asked) ends_.closed(gateway, to->engine, *to->asked, true);
             calls_[gateway].erase(call.value);
             to->call = {};
             to->asked.reset();
@@ -167,7 +183,7 @@
     if (std::exchange(w->gateway_open, false) && w->call.value != 0) {
         const auto call = std::exchange(w->call, {});
         calls_[w->gateway].erase(call.value);
-        if (w->asked) ends_.closed(w->gateway, w->engine, *w->asked);
+        if (w->asked) ends_.closed(w->gateway, w->engine, *w->asked, true);
         fail(w->gateway, call, engine::Ending::closed, why);
     }
     drop(number);
--- a/lab/virtual/wires.hpp
+++ b/lab/virtual/wires.hpp
@@ -30,9 +30,10 @@
                              const core::Call& call, const Asked* asked) = 0;
         // The peer of a call's connection has closed it.
         virtual void left(sim::Connection on) = 0;
-        // For the record: the gateway has handed a call to a connection; it is done with an attempt.
-        virtual void sent(std::size_t gateway, std::size_t engine, const Asked* asked) = 0;
-        virtual void closed(std::size_t gateway, std::size_t engine, const Asked& asked) = 0;
+        // For the record: the gateway has begun an attempt; it is done with it. `went`: some of it was handed
+        // to a connection.
+        virtual void sent(std::size_t gateway, std::size_t engine, const Asked& asked) = 0;
+        virtual void closed(std::size_t gateway, std::size_t engine, const Asked& asked, bool went) = 0;
     };
     struct Limits {
         Duration dial_timeout = std::chrono::milliseconds(250);
@@ -69,22 +70,26 @@
     struct Wire {
         std::size_t gateway = 0;
         std::size_t engine = 0;
-        std::uint64_t process = 0;  // of the engine, at its dialling
-        core::CallId call;          // 0: kept, nothing on it
-        std::shared_ptr<const Asked> asked;
+        std::uint64_t process = 0;           // of the engine, at its dialling
+        core::CallId call;                   // 0: kept, nothing on it
+        std::shared_ptr<const Asked> asked;  // nullptr: no attempt
         bool gateway_open = true;
         bool engine_open = true;
         Time idle_since{};
     };
+    using AskedPtr = std::shared_ptr<const Asked>;
     struct Dialling {
         std::size_t engine = 0;
+        AskedPtr asked;
     };
     struct Faults {
         double part = 0;
         Time until{};
     };
     [[nodiscard]] Wire* find(sim::Connection number);
-    void send(sim::Connection number, core::Call call);
+    void send(sim::Connection number, core::Call call, AskedPtr asked);
+    void connected(std::size_t gateway, std::size_t engine, sim::Connection number, core::Call call);
+    bool undial(std::size_t gateway, core::CallId call);
     void fail(std::size_t gateway, core::CallId call, engine::Ending ending, const char* why);
     void gateway_sees_end(sim::Connection number, const char* why);
     void engine_sees_end(sim::Connection number);
@@ -98,7 +103,7 @@
     sim::Stream faults_;
     std::unordered_map<sim::Connection, Wire> wires_;                        // looked up, never walked
     std::vector<std::unordered_map<std::uint64_t, sim::Connection>> calls_;  // by gateway: call -> wire
-    std::vector<std::unordered_map<std::uint64_t, bool>> dialling_;          // by gateway: calls
+    std::vector<std::unordered_map<std::uint64_t, Dialling>> dialling_;      // by gateway: calls
     std::vector<std::vector<sim::Connection>> idle_;                         // by gateway and engine
     std::vector<std::uint64_t> process_;                                     // by engine
     std::vector<Faults> silencing_, breaking_;                               // by engine
