A cold server gets no more because warm ones turned work away; the swarm found it

Cause: the cold budget takes a warm server to bear what this gateway sends it.

Change: in the module, what a warm server turned away is taken back out of that sum. The two scenarios are kept in tests/lab/found and played by the tests; both fail on the old text.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -550,6 +550,11 @@
         sum = sum * std::exp(-seconds(now_ - at) / warm_span()) + work;
         at = now_;
     }
+    // Nothing of it ran: a full fleet, asked again and again, would seem to bear more than it does.
+    void take_back_work(const Server& s, const Request& r) {
+        if (double& sum = warm_work_[s.role].first; !cold(s))
+            sum = std::max(0.0, sum - class_work_[r.cls].mean);
+    }
     double warm_span() const { return kWarmWindows * std::max(1.0, seconds(s_.fall_window)); }
     double warm_rate(Role role) const {  // a second, at one of them
         const auto at = warm_work_.find(role);
@@ -648,6 +653,7 @@
             case Outcome::full:
                 s.last_answer = now_;
                 if (e.remark != 1 && !a.read) lower_limit(limited(s), a.sent);
+                take_back_work(s, r);
                 break;
             case Outcome::error:
                 s.last_answer = now_;
@@ -663,7 +669,7 @@
                 (a.read ? read_time_ : first_token_).add(seconds(e.taken), kSmooth);
                 if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
                 break;
-            case Outcome::connect_failed:
+            case Outcome::connect_failed: take_back_work(s, r); [[fallthrough]];
             case Outcome::reset: eject(s); break;
             default: break;
         }
--- a/tests/lab/swarm_test.cpp
+++ b/tests/lab/swarm_test.cpp
@@ -3,6 +3,11 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
+#include <fstream>
+#include <iterator>
+#include <string>
+
 namespace chalksail::lab {
 namespace {
 
@@ -19,6 +24,23 @@
 }
 INSTANTIATE_TEST_SUITE_P(Seeds, Swarm, ::testing::Range<std::uint64_t>(0, 8));
 
+// What it has found is kept, each with the reason in its first line.
+class FoundBefore : public ::testing::TestWithParam<std::string> {};
+TEST_P(FoundBefore, HoldsNow) {
+    std::ifstream in(std::string(FOUND_FOLDER) + "/" + GetParam() + ".kdl", std::ios::binary);
+    const std::string text{std::istreambuf_iterator<char>(in), {}};
+    const auto scenario = parse_scenario(text, GetParam());
+    ASSERT_TRUE(scenario) << format(scenario.error().front());
+    const auto found = try_scenario(text, scenario->seed);
+    EXPECT_FALSE(found) << found->what << "\n" << found->trace;
+}
+INSTANTIATE_TEST_SUITE_P(Swarm, FoundBefore, ::testing::Values("cold-after-full-499", "cold-after-full-646"),
+                         [](const auto& info) {
+                             std::string out = info.param;
+                             std::replace(out.begin(), out.end(), '-', '_');
+                             return out;
+                         });
+
 struct Broken {
     Mutation mutation;
     int rule;
@@ -50,8 +72,7 @@
                                            Broken{Mutation::once_again, 2}, Broken{Mutation::lost_answer, 1}),
                          [](const auto& info) {
                              std::string out(name(info.param.mutation));
-                             for (auto& c : out)
-                                 if (c == '-') c = '_';
+                             std::replace(out.begin(), out.end(), '-', '_');
                              return out;
                          });
 
