--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -11,6 +11,7 @@
 #include <optional>
 
 #include "base/json.hpp"
+#include "record/account.hpp"
 #include "record/checker.hpp"
 #include "scenario/scenario.hpp"
 #include "shell/rehearsal.hpp"
@@ -86,6 +87,7 @@
     if (!scenario) return 2;
     if (seed) scenario->seed = *seed;
     const auto length = scenario->length;
+    const auto classes = scenario->edge.module.classes;
     std::cout << "'" << scenario->name << "' in virtual time, seed " << scenario->seed << ": "
               << scenario->engines.size() << " engines, " << scenario->edges << " edges, "
               << scenario->clients << " clients, " << format_duration(length) << std::endl;
@@ -105,18 +107,48 @@
         std::cerr << "\r" << format_duration(std::min(over, length)) << " of " << format_duration(length)
                   << "   " << std::flush;
     });
+    Account account(classes, day.begin());
+    day.watch([&](const Record& r) { account.add(r); });
     const auto begun = std::chrono::steady_clock::now();
-    RehearsalResult result;
-    result.verdict = day.run();
+    const auto verdict = day.run();
     const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
     std::cerr << '\n';
-    for (const auto& breach : result.verdict.breaches) std::cout << format(breach) << '\n';
+    for (const auto& breach : verdict.breaches) std::cout << format(breach) << '\n';
     const auto& f = day.figures();
-    std::cerr << "wall " << took.count() << " s; acts " << f.acts << "; steps of cores " << f.steps
-              << "; dialled " << f.wires.dialled << ", reused " << f.wires.reused << ", dial failed "
-              << f.wires.dial_failed << '\n';
-    std::cout << result.format() << std::endl;
-    return result.verdict.breaches.empty() && result.verdict.garbled == 0 && f.open_at_end == 0 ? 0 : 1;
+    const auto& all = account.all();
+    const auto whole = [](std::size_t n) { return static_cast<std::int64_t>(n); };
+    std::cerr << "took " << took.count() << " s, "
+              << std::chrono::duration<double>(length).count() / took.count() << " of real time; "
+              << static_cast<double>(verdict.asked) / took.count() << " requests a second; " << f.acts
+              << " acts, " << f.steps << " steps of cores\n";
+    std::cout << json::ObjectWriter()
+                     .flag("simulated", true)
+                     .whole("asked", whole(all.asked))
+                     .whole("served", whole(all.served))
+                     .whole("in_time", whole(all.in_time))
+                     .whole("refused", whole(all.refused))
+                     .whole("failed", whole(all.failed))
+                     .whole("hung_up", whole(all.gone))
+                     .number("worth", all.worth_share())
+                     .number("first_token_p50_ms", account.first_token_ms().quantile(0.5))
+                     .number("first_token_p90_ms", account.first_token_ms().quantile(0.9))
+                     .number("first_token_p99_ms", account.first_token_ms().quantile(0.99))
+                     .number("attempts_per_request",
+                             all.asked == 0
+                                 ? 0
+                                 : static_cast<double>(account.attempts()) / static_cast<double>(all.asked))
+                     .number("waste", account.waste())
+                     .whole("cold_servers_fell", whole(f.fell))
+                     .whole("guards", whole(f.guards))
+                     .whole("open_at_end", whole(f.open_at_end))
+                     .whole("dialled", static_cast<std::int64_t>(f.wires.dialled))
+                     .whole("dial_failed", static_cast<std::int64_t>(f.wires.dial_failed))
+                     .whole("rules_broken", whole(verdict.breaches.size()))
+                     .done()
+              << std::endl;
+    const auto fails = what_fails(verdict, f);
+    if (fails) std::cout << "does not hold: " << *fails << std::endl;
+    return fails ? 1 : 0;
 }
 
 int compare(const std::string& file, std::size_t seeds) {
@@ -131,6 +163,50 @@
     return std::all_of(arms.begin(), arms.end(), [](const auto& a) { return a.rules_broken == 0; }) ? 0 : 1;
 }
 
+// One line for each size and arm; simulated.
+int sweep(const std::string& file, const std::vector<int>& engines, const std::vector<int>& edges,
+          std::size_t seeds) {
+    auto scenario = read_scenario(file);
+    if (!scenario) return 2;
+    if (engines.size() != edges.size()) {
+        std::cerr << "--engines and --edges need as many sizes each\n";
+        return 2;
+    }
+    if (scenario->arms.empty()) scenario->arms.push_back({"module", std::nullopt, true, std::nullopt, false});
+    bool broken = false;
+    for (std::size_t i = 0; i < engines.size(); ++i) {
+        const Scenario s = resized(*scenario, engines[i], edges[i]);
+        for (const auto& arm : scenario->arms) {
+            Scenario one = s;
+            one.arms = {arm};
+            const auto begun = std::chrono::steady_clock::now();
+            const auto result = compare_arms(one, seeds).front();
+            const std::chrono::duration<double> took = std::chrono::steady_clock::now() - begun;
+            broken = broken || result.rules_broken > 0;
+            double asked = 0;
+            for (const double n : result.by_measure[static_cast<std::size_t>(Measure::asked)]) asked += n;
+            json::ObjectWriter out;
+            out.flag("simulated", true)
+                .text("arm", arm.name)
+                .whole("engines", static_cast<std::int64_t>(s.engines.size()))
+                .whole("edges", s.edges)
+                .whole("clients", s.clients)
+                .whole("seeds", static_cast<std::int64_t>(seeds));
+            for (std::size_t m = 0; m < kMeasures; ++m) {
+                const auto e = estimate(result.by_measure[m]);
+                out.raw(std::string(name(static_cast<Measure>(m))).c_str(),
+                        "[" + std::to_string(e.mean) + "," + std::to_string(e.half_width) + "]");
+            }
+            out.whole("rules_broken", static_cast<std::int64_t>(result.rules_broken))
+                .number("requests_a_second", asked / took.count())
+                .number("of_real_time", std::chrono::duration<double>(s.length).count() *
+                                            static_cast<double>(seeds) / took.count());
+            std::cout << out.done() << std::endl;
+        }
+    }
+    return broken ? 1 : 0;
+}
+
 int swarm(std::uint64_t from, std::size_t seeds, const std::string& mutation, const std::string& folder) {
     std::optional<Mutation> mutant;
     for (std::size_t i = 0; i < kMutations; ++i)
@@ -216,6 +292,14 @@
     std::string wire;
     run_command->add_option("--wire", wire, "In virtual time: file for the records; none without it");
     check_command->add_option("records", file, "A wire.jsonl")->required();
+    std::vector<int> sweep_engines = {12, 60, 250};
+    std::vector<int> sweep_edges = {2, 20, 140};
+    auto* sweep_command = app.add_subcommand(
+        "sweep", "Play a scenario's arms at several sizes, in virtual time; clients grow with the engines");
+    sweep_command->add_option("scenario", file, "A scenario, in KDL")->required();
+    sweep_command->add_option("--engines", sweep_engines, "Sizes")->delimiter(',')->capture_default_str();
+    sweep_command->add_option("--edges", sweep_edges, "As many")->delimiter(',')->capture_default_str();
+    sweep_command->add_option("--seeds", seeds, "How many for each")->check(CLI::Range(1, 1000));
     std::uint64_t from = 1;
     std::size_t swarm_seeds = 20;
     std::string mutation;
@@ -232,6 +316,7 @@
         if (up_command->parsed()) return up(file, folder);
         if (run_command->parsed()) return virtual_time ? simulate(file, seed, wire) : run(file, folder);
         if (compare_command->parsed()) return compare(file, seeds);
+        if (sweep_command->parsed()) return sweep(file, sweep_engines, sweep_edges, seeds);
         if (swarm_command->parsed()) return swarm(from, swarm_seeds, mutation, folder);
         return check_records(file);
     } catch (const std::exception& error) {
--- a/lab/clients/crowd.cpp
+++ b/lab/clients/crowd.cpp
@@ -72,7 +72,7 @@
     clients_.reserve(all);
     for (std::size_t i = 0; i < all; ++i) {
         clients_.push_back({i, 0, "", i, {}, 0, 0, false, 0, 0, sim::Stream(scenario_.seed, "client", i)});
-        wait_until(i, now + from_seconds(clients_[i].draws.uniform()));
+        wait_until(i, now + from_seconds(seconds(scenario_.client_ramp) * clients_[i].draws.uniform()));
         new_session(clients_[i]);
     }
 }
@@ -126,6 +126,7 @@
     for (const auto& m : c.messages) messages += (messages.size() > 1 ? "," : "") + m;
     messages += "]";
     a.key = prompt_key(messages);
+    a.prompt_tokens = count_tokens(messages.size());
     a.tokens = answer_length(a.key, static_cast<std::size_t>(t.max_tokens));
     json::ObjectWriter body;
     body.text("model", t.model)
@@ -184,6 +185,7 @@
     r.group = ask.cls->group;
     r.window = ask.cls->window;
     r.deadline = ask.cls->deadline;
+    r.aim = ask.cls->aim + from_seconds(seconds(ask.cls->aim_per_1000_tokens) * ask.prompt_tokens / 1000);
     return r;
 }
 
--- a/lab/clients/crowd.hpp
+++ b/lab/clients/crowd.hpp
@@ -29,6 +29,7 @@
     bool stream = false;
     std::uint64_t key = 0;   // of its prompt ...
     std::size_t tokens = 0;  // ... and the length of the answer that it is to get
+    double prompt_tokens = 0;
     Time asked{};
     Time hang_up_at{};  // zero: never
 };
--- a/lab/record/record.cpp
+++ b/lab/record/record.cpp
@@ -33,6 +33,7 @@
     if (r.what == What::asked) {
         out.whole("effect", static_cast<int>(r.effect)).whole("group", static_cast<int>(r.group));
         out.whole("deadline", r.deadline.count()).whole("window", r.window.count());
+        out.whole("aim", r.aim.count());
     }
     text("fate", r.fate);
     if (r.status != 0) out.whole("status", r.status);
@@ -67,6 +68,7 @@
     r.group = static_cast<Group>(whole("group", 0));
     r.deadline = Duration(whole("deadline", 0));
     r.window = Duration(whole("window", 0));
+    r.aim = Duration(whole("aim", 0));
     r.fate = text("fate");
     r.status = static_cast<int>(whole("status", 0));
     const auto flag = [&](const char* key, bool otherwise) {
--- a/lab/record/record.hpp
+++ b/lab/record/record.hpp
@@ -53,6 +53,7 @@
     Group group = Group::all;
     Duration deadline{};
     Duration window{};
+    Duration aim{};  // asked: for its first token
     std::string fate;
     int status = 0;
     bool intact = true;  // answered: the transcript is the one that the prompt gives
--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 #include <set>
+#include <stdexcept>
 
 namespace chalksail::lab {
 namespace {
@@ -20,6 +22,20 @@
 
 int small(std::int64_t n) { return static_cast<int>(n); }
 
+// Each group's engines go round the zones; a zone is a cell too.
+void place_engines(Scenario& s) {
+    s.engines.clear();
+    for (const auto& group : s.groups)
+        for (int i = 0; i < group.count; ++i) {
+            EngineSpec one = group.spec;
+            one.name = group.name + "-" + std::to_string(i + 1);
+            const auto zone = static_cast<std::size_t>(i) % s.zones.size();
+            one.zone = s.zones[zone];
+            one.cell = static_cast<std::int64_t>(zone) + 1;
+            s.engines.push_back(std::move(one));
+        }
+}
+
 class Reader {
 public:
     Reader(const kdl::Document& document, std::string_view text, const std::string& file, Problems& problems)
@@ -34,6 +50,7 @@
         if (top.whole("edges", n, 1, 1000)) out_.edges = small(n);
         if (top.whole("clients", n, 1, 100'000)) out_.clients = small(n);
         if (top.whole("client-retries", n, 0, 10)) out_.client_retries = small(n);
+        top.duration("client-ramp", out_.client_ramp);
         top.duration("list-lag", out_.list_lag);
         top.duration("list-spread", out_.list_spread);
         top.duration("measuring", out_.measuring);
@@ -137,15 +154,9 @@
         b.real("kept-tokens", spec.kept_tokens, 0, 1e12);
         b.duration("state-ttl", spec.state_ttl);
         b.done();
-        const auto name = std::get<std::string>(node.arguments.front().scalar);
-        for (std::int64_t i = 0; i < count; ++i) {
-            EngineSpec one = spec;
-            one.name = name + "-" + std::to_string(i + 1);
-            const auto zone = static_cast<std::size_t>(i) % out_.zones.size();
-            one.zone = out_.zones[zone];
-            one.cell = static_cast<std::int64_t>(zone) + 1;
-            out_.engines.push_back(std::move(one));
-        }
+        out_.groups.push_back(
+            {std::get<std::string>(node.arguments.front().scalar), std::move(spec), small(count)});
+        place_engines(out_);
     }
 
     void traffic(const kdl::Node& node) {
@@ -242,6 +253,21 @@
 
 }  // namespace
 
+Scenario resized(Scenario s, int engines, int edges) {
+    const double factor =
+        static_cast<double>(engines) / std::max<double>(1, static_cast<double>(s.engines.size()));
+    for (auto& group : s.groups)
+        group.count = std::max(1, static_cast<int>(std::lround(group.count * factor)));
+    s.clients = std::max(1, static_cast<int>(std::lround(s.clients * factor)));
+    s.edges = std::max(1, edges);
+    place_engines(s);
+    for (const auto& t : s.troubles)
+        if (!t.server.empty() && std::none_of(s.engines.begin(), s.engines.end(),
+                                              [&](const auto& e) { return e.name == t.server; }))
+            throw std::invalid_argument("at this size there is no engine '" + t.server + "'");
+    return s;
+}
+
 std::string_view name(TroubleKind kind) { return kTroubles[static_cast<std::size_t>(kind)]; }
 
 tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text,
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -58,6 +58,13 @@
     Duration notice = std::chrono::seconds(2);
 };
 
+// Engines of one make, as the scenario lists them.
+struct EngineGroup {
+    std::string name;
+    EngineSpec spec;
+    int count = 1;
+};
+
 // Engines' cache events, where the edge's settings say that their kind publishes them.
 struct CachePart {
     double lost = 0;         // part of the batches that only a replay can bring
@@ -101,12 +108,14 @@
     int edges = 1;
     int clients = 20;
     int client_retries = 2;
+    Duration client_ramp = std::chrono::seconds(1);  // their first requests are spread over it
     Duration list_lag = std::chrono::milliseconds(500);
     Duration list_spread{};    // virtual time: each edge hears of the list up to so much later still
     sim::NetworkSpec network;  // virtual time: between edges and engines
     Duration measuring = std::chrono::milliseconds(100);
     std::vector<std::string> zones = {"here"};
-    std::vector<EngineSpec> engines;
+    std::vector<EngineGroup> groups;
+    std::vector<EngineSpec> engines;  // all of the groups, one by one
     Links::Rates links;
     std::vector<TrafficClass> traffic;
     std::vector<Trouble> troubles;
@@ -117,6 +126,10 @@
     config::EdgeSettings edge;  // the same, read
 };
 
+// The same day at another size: groups of engines and the clients grow alike; at least one engine of each
+// group. Throws std::invalid_argument if a trouble names an engine that is not there any more.
+[[nodiscard]] Scenario resized(Scenario scenario, int engines, int edges);
+
 [[nodiscard]] tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text,
                                                                                   const std::string& file);
 
--- a/lab/shell/rehearsal.cpp
+++ b/lab/shell/rehearsal.cpp
@@ -11,6 +11,7 @@
 #include <utility>
 
 #include "base/json.hpp"
+#include "record/account.hpp"
 #include "record/tally.hpp"
 
 namespace chalksail::lab {
@@ -75,7 +76,11 @@
         .number("attempts_per_request", verdict.asked == 0 ? 0
                                                            : static_cast<double>(verdict.attempts) /
                                                                  static_cast<double>(verdict.asked))
+        .number("worth", worth)
+        .whole("in_time", static_cast<std::int64_t>(in_time))
+        .number("waste", waste)
         .number("first_token_p50_ms", first_token_p50_ms)
+        .number("first_token_p90_ms", first_token_p90_ms)
         .number("first_token_p99_ms", first_token_p99_ms)
         .flag("edges_well", edges_well);
     if (tls) {
@@ -461,8 +466,14 @@
     out.verdict = check(recorder_.all(), figures);
     out.clients = static_cast<std::size_t>(scenario_.clients);
     out.retries = load_->figures().retries;
-    out.first_token_p50_ms = quantile(load_->figures().first_token_ms, 0.5);
-    out.first_token_p99_ms = quantile(load_->figures().first_token_ms, 0.99);
+    Account account(m.classes, begin);
+    for (const auto& r : recorder_.all()) account.add(r);
+    out.worth = account.all().worth_share();
+    out.in_time = account.all().in_time;
+    out.waste = account.waste();
+    out.first_token_p50_ms = account.first_token_ms().quantile(0.5);
+    out.first_token_p90_ms = account.first_token_ms().quantile(0.9);
+    out.first_token_p99_ms = account.first_token_ms().quantile(0.99);
     if (tls_ != nullptr) {
         out.tls.emplace();
         auto& t = *out.tls;
--- a/lab/shell/rehearsal.hpp
+++ b/lab/shell/rehearsal.hpp
@@ -50,6 +50,10 @@
     Verdict5 verdict;
     std::size_t clients = 0;
     std::size_t retries = 0;
+    double worth = 0;  // part of what all requests are worth if served in time
+    std::size_t in_time = 0;
+    double waste = 0;
+    double first_token_p90_ms = 0;
     double first_token_p50_ms = 0;
     double first_token_p99_ms = 0;
     std::optional<TlsResult> tls;
--- a/lab/virtual/compare.cpp
+++ b/lab/virtual/compare.cpp
@@ -4,28 +4,23 @@
 #include <array>
 #include <cmath>
 #include <cstdio>
-#include <map>
 #include <stdexcept>
 
 #include "base/json.hpp"
+#include "record/account.hpp"
 #include "virtual/day.hpp"
 
 namespace chalksail::lab {
 namespace {
 
 constexpr std::array<std::string_view, kMeasures> kNames = {
-    "first_p50_ms", "first_p90_ms", "first_p99_ms", "read_anew", "served", "asked", "refused"};
+    "worth",  "first_p50_ms", "first_p90_ms", "first_p99_ms", "read_anew",
+    "served", "asked",        "refused",      "attempts",     "waste"};
 
 // 97.5% points of Student's t, by degrees of freedom; the last for all above.
 constexpr std::array kStudent = {12.706, 4.303, 3.182, 2.776, 2.571, 2.447, 2.365, 2.306, 2.262, 2.228,
                                  2.201,  2.179, 2.160, 2.145, 2.131, 2.120, 2.110, 2.101, 2.093, 2.086};
 
-double quantile(const std::vector<double>& sorted, double q) {
-    if (sorted.empty()) return 0;
-    const auto at = static_cast<std::size_t>(q * static_cast<double>(sorted.size()));
-    return sorted[std::min(at, sorted.size() - 1)];
-}
-
 Scenario arm_scenario(Scenario s, const Arm& arm, std::uint64_t seed) {
     s.seed = seed;
     if (arm.lost) s.caches.lost = *arm.lost;
@@ -45,25 +40,24 @@
 
 Played play(const Scenario& scenario, const Arm& arm, std::uint64_t seed) {
     VirtualDay day(arm_scenario(scenario, arm, seed), arm.policy);
+    day.keep_records(false);
+    Account account(scenario.edge.module.classes, day.begin());
+    day.watch([&](const Record& r) { account.add(r); });
     const auto verdict = day.run();
-    std::map<std::string, Time> asked;
-    std::vector<double> first;
-    for (const auto& r : day.records()) {
-        if (r.what == What::asked) asked[r.request] = r.at;
-        if (r.what == What::first)
-            first.push_back(std::chrono::duration<double, std::milli>(r.at - asked.at(r.request)).count());
-    }
-    std::sort(first.begin(), first.end());
     const auto& f = day.figures();
+    const auto& first = account.first_token_ms();
     const double all = std::max<double>(1, static_cast<double>(verdict.asked));
     Played out;
-    out.values = {quantile(first, 0.5),
-                  quantile(first, 0.9),
-                  quantile(first, 0.99),
+    out.values = {account.all().worth_share(),
+                  first.quantile(0.5),
+                  first.quantile(0.9),
+                  first.quantile(0.99),
                   1 - f.kept_tokens / std::max(1.0, f.read_tokens),
                   static_cast<double>(verdict.served) / all,
                   static_cast<double>(verdict.asked),
-                  static_cast<double>(verdict.refused) / all};
+                  static_cast<double>(verdict.refused) / all,
+                  static_cast<double>(account.attempts()) / all,
+                  account.waste()};
     out.broken = verdict.breaches.size() + verdict.unanswered + verdict.garbled + f.open_at_end;
     out.figures = f;
     return out;
--- a/lab/virtual/compare.hpp
+++ b/lab/virtual/compare.hpp
@@ -18,15 +18,18 @@
 
 // What a run is judged by.
 enum class Measure {
+    worth,         // part of what all requests are worth if served in time
     first_p50_ms,  // first token of served streams
     first_p90_ms,
     first_p99_ms,
-    anew,     // part of the prompt tokens read that were not found kept
-    served,   // part of what was asked
-    asked,    // requests
-    refused,  // part of what was asked
+    anew,      // part of the prompt tokens read that were not found kept
+    served,    // part of what was asked
+    asked,     // requests
+    refused,   // part of what was asked
+    attempts,  // a request
+    waste,     // part of the attempts of which nothing reached a client
 };
-inline constexpr std::size_t kMeasures = 7;
+inline constexpr std::size_t kMeasures = 10;
 [[nodiscard]] std::string_view name(Measure measure);
 
 struct ArmResult {
--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -72,6 +72,7 @@
       cache_losses_(scenario_.seed, "cache losses"),
       list_spread_(scenario_.seed, "list"),
       partitions_(scenario_.seed, "partitions"),
+      begin_(timeline_.now()),
       crowd_(scenario_),
       troubles_(scenario_, *this),
       lag_(scenario_.list_lag) {
@@ -624,12 +625,11 @@
 }
 
 Verdict5 VirtualDay::run(Duration rest) {
-    const Time begin = now();
-    end_ = begin + scenario_.length;
+    end_ = begin_ + scenario_.length;
     core::ServerList all;
     for (const auto& h : hosts_) all.servers.push_back(entry(*h));
     for (auto& g : gateways_) give(g->number, all);
-    crowd_.begin(begin);
+    crowd_.begin(begin_);
     move_clients();
     timeline_.at(end_, [this] { crowd_.stop(); });
     troubles_.schedule();
@@ -638,7 +638,7 @@
     while (timeline_.play_one(last)) {
         if (stops_at_breach_ && !checker_.breaches().empty()) break;
         if (!each_second_) continue;
-        const auto over = std::chrono::floor<std::chrono::seconds>(now() - begin);
+        const auto over = std::chrono::floor<std::chrono::seconds>(now() - begin_);
         if (over > seconds) each_second_(seconds = over);
     }
     figures_.acts = timeline_.played();
--- a/lab/virtual/day.hpp
+++ b/lab/virtual/day.hpp
@@ -65,6 +65,7 @@
     // Called with each second of virtual time that is over.
     void each_second(std::function<void(Duration)> act) { each_second_ = std::move(act); }
 
+    [[nodiscard]] Time begin() const { return begin_; }  // of virtual time
     // Runs to the end, and on until nothing is open or `rest` is over. Returns what the checker says.
     Verdict5 run(Duration rest = std::chrono::seconds(60));
     [[nodiscard]] const std::vector<Record>& records() const { return records_; }
@@ -137,6 +138,7 @@
     sim::Stream cache_losses_;
     sim::Stream list_spread_;
     sim::Stream partitions_;
+    Time begin_;
     Time end_{};
     std::vector<std::unique_ptr<Gateway>> gateways_;
     std::vector<std::unique_ptr<Host>> hosts_;
