--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -15,6 +15,7 @@
 #include "record/checker.hpp"
 #include "scenario/scenario.hpp"
 #include "shell/rehearsal.hpp"
+#include "swarm/search.hpp"
 #include "swarm/swarm.hpp"
 #include "virtual/compare.hpp"
 #include "virtual/day.hpp"
@@ -24,13 +25,29 @@
 using namespace chalksail;
 using namespace chalksail::lab;
 
-std::optional<Scenario> read_scenario(const std::string& file) {
+std::optional<std::string> read_file(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
         std::cerr << file << ": can't be read\n";
         return std::nullopt;
     }
-    auto scenario = parse_scenario(std::string{std::istreambuf_iterator<char>(in), {}}, file);
+    return std::string{std::istreambuf_iterator<char>(in), {}};
+}
+
+// A base is found beside the file that names it; one that has a base itself is refused.
+std::optional<Scenario> read_scenario(const std::string& file, bool may_have_base = true) {
+    const auto text = read_file(file);
+    if (!text) return std::nullopt;
+    std::optional<Scenario> base;
+    if (const auto name = base_of(*text)) {
+        if (!may_have_base) {
+            std::cerr << file << ": a base can't have a base\n";
+            return std::nullopt;
+        }
+        base = read_scenario((std::filesystem::path(file).parent_path() / *name).string(), false);
+        if (!base) return std::nullopt;
+    }
+    auto scenario = parse_scenario(*text, file, base ? &*base : nullptr);
     if (!scenario) {
         for (const auto& problem : scenario.error()) std::cerr << format(problem) << '\n';
         return std::nullopt;
@@ -238,6 +255,50 @@
     return found == 0 ? 0 : 1;
 }
 
+volatile std::sig_atomic_t interrupted = 0;
+
+int search(const std::string& file, std::uint64_t from, std::size_t seeds, const std::string& folder) {
+    const auto base = read_scenario(file);
+    if (!base) return 2;
+    std::signal(SIGINT, [](int) { interrupted = 1; });
+    const auto say = [](const char* doing, const Case& c) {
+        std::cerr << "\r" << doing << ", seed " << c.scenario.seed << ": module " << c.module << ", "
+                  << c.best_name << " " << c.best << "      " << std::flush;
+        return interrupted == 0;
+    };
+    std::cout << "'" << base->name << "': " << seeds << " seeds from " << from
+              << "; simulated; an interrupt ends the search with what it has" << std::endl;
+    auto worst = search_worst(*base, from, seeds, [&](const Case& c) { return say("searching", c); });
+    if (!worst) return 2;
+    const double found = worst->regret();
+    const auto shrunk = shrink(*base, std::move(*worst), [&](const Case& c) { return say("shrinking", c); });
+    std::cerr << '\n';
+    std::filesystem::create_directories(folder);
+    const auto& what = shrunk.what;
+    const auto out = folder + "/worst-" + base->name + "-" + std::to_string(what.scenario.seed) + ".kdl";
+    const auto beside = std::filesystem::proximate(file, folder).string();
+    std::ofstream(out, std::ios::binary)
+        << "// Found by a search, and shrunk: the module is worth " << what.module << ", " << what.best_name
+        << " " << what.best << " (simulated).\n"
+        << to_kdl(shrunk, beside);
+    std::cout << json::ObjectWriter()
+                     .flag("simulated", true)
+                     .whole("seed", static_cast<std::int64_t>(what.scenario.seed))
+                     .number("regret_found", found)
+                     .number("module", what.module)
+                     .text("best", what.best_name)
+                     .number("best_worth", what.best)
+                     .whole("engines", static_cast<std::int64_t>(what.scenario.engines.size()))
+                     .whole("edges", what.scenario.edges)
+                     .whole("clients", what.scenario.clients)
+                     .whole("troubles", static_cast<std::int64_t>(what.scenario.troubles.size()))
+                     .whole("rules_broken", static_cast<std::int64_t>(what.rules_broken))
+                     .text("scenario", out)
+                     .done()
+              << std::endl;
+    return 0;
+}
+
 int check_records(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
     if (!in) {
@@ -303,6 +364,12 @@
     std::uint64_t from = 1;
     std::size_t swarm_seeds = 20;
     std::string mutation;
+    auto* search_command = app.add_subcommand(
+        "search", "Look for the troubles on which the module does worst beside baselines, and shrink them");
+    search_command->add_option("scenario", file, "A scenario, in KDL; its troubles are replaced")->required();
+    search_command->add_option("--from", from, "The first seed")->capture_default_str();
+    search_command->add_option("--seeds", swarm_seeds, "How many")->capture_default_str();
+    search_command->add_option("--found", folder, "Folder for the scenario found")->capture_default_str();
     auto* swarm_command = app.add_subcommand(
         "swarm",
         "Play random fleets and troubles in virtual time; exit 1 if anything that must hold does not");
@@ -317,6 +384,7 @@
         if (run_command->parsed()) return virtual_time ? simulate(file, seed, wire) : run(file, folder);
         if (compare_command->parsed()) return compare(file, seeds);
         if (sweep_command->parsed()) return sweep(file, sweep_engines, sweep_edges, seeds);
+        if (search_command->parsed()) return search(file, from, swarm_seeds, folder);
         if (swarm_command->parsed()) return swarm(from, swarm_seeds, mutation, folder);
         return check_records(file);
     } catch (const std::exception& error) {
--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
+#include <cstdio>
 #include <set>
 #include <stdexcept>
 
@@ -38,12 +39,17 @@
 
 class Reader {
 public:
-    Reader(const kdl::Document& document, std::string_view text, const std::string& file, Problems& problems)
-        : document_(document), text_(text), file_(file), problems_(problems) {}
+    Reader(const kdl::Document& document, std::string_view text, const std::string& file, Problems& problems,
+           const Scenario* base)
+        : document_(document), text_(text), file_(file), problems_(problems), based_(base != nullptr) {
+        if (based_) out_ = *base;
+    }
 
     Scenario read() {
         Block top(document_.nodes, {}, "the scenario", problems_);
         top.text("name", out_.name);
+        std::string base;
+        top.text("base", base);
         std::int64_t n = 0;
         if (top.whole("seed", n, 0, INT64_MAX)) out_.seed = static_cast<std::uint64_t>(n);
         top.duration("length", out_.length);
@@ -82,7 +88,7 @@
             edge = true;
             read_edge(node);
         });
-        if (!edge) problems_.add({}, "the scenario needs 'edge' with the edges' settings");
+        if (!edge && !based_) problems_.add({}, "the scenario needs 'edge' with the edges' settings");
         top.each("caches", 0, [&](const kdl::Node& node) {
             Block b(node.children, node.place, "'caches'", problems_);
             std::int64_t past = 0;
@@ -102,7 +108,16 @@
         top.each("arm", 1, [&](const kdl::Node& node) { arm(node); });
         top.each("engines", 1, [&](const kdl::Node& node) { engines(node); });
         top.each("traffic", 1, [&](const kdl::Node& node) { traffic(node); });
-        top.each("troubles", 0, [&](const kdl::Node& node) { troubles(node); });
+        if (double part = 1; top.real("engines-part", part, 0.001, 1)) {
+            const int clients = out_.clients;
+            out_ = resized(std::move(out_),
+                           small(std::lround(part * static_cast<double>(out_.engines.size()))), out_.edges);
+            out_.clients = clients;
+        }
+        top.each("troubles", 0, [&](const kdl::Node& node) {
+            out_.troubles.clear();
+            troubles(node);
+        });
         top.done();
         if (out_.engines.empty()) problems_.add({}, "the scenario needs 'engines'");
         return std::move(out_);
@@ -248,6 +263,7 @@
     std::string_view text_;
     const std::string& file_;
     Problems& problems_;
+    bool based_;
     Scenario out_;
 };
 
@@ -270,15 +286,44 @@
 
 std::string_view name(TroubleKind kind) { return kTroubles[static_cast<std::size_t>(kind)]; }
 
+std::optional<std::string> base_of(std::string_view text) {
+    const auto document = kdl::parse(text);
+    if (!document) return std::nullopt;
+    for (const auto& node : document->nodes)
+        if (node.name == "base" && !node.arguments.empty())
+            if (const auto* name = std::get_if<std::string>(&node.arguments.front().scalar)) return *name;
+    return std::nullopt;
+}
+
+std::string to_kdl(const Trouble& t) {
+    const auto ms = [](Duration d) {
+        return "\"" + std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) +
+               "ms\"";
+    };
+    const auto real = [](double v) {
+        std::array<char, 32> out{};
+        std::snprintf(out.data(), out.size(), "%.3f", v);
+        return std::string(out.data());
+    };
+    const auto named = [](const char* key, const std::string& value) {
+        return value.empty() ? "" : std::string(" ") + key + "=\"" + value + "\"";
+    };
+    std::string out = std::string(name(t.kind)) + " at=" + ms(t.at) + " for=" + ms(t.lasts);
+    out += named("server", t.server) + named("engines", t.engines) + named("zone", t.zone);
+    return out + " share=" + real(t.share) + " factor=" + real(t.factor) + " part=" + real(t.part) +
+           " lag=" + ms(t.lag) + " notice=" + ms(t.notice);
+}
+
 tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text,
-                                                                    const std::string& file) {
+                                                                    const std::string& file,
+                                                                    const Scenario* base) {
     Problems problems(file);
     const auto document = kdl::parse(text);
     if (!document) {
         problems.add(document.error().place, document.error().text);
         return tl::unexpected(problems.all());
     }
-    auto scenario = Reader(*document, text, file, problems).read();
+    auto scenario = Reader(*document, text, file, problems, base).read();
     if (!problems.all().empty()) return tl::unexpected(problems.all());
     return scenario;
 }
--- a/lab/scenario/scenario.hpp
+++ b/lab/scenario/scenario.hpp
@@ -130,7 +130,12 @@
 // group. Throws std::invalid_argument if a trouble names an engine that is not there any more.
 [[nodiscard]] Scenario resized(Scenario scenario, int engines, int edges);
 
-[[nodiscard]] tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(std::string_view text,
-                                                                                  const std::string& file);
+// A scenario may be another one with changes: 'base "file"', and what differs (seed, length, edges, clients,
+// engines-part, troubles). This is the file's name as written; whoever reads files reads it and hands it on.
+[[nodiscard]] std::optional<std::string> base_of(std::string_view text);
+[[nodiscard]] tl::expected<Scenario, std::vector<config::Problem>> parse_scenario(
+    std::string_view text, const std::string& file, const Scenario* base = nullptr);
+// As it stands in a scenario.
+[[nodiscard]] std::string to_kdl(const Trouble& trouble);
 
 }  // namespace chalksail::lab
--- a/lab/swarm/swarm.cpp
+++ b/lab/swarm/swarm.cpp
@@ -24,29 +24,34 @@
 }
 std::string ms(double value) { return "\"" + std::to_string(static_cast<int>(value)) + "ms\""; }
 
-// One trouble, drawn; each kind with the figures that matter to it.
-std::string draw_trouble(sim::Stream& s, std::size_t zones, double seconds) {
-    const auto kind = static_cast<TroubleKind>(s.below(kTroubleKinds));
-    if (kind == TroubleKind::wrong_name) return "";  // there is no TLS in virtual time
-    std::string out = "    " + std::string(name(kind));
-    out += " at=" + ms(s.between(500, seconds * 800));
-    out += " for=" + ms(s.between(200, seconds * 500));
-    const auto zone = std::string(kZones[s.below(zones)]);
-    if (kind == TroubleKind::zone_loss || (kind == TroubleKind::partition && s.chance(0.5)))
-        return out + " zone=\"" + zone + "\"\n";
-    if (s.chance(0.7)) out += std::string(" engines=\"") + (s.chance(0.5) ? "prefill" : "decode") + "\"";
-    out += " share=" + text(s.between(0.05, 1));
-    out += " factor=" + text(s.between(1.5, 8));
-    out += " part=" + text(s.between(0.05, 0.9));
-    out += " lag=" + ms(s.between(0, 6000));
-    out += " notice=" + ms(s.between(0, 3000));
-    return out + "\n";
-}
-
 }  // namespace
 
 std::string_view name(Mutation mutation) { return kNames[static_cast<std::size_t>(mutation)]; }
 
+Trouble draw_trouble(sim::Stream& s, const std::vector<std::string>& zones, Duration length) {
+    const auto part_of = [&](Duration whole, double low, double high) {
+        return std::chrono::milliseconds(static_cast<std::int64_t>(
+            std::chrono::duration<double, std::milli>(whole).count() * s.between(low, high)));
+    };
+    Trouble t;
+    do t.kind = static_cast<TroubleKind>(s.below(kTroubleKinds));
+    while (t.kind == TroubleKind::wrong_name);  // there is no TLS in virtual time
+    t.at = part_of(length, 0.05, 0.8);
+    t.lasts = part_of(length, 0.02, 0.5);
+    const auto& zone = zones[s.below(zones.size())];
+    if (t.kind == TroubleKind::zone_loss || (t.kind == TroubleKind::partition && s.chance(0.5))) {
+        t.zone = zone;
+        return t;
+    }
+    if (s.chance(0.7)) t.engines = s.chance(0.5) ? "prefill" : "decode";
+    t.share = s.between(0.05, 1);
+    t.factor = s.between(1.5, 8);
+    t.part = s.between(0.05, 0.9);
+    t.lag = std::chrono::milliseconds(s.below(6000));
+    t.notice = std::chrono::milliseconds(s.below(3000));
+    return t;
+}
+
 std::string draw_scenario(std::uint64_t seed) {
     sim::Stream s(seed, "swarm");
     const auto whole = [&](int low, int high) {
@@ -96,7 +101,9 @@
                whole(1, 60) + "; think " + ms(s.between(50, 1500)) + "; }\n";
     out += "troubles {\n";
     const std::size_t troubles = 2 + s.below(6);
-    for (std::size_t i = 0; i < troubles; ++i) out += draw_trouble(s, zones, seconds);
+    const std::vector<std::string> names(kZones.begin(), kZones.begin() + static_cast<std::ptrdiff_t>(zones));
+    const auto length = std::chrono::milliseconds(static_cast<std::int64_t>(seconds * 1000));
+    for (std::size_t i = 0; i < troubles; ++i) out += "    " + to_kdl(draw_trouble(s, names, length)) + "\n";
     return out + "}\n";
 }
 
--- a/lab/swarm/swarm.hpp
+++ b/lab/swarm/swarm.hpp
@@ -16,6 +16,9 @@
 
 // A scenario of 8 to 14 s, in KDL: one to six edges, five to sixteen engines, two to seven troubles.
 [[nodiscard]] std::string draw_scenario(std::uint64_t seed);
+// One trouble of any kind that virtual time knows, in the first four fifths of `length`.
+[[nodiscard]] Trouble draw_trouble(sim::Stream& draws, const std::vector<std::string>& zones,
+                                   Duration length);
 
 // Cores that are broken on purpose: what must be caught, or the checker is worth nothing.
 enum class Mutation {
--- /dev/null
+++ b/tests/lab/search_test.cpp
@@ -0,0 +1,85 @@
+// The search for the worst day: what it finds can be had again from the file that it writes.
+#include "swarm/search.hpp"
+#include "swarm/swarm.hpp"
+
+#include <gtest/gtest.h>
+
+#include "lab/scenarios.hpp"
+
+namespace chalksail::lab {
+namespace {
+
+constexpr const char* kShort = "length \"6s\"\nclients 12\n";
+
+Scenario base() {
+    std::string fleet = kFleet;
+    fleet.replace(fleet.find("length \"30s\"\n"), 13, "");
+    auto out = parse_scenario(fleet + kShort, "base");
+    if (!out) throw std::runtime_error(format(out.error().front()));
+    return std::move(*out);
+}
+
+TEST(Search, KeepsTheWorstAndEndsWhenTold) {
+    double worst = -1;
+    int played = 0;
+    const auto found = search_worst(base(), 1, 5, [&](const Case& c) {
+        worst = std::max(worst, c.regret());
+        return ++played < 3;
+    });
+    ASSERT_TRUE(found);
+    EXPECT_EQ(played, 3);
+    EXPECT_EQ(found->regret(), worst);
+    EXPECT_FALSE(found->scenario.troubles.empty());
+}
+
+// A case that counts as bad enough is made smaller, and the file of it is the same day.
+TEST(Search, WhatIsShrunkIsSmallerAndCanBeReadBack) {
+    const Scenario b = base();
+    Case bad;
+    bad.scenario = b;
+    bad.scenario.seed = 3;
+    sim::Stream draws(3, "search");
+    for (int i = 0; i < 3; ++i) bad.scenario.troubles.push_back(draw_trouble(draws, b.zones, b.length));
+    // Said to be a little worse than it is, so that something can be left out.
+    bad = play_case(bad.scenario);
+    bad.best = bad.module + 0.011;
+    std::size_t heard = 0;
+    const auto shrunk = shrink(b, bad, [&](const Case&) {
+        ++heard;
+        return true;
+    });
+    EXPECT_EQ(heard, shrunk.played);
+    EXPECT_GT(shrunk.played, 0U);
+    const auto text = to_kdl(shrunk, "base.kdl");
+    EXPECT_EQ(base_of(text), "base.kdl");
+    const auto again = parse_scenario(text, "again", &b);
+    ASSERT_TRUE(again) << config::format(again.error().front()) << "\n" << text;
+    const auto& s = shrunk.what.scenario;
+    EXPECT_EQ(again->engines.size(), s.engines.size());
+    EXPECT_EQ(again->edges, s.edges);
+    EXPECT_EQ(again->clients, s.clients);
+    EXPECT_EQ(again->troubles.size(), s.troubles.size());
+    EXPECT_EQ(play_case(*again).module, play_case(s).module);
+}
+
+TEST(Search, NoRegretIsNoFinding) {
+    Case good;
+    good.scenario = base();
+    good.module = good.best = 0.9;
+    EXPECT_EQ(shrink(base(), good, [](const Case&) { return true; }).played, 0U);
+}
+
+TEST(Scenario, TroublesAreReadAsTheyAreWritten) {
+    sim::Stream draws(1, "test");
+    const auto b = base();
+    for (int i = 0; i < 60; ++i) {
+        const auto t = draw_trouble(draws, b.zones, b.length);
+        const auto back = parse_scenario("troubles {\n" + to_kdl(t) + "\n}", "t", &b);
+        ASSERT_TRUE(back) << config::format(back.error().front()) << to_kdl(t);
+        ASSERT_EQ(back->troubles.size(), 1U);
+        EXPECT_EQ(to_kdl(back->troubles.front()), to_kdl(t));
+    }
+}
+
+}  // namespace
+}  // namespace chalksail::lab
