--- a/apps/lab/main.cpp
+++ b/apps/lab/main.cpp
@@ -84,6 +84,9 @@
               << scenario->edges << " edges, " << scenario->clients << " clients, "
               << format_duration(scenario->length) << ", " << scenario->troubles.size()
               << " troubles; records in " << folder << std::endl;
+    for (const auto& t : scenario->troubles)
+        if (only_in_virtual_time(t.kind))
+            std::cout << "'" << name(t.kind) << "' is of virtual time only: nothing happens here" << std::endl;
     uv_loop_t loop;
     uv_loop_init(&loop);
     std::optional<RehearsalResult> result;
