A smaller fleet of a base is refused if a trouble names an engine that is gone

Cause: reading 'engines-part' over a base whose troubles name an engine threw an exception, even where the file replaces those troubles; a search on such a scenario wrote files that could not be read.

Change: the base's troubles are put aside while the fleet is resized, and looked at last; what names a missing engine is a problem of the scenario, said as one.

--- a/lab/scenario/scenario.cpp
+++ b/lab/scenario/scenario.cpp
@@ -6,6 +6,7 @@
 #include <cstdio>
 #include <set>
 #include <stdexcept>
+#include <utility>
 
 namespace chalksail::lab {
 namespace {
@@ -110,14 +111,23 @@
         top.each("traffic", 1, [&](const kdl::Node& node) { traffic(node); });
         if (double part = 1; top.real("engines-part", part, 0.001, 1)) {
             const int clients = out_.clients;
-            out_ = resized(std::move(out_),
-                           small(std::lround(part * static_cast<double>(out_.engines.size()))), out_.edges);
+            // The base's troubles may name engines that go; those that stay are looked at below.
+            auto troubles = std::exchange(out_.troubles, {});
+            const int engines = small(std::lround(part * static_cast<double>(out_.engines.size())));
+            const int edges = out_.edges;
+            out_ = resized(std::move(out_), engines, edges);
             out_.clients = clients;
+            out_.troubles = std::move(troubles);
         }
         top.each("troubles", 0, [&](const kdl::Node& node) {
             out_.troubles.clear();
             troubles(node);
         });
+        for (const auto& t : out_.troubles)
+            if (!t.server.empty() && std::none_of(out_.engines.begin(), out_.engines.end(),
+                                                  [&](const auto& e) { return e.name == t.server; }))
+                problems_.add({}, "a trouble of the base names engine '" + t.server +
+                                      "', which is not there with this 'engines-part'");
         top.done();
         if (out_.engines.empty()) problems_.add({}, "the scenario needs 'engines'");
         return std::move(out_);
--- a/tests/lab/search_test.cpp
+++ b/tests/lab/search_test.cpp
@@ -1,10 +1,10 @@
 // The search for the worst day: what it finds can be had again from the file that it writes.
 #include "swarm/search.hpp"
-#include "swarm/swarm.hpp"
 
 #include <gtest/gtest.h>
 
 #include "lab/scenarios.hpp"
+#include "swarm/swarm.hpp"
 
 namespace chalksail::lab {
 namespace {
@@ -69,6 +69,16 @@
     EXPECT_EQ(shrink(base(), good, [](const Case&) { return true; }).played, 0U);
 }
 
+// A smaller fleet of a base whose troubles name an engine: an error where they stay, none where they are
+// replaced.
+TEST(Scenario, TroublesOfTheBaseMustFindTheirEngines) {
+    const auto b = scenario(R"(troubles { crash at="1s" for="1s" server="decode-5"; })", 1);
+    EXPECT_FALSE(parse_scenario("engines-part 0.3", "t", &b));
+    const auto other = parse_scenario("engines-part 0.3\ntroubles { burst at=\"1s\" for=\"1s\"; }", "t", &b);
+    ASSERT_TRUE(other) << config::format(other.error().front());
+    EXPECT_LT(other->engines.size(), b.engines.size());
+}
+
 TEST(Scenario, TroublesAreReadAsTheyAreWritten) {
     sim::Stream draws(1, "test");
     const auto b = base();
