The edge's core speaks with clients and servers through one seam, Convention

Need: the users' platform is one more way in and out of the edge; the life of a request, deadlines, guards and holds must not be written a second time for it.

Change: core/convention.hpp names what a convention reads and writes (requests in, servers' requests, a writer's answer event by event, answers and stream ends to the client, the verdict on an attempt). vLLM's convention moves behind it into core/vllm_convention.cpp, with intake and token estimate; edge.cpp keeps the life and names no codec's words. A new effect, StreamCut, ends a client's connection without the stream's end; vLLM's convention does not use it.

--- a/lab/virtual/day.cpp
+++ b/lab/virtual/day.cpp
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "base/json.hpp"
+#include "engine/protocol.hpp"
 #include "chat/sse.hpp"
 
 namespace chalksail::lab {
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -3,6 +3,7 @@
 // docs/operators/gateway.md lists them.
 #pragma once
 
+#include <algorithm>
 #include <chalksail/chalksail.hpp>
 #include <optional>
 #include <string>
@@ -139,6 +140,13 @@
     LoadSource load = LoadSource::none;
     std::vector<ServerConfig> servers;
     std::string log_level = "info";
+
+    // nullptr: not known.
+    [[nodiscard]] const KindConfig* kind(const std::string& kind_name) const {
+        const auto it =
+            std::find_if(kinds.begin(), kinds.end(), [&](const auto& k) { return k.name == kind_name; });
+        return it == kinds.end() ? nullptr : &*it;
+    }
 };
 
 using SettingsResult = tl::expected<EdgeSettings, std::vector<Problem>>;
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -6,8 +6,7 @@
 #include <stdexcept>
 #include <utility>
 
-#include "base/json.hpp"
-#include "chat/sse.hpp"
+#include "engine/protocol.hpp"
 
 namespace chalksail::core {
 
@@ -20,29 +19,25 @@
 constexpr double kLetGoWorth = std::numeric_limits<double>::max();
 constexpr int kModuleRounds = 64;  // steps of the module within one of ours; it settles in two or three
 
-std::int64_t whole_ms(Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
-
-http::Headers json_headers() {
-    http::Headers out;
-    out.add("Content-Type", "application/json");
-    return out;
+void put(Call& call, ServerRequest request) {
+    call.method = std::move(request.method);
+    call.target = std::move(request.target);
+    call.headers = std::move(request.headers);
+    call.body = std::move(request.body);
 }
 
+std::int64_t whole_ms(Duration d) { return std::chrono::duration_cast<std::chrono::milliseconds>(d).count(); }
+
 }  // namespace
 
 // One request, from its arrival until its answer is given and none of its attempts is out.
 struct Edge::Open {
     RequestId id;
     ClientId client;
-    std::string name;         // X-Request-Id towards engines and client
-    std::string client_name;  // the client's own X-Request-Id
     Intake in;
-    std::string body;
     Time arrived{};
     Time deadline{};  // the module's: the client's less the slack that an answer needs
-    double prompt_tokens = 0;
-    double told_prompt_tokens = 0;
-    double completion_tokens = 0;
+    double counted_prompt_tokens = 0;  // by the read
 
     std::optional<CallId> call;  // the attempt that is out
     std::int64_t attempts = 0;
@@ -51,7 +46,7 @@
         std::string server;
         std::string server_kind;  // kept here: once off the list, nothing else tells how it is spoken to
         Address address;
-        std::string kv_params;
+        std::string state;  // as the read told it
         std::int64_t attempt = 0;
     };
     std::optional<Held> held;  // the state that waits at a reader
@@ -62,11 +57,15 @@
     Time first_chunk{};
     Time last_chunk{};
     std::int64_t chunks = 0;
-    std::unique_ptr<chat::Collector> collector;  // where the client wants one object
     Time due{};
     std::vector<KnownPrefix> claims;  // by all servers, also by those not believed
     std::string last_outcome;
     std::string trail;
+
+    [[nodiscard]] double told_prompt_tokens() const {
+        const double told = in.exchange->told_prompt_tokens();
+        return told > 0 ? told : counted_prompt_tokens;
+    }
 };
 
 // One exchange with a server.
@@ -82,14 +81,10 @@
     bool read = false;
     bool sent = false;
     bool paused = false;
-    bool done_seen = false;
     int status = 0;
-    engine::NotRun not_run = engine::NotRun::not_said;
-    std::vector<double> report;
-    std::string content_type;
+    HeadFacts head;
     std::string body;  // of a read, a probe or an error; bounded
-    bool body_overflow = false;
-    std::unique_ptr<chat::SseReader> events;
+    std::unique_ptr<WriterAnswer> answer;
 };
 
 namespace {
@@ -113,7 +108,7 @@
            std::shared_ptr<const engine::Vocabulary> vocabulary)
     : settings_(settings),
       decider_(std::move(decider)),
-      tokens_(settings.module.classes.size(), settings.tokens_per_byte),
+      convention_(make_convention(settings)),
       verification_({settings.limits.unverified_pause, settings.limits.unverified_longest}) {
     const bool any = std::any_of(settings_.kinds.begin(), settings_.kinds.end(),
                                  [](const auto& k) { return k.cache_events; });
@@ -186,11 +181,6 @@
     const auto it = by_client_.find(client.value);
     return it == by_client_.end() ? nullptr : find(it->second);
 }
-const config::KindConfig* Edge::kind_config(const std::string& kind) const {
-    const auto it = std::find_if(settings_.kinds.begin(), settings_.kinds.end(),
-                                 [&](const auto& k) { return k.name == kind; });
-    return it == settings_.kinds.end() ? nullptr : &*it;
-}
 Role Edge::role_of(const std::string& kind) const {
     for (const auto& k : settings_.module.kinds)
         if (k.name == kind) return k.role;
@@ -199,92 +189,55 @@
 
 // ================= clients =================
 
-void Edge::reply_error(ClientId client, const chat::ApiError& error, http::Headers headers) {
-    headers.add("Content-Type", "application/json");
-    emit(Reply{client, error.status, std::move(headers), chat::format_error(error)});
+void Edge::reply(ClientId client, Answer answer) {
+    emit(Reply{client, answer.status, std::move(answer.headers), std::move(answer.body)});
 }
 
 void Edge::on(ClientRequest& in) {
-    const auto path = in.request.path();
-    if (path == engine::kChatPath) {
-        if (in.request.method == "POST") return take(in.client, in.request);
-        http::Headers allow;
-        allow.add("Allow", "POST");
-        return reply_error(in.client, {405, "use POST", "invalid_request_error", "", "method_not_allowed"},
-                           allow);
-    }
-    if (path == "/v1/models" && in.request.method == "GET") {
-        std::string list;
-        for (const auto& model : settings_.models) {
-            if (!list.empty()) list += ',';
-            list += json::ObjectWriter()
-                        .text("id", model)
-                        .text("object", "model")
-                        .whole("created", 0)
-                        .text("owned_by", "chalksail")
-                        .done();
-        }
-        emit(Reply{in.client, 200, json_headers(), R"({"object":"list","data":[)" + list + "]}"});
-        return;
-    }
-    reply_error(in.client, {404, "no such path", "invalid_request_error", "", "not_found"});
+    if (auto answer = convention_->answer(in.request, draining_)) return reply(in.client, std::move(*answer));
+    take(in.client, in.request);
 }
 
 void Edge::take(ClientId client, http::Request& request) {
     const std::uint64_t number = ++last_request_;
-    const std::string name =
-        settings_.name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(number);
-    http::Headers headers;
-    headers.add(std::string(engine::kRequestIdHeader), name);
-    const auto tell = [&](Fate fate, int status, const char* reason) {
+    const auto turn_away = [&](Rejection why, Fate fate, const char* reason) {
         observe::RequestRecord record;
-        record.request = name;
-        record.client_request = request.headers.get(engine::kRequestIdHeader);
+        record.request = std::move(why.name);
+        record.client_request = std::move(why.client_name);
         record.fate = fate;
-        record.status = status;
+        record.status = why.answer.status;
         record.reason = reason;
         emit(Note{record});
+        reply(client, std::move(why.answer));
     };
-    if (draining_ || unanswered_ >= static_cast<std::size_t>(settings_.limits.open_requests)) {
-        // Nothing has been done for it: harmless to try again, elsewhere or soon.
-        headers.add("Retry-After", "1");
-        headers.add("X-Should-Retry", "true");
-        if (draining_) headers.add("Connection", "close");
-        tell(Fate::refused, 503, draining_ ? "draining" : "limit");
-        return reply_error(client,
-                           {503, draining_ ? "this gateway is going away" : "too many open requests",
-                            "server_error", "", "refused"},
-                           headers);
-    }
-    auto in = take_in(settings_, request, name);
-    if (!in) {
-        tell(Fate::rejected, in.error().status, "invalid");
-        return reply_error(client, in.error(), headers);
-    }
+    using Away = Convention::Away;
+    if (draining_)
+        return turn_away(convention_->turn_away(request, number, Away::draining), Fate::refused, "draining");
+    if (unanswered_ >= static_cast<std::size_t>(settings_.limits.open_requests))
+        return turn_away(convention_->turn_away(request, number, Away::limit), Fate::refused, "limit");
+    auto in = convention_->take_in(request, number);
+    if (!in) return turn_away(std::move(in.error()), Fate::rejected, "invalid");
     auto open = std::make_unique<Open>();
     Open& r = *open;
     r.id = {number};
     r.client = client;
-    r.name = name;
-    r.client_name = request.headers.get(engine::kRequestIdHeader);
     r.in = std::move(*in);
-    r.body = std::move(request.body);
     r.arrived = now_;
     r.deadline = now_ + std::max(settings_.module.tick, r.in.deadline - settings_.module.answer_slack);
-    r.prompt_tokens = std::ceil(tokens_.tokens(r.in.cls, r.in.chat.prompt_bytes));
-    if (!r.in.chat.stream) r.collector = std::make_unique<chat::Collector>(settings_.limits.answer_bytes);
 
     Arrived arrived;
     arrived.id = r.id;
-    arrived.class_name = settings_.classes[r.in.cls].name;
+    arrived.class_name = settings_.module.classes[r.in.cls].name;
     arrived.tenant = r.in.tenant;
     arrived.session = r.in.session;
-    arrived.prefix = r.in.chat.prefix;
+    arrived.prefix = r.in.prefix;
     arrived.time_left = r.deadline - now_;
-    arrived.prompt_tokens = r.prompt_tokens;
-    arrived.shared_tokens = std::floor(tokens_.tokens(r.in.cls, r.in.chat.prefix_bytes));
-    arrived.max_output = r.in.chat.max_output;
+    arrived.length_hint = r.in.length_hint;
+    arrived.prompt_tokens = r.in.prompt_tokens;
+    arrived.shared_tokens = r.in.shared_tokens;
+    arrived.max_output = r.in.max_output;
     arrived.retry = r.in.retry;
+    arrived.again = r.in.again;
     if (prefixes_ != nullptr) {
         r.claims = claims(r);
         for (const auto& c : r.claims)
@@ -339,19 +292,16 @@
     Outgoing& call = it->second;
     call.sent = true;
     call.status = in.status;
-    call.not_run = engine::parse_not_run(in.headers.get(engine::kNotRunHeader));
-    call.content_type = in.headers.get("content-type");
-    if (settings_.load == config::LoadSource::headers)
-        call.report = engine::parse_load_header(in.headers.get(engine::kLoadHeader)).report();
+    call.head = convention_->read_head(in.status, in.headers);
     if (call.kind == CallKind::attempt && !call.read && in.status == 200)
-        call.events = std::make_unique<chat::SseReader>(settings_.limits.event_bytes);
+        call.answer = find(call.request)->in.exchange->writer_answer();
 }
 
 void Edge::on(CallBody& in) {
     const auto it = calls_.find(in.call);
     if (it == calls_.end()) return;
     Outgoing& call = it->second;
-    if (call.events != nullptr) return take_stream(call, in.bytes);
+    if (call.answer != nullptr) return take_stream(call, in.bytes);
     if (call.body.size() + in.bytes.size() <= settings_.limits.answer_bytes) {
         call.body += in.bytes;
         return;
@@ -365,77 +315,44 @@
 
 void Edge::take_stream(Outgoing& call, std::string_view bytes) {
     const CallId id = call.id;
-    const RequestId request = call.request;
-    const auto events = call.events->feed(bytes);
-    std::size_t count = 0;
-    for (const auto& data : events) {
-        Open* r = find(request);
-        if (r == nullptr || r->call != id) return;  // this event's predecessor ended the attempt
-        take_chunk(*r, call, data);
-        ++count;
-    }
-    if (calls_.contains(id) && call.events->overflowed()) {
-        emit(CallAbort{id});
-        end_attempt(id, Ending::bad_answer, "event too large");
-    }
-}
-
-void Edge::take_chunk(Open& r, Outgoing& call, const std::string& data) {
-    const CallId id = call.id;
-    const auto chunk = engine::read_chunk(data);
-    if (chunk.usage) {
-        r.told_prompt_tokens = chunk.usage->prompt_tokens;
-        r.completion_tokens = chunk.usage->completion_tokens;
-    }
-    switch (chunk.kind) {
-        case engine::ChunkKind::done:
-            call.done_seen = true;
+    Open& r = *find(call.request);
+    auto progress = call.answer->feed(bytes);
+    if (progress.events > 0) {
+        if (r.answered) {  // its client has gone, and the module may not call attempts off
+            emit(CallAbort{id});
+            return end_attempt(id, Ending::cancelled, "client gone");
+        }
+        r.last_chunk = now_;
+        r.chunks += progress.events;
+        if (!r.started) begin_stream(r, call);
+        if (!progress.to_client.empty()) emit(StreamBytes{r.client, std::move(progress.to_client)});
+    }
+    switch (progress.state) {
+        case WriterAnswer::State::more: return;
+        case WriterAnswer::State::whole:
             emit(CallSettled{id});
             return end_attempt(id, Ending::answered, "");
-        case engine::ChunkKind::error:
-            emit(CallAbort{id});
-            return end_attempt(id, Ending::bad_answer, "error event");
-        case engine::ChunkKind::broken:
+        case WriterAnswer::State::spoilt:
             emit(CallAbort{id});
-            return end_attempt(id, Ending::bad_answer, "not a chunk");
-        case engine::ChunkKind::chunk:
-        case engine::ChunkKind::usage_only: break;
-    }
-    if (r.answered) {  // its client has gone, and the module may not call attempts off
-        emit(CallAbort{id});
-        return end_attempt(id, Ending::cancelled, "client gone");
+            return end_attempt(id, Ending::bad_answer, progress.detail);
     }
-    r.last_chunk = now_;
-    r.chunks += 1;
-    if (!r.started) {
-        r.started = true;
-        r.first_chunk = now_;
-        started_ += 1;
-        events_.emplace_back(StreamStarted{r.id, call.attempt, {call.server}, now_ - call.begun});
-        if (r.held) {  // the writer has fetched it
-            r.held.reset();
-            held_ -= 1;
-        }
-        const Time idle = now_ + settings_.limits.stream_idle;
-        arm(r, r.collector != nullptr ? std::min(idle, r.deadline) : idle);
-        std::string().swap(r.body);
-        std::vector<chat::Member>().swap(r.in.chat.members);
-        if (r.in.chat.stream) {
-            http::Headers headers;
-            headers.add("Content-Type", "text/event-stream; charset=utf-8");
-            headers.add("Cache-Control", "no-cache");
-            headers.add(std::string(engine::kRequestIdHeader), r.name);
-            emit(StreamBegin{r.client, std::move(headers)});
-        }
-    }
-    if (r.collector != nullptr) {
-        if (r.collector->add(data)) return;
-        emit(CallAbort{id});
-        return end_attempt(id, Ending::bad_answer, "answer too large, or not a chunk");
+}
+
+// Its first event is here: from now on this attempt is the client's.
+void Edge::begin_stream(Open& r, const Outgoing& call) {
+    r.started = true;
+    r.first_chunk = now_;
+    started_ += 1;
+    events_.emplace_back(StreamStarted{r.id, call.attempt, {call.server}, now_ - call.begun});
+    if (r.held) {  // the writer has fetched it
+        r.held.reset();
+        held_ -= 1;
     }
-    // The engine's count is asked for always, to correct our own; the client sees it only if it asked too.
-    if (chunk.kind == engine::ChunkKind::usage_only && !r.in.chat.include_usage) return;
-    emit(StreamBytes{r.client, chat::format_event(data)});
+    const bool streams = r.in.exchange->streams();
+    const Time idle = now_ + settings_.limits.stream_idle;
+    arm(r, streams ? idle : std::min(idle, r.deadline));
+    r.in.exchange->drop_request();
+    if (streams) emit(StreamBegin{r.client, r.in.exchange->stream_head()});
 }
 
 void Edge::on(const CallDone& in) {
@@ -466,25 +383,22 @@
     r.call.reset();
     if (ending == Ending::not_verified) not_verified(call.server, detail);
 
-    std::optional<engine::ReadAnswer> read_answer;
-    if (call.read && call.status == 200 && ending == Ending::answered && !call.body_overflow)
-        read_answer = engine::parse_read_answer(call.body);
+    std::optional<ReadResult> read_answer;
+    if (call.read && ending == Ending::answered) read_answer = convention_->read_result(call.status, call.body);
     engine::Facts facts;
     facts.ending = ending;
     facts.sent = call.sent;
     facts.read = call.read;
     facts.started = r.started;
-    facts.whole = call.read ? read_answer.has_value() : call.done_seen && r.started;
+    facts.whole =
+        call.read ? read_answer.has_value() : r.started && call.answer != nullptr && call.answer->whole();
     facts.status = call.status;
-    facts.not_run = call.not_run;
-    if (const auto* kind = kind_config(call.server_kind))
-        facts.not_run_status = std::find(kind->not_run_statuses.begin(), kind->not_run_statuses.end(),
-                                         call.status) != kind->not_run_statuses.end();
-    const auto judged = engine::judge(facts);
+    facts.not_run = call.head.not_run;
+    const auto judged = convention_->judge(facts, call.server_kind);
     if (!call.read && !engine::proves_not_run(judged.outcome)) r.may_have_run = true;
 
     AttemptEnded ended{r.id,  call.attempt,  {call.server}, judged.outcome, now_ - call.begun,
-                       false, judged.remark, call.report};
+                       false, judged.remark, call.head.report};
     // The break of a stream that had started ends the request, as its good end does; so does a verdict on it.
     ended.finished = r.answered || r.started || judged.clients_fault;
     if (read_answer) {
@@ -493,29 +407,29 @@
             const auto claim = std::find_if(r.claims.begin(), r.claims.end(),
                                             [&](const auto& c) { return c.server.value == call.server; });
             const double prompt =
-                read_answer->prompt_tokens > 0 ? read_answer->prompt_tokens : r.prompt_tokens;
+                read_answer->prompt_tokens > 0 ? read_answer->prompt_tokens : r.in.prompt_tokens;
             prefixes_->observed(call.server, {prompt, claim == r.claims.end() ? 0 : claim->tokens,
                                               read_answer->cached_tokens, ended.taken});
             tell_prefixes();
         }
         if (read_answer->prompt_tokens > 0) {
-            r.told_prompt_tokens = read_answer->prompt_tokens;
-            tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, read_answer->prompt_tokens);
+            r.counted_prompt_tokens = read_answer->prompt_tokens;
+            r.in.exchange->prompt_counted(read_answer->prompt_tokens);
         }
         r.held = Open::Held{call.server, call.server_kind,
                             servers_.contains({call.server}) ? servers_.at({call.server}).address : Address{},
-                            std::move(read_answer->kv_params), call.attempt.value};
+                            std::move(read_answer->state), call.attempt.value};
         held_ += 1;
-    } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault &&
-               r.told_prompt_tokens > 0) {
-        tokens_.correct(r.in.cls, r.in.chat.prompt_bytes, r.told_prompt_tokens);
+    } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault) {
+        ended.remark = r.in.exchange->kept_tokens();
+        if (const double told = r.told_prompt_tokens(); told > 0) r.in.exchange->prompt_counted(told);
     }
     // The writer could not fetch the state; its reader may have it all the same, and must not keep it.
     if (judged.outcome == Outcome::full && judged.remark == 1) let_go(r);
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") +
                r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms";
-    emit(Note{observe::AttemptRecord{r.name, call.attempt.value, call.server, call.read,
+    emit(Note{observe::AttemptRecord{r.in.name, call.attempt.value, call.server, call.read,
                                      engine::name(judged.outcome), call.status, call.sent,
                                      r.started && !call.read, now_ - call.begun, detail}});
     // A read called off may have been done all the same, its answer on the way: the state is let go by its
@@ -530,19 +444,15 @@
 
     if (!r.answered) {
         if (judged.clients_fault) {
-            http::Headers headers;
-            headers.add("Content-Type", call.content_type.empty() ? "application/json" : call.content_type);
-            headers.add(std::string(engine::kRequestIdHeader), r.name);
-            emit(Reply{r.client, call.status, std::move(headers), call.body});
+            reply(r.client, r.in.exchange->verdict(call.status, call.head, call.body));
             finish(r, Fate::rejected, call.status, "engine");
         } else if (judged.outcome == Outcome::ok) {
-            if (r.in.chat.stream) {
-                emit(StreamBytes{r.client, chat::format_event(chat::kDone)});
+            if (r.in.exchange->streams()) {
+                if (auto tail = r.in.exchange->stream_tail(); !tail.empty())
+                    emit(StreamBytes{r.client, std::move(tail)});
                 emit(StreamEnd{r.client});
             } else {
-                auto headers = json_headers();
-                headers.add(std::string(engine::kRequestIdHeader), r.name);
-                emit(Reply{r.client, 200, std::move(headers), r.collector->finish()});
+                reply(r.client, r.in.exchange->collected());
             }
             finish(r, Fate::served, 200, "served");
         } else if (r.started) {
@@ -577,9 +487,7 @@
     auto outcome = engine::judge(facts).outcome;
     if (outcome == Outcome::ok && call.status != 200)
         outcome = Outcome::error;  // no /health: not known to be well
-    std::vector<double> report = call.report;
-    if (settings_.load == config::LoadSource::metrics)
-        report = engine::parse_metrics_page(call.body).report();
+    auto report = convention_->probe_report(call.head, call.body);
     std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
     emit(Note{observe::ServerRecord{call.server, "probe", std::string(engine::name(outcome))}});
     events_.emplace_back(ProbeEnded{{call.server}, outcome, now_ - call.begun, std::move(report)});
@@ -587,8 +495,7 @@
 
 void Edge::end_release(const Outgoing& call, Ending ending) {
     std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
-    const bool has_none =
-        ending == Ending::answered && (call.status == 404 || call.status == 405 || call.status == 501);
+    const bool has_none = ending == Ending::answered && convention_->no_release(call.status);
     if (has_none) no_release_.insert(call.server);
     const bool done = ending == Ending::answered && call.status < 300;
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
@@ -692,7 +599,7 @@
 void Edge::follow_caches() {
     std::map<std::string, std::pair<Address, std::optional<Address>>> wanted;
     for (const auto& [id, s] : servers_) {
-        const auto* kind = kind_config(s.entry.kind);
+        const auto* kind = settings_.kind(s.entry.kind);
         if (kind == nullptr || !kind->cache_events || !s.events || s.entry.state == ServerState::removed)
             continue;
         prefixes_->listed(id.value, s.entry.kind, s.entry.born);
@@ -734,14 +641,8 @@
 }
 
 std::vector<KnownPrefix> Edge::claims(const Open& r) const {
-    const auto messages = std::find_if(r.in.chat.members.begin(), r.in.chat.members.end(),
-                                       [](const auto& m) { return m.name == "messages"; });
-    if (messages == r.in.chat.members.end()) return {};
-    const auto value = std::string_view(r.body).substr(messages->value, messages->end - messages->value);
-    const config::CacheEvents& c = settings_.cache_events;
-    const auto text = c.vocabulary == config::Vocabulary::tokenizer
-                          ? engine::prompt_text(value, {c.prompt_begin, c.prompt_message})
-                          : engine::prompt_text(value);
+    const auto text = r.in.exchange->prompt_text();
+    if (text.empty()) return {};
     std::vector<KnownPrefix> out;
     for (const auto& k : settings_.kinds)
         if (k.cache_events)
@@ -831,7 +732,7 @@
     const auto against = guard(*r, action);
     const auto attempt = r->attempts++;
     if (!against.empty()) {
-        emit(Note{observe::GuardRecord{r->name, against}});
+        emit(Note{observe::GuardRecord{r->in.name, against}});
         if (!r->call)
             events_.emplace_back(
                 AttemptEnded{r->id, {attempt}, action.server, Outcome::moot, {}, r->answered, 0, {}});
@@ -845,20 +746,9 @@
     call.server = action.server.value;
     call.server_kind = s.entry.kind;
     call.address = s.address;
-    call.method = "POST";
-    call.target = engine::kChatPath;
     call.worth = settings_.module.classes[r->in.cls].worth;
-    call.headers.add("Content-Type", "application/json");
-    call.headers.add(std::string(engine::kRequestIdHeader), r->name);
-    call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
-    if (!r->client_name.empty()) call.headers.add("X-Client-Request-Id", r->client_name);
-    if (!r->in.idempotency_key.empty())
-        call.headers.add(std::string(kIdempotencyHeader), r->in.idempotency_key);
-    if (settings_.load == config::LoadSource::headers)
-        call.headers.add("endpoint-load-metrics-format", "TEXT");
-    const std::string params = r->held ? r->held->kv_params : std::string();
-    call.body =
-        read ? engine::read_body(r->body, r->in.chat) : engine::write_body(r->body, r->in.chat, params);
+    put(call, read ? r->in.exchange->read(attempt)
+                   : r->in.exchange->write(attempt, r->held ? r->held->state : std::string()));
 
     Outgoing out;
     out.id = call.call;
@@ -882,22 +772,15 @@
     if (r == nullptr || r->answered) return;
     const bool once_ran = r->may_have_run && settings_.module.classes[r->in.cls].effect == Effect::once;
     if (once_ran || r->started) {
-        emit(Note{observe::GuardRecord{r->name, "refusal of what may have run"}});
+        emit(Note{observe::GuardRecord{r->in.name, "refusal of what may have run"}});
         fail(*r, 502, "attempts", "the request failed");
         return drop_if_over(action.id);
     }
-    http::Headers headers;
-    const auto ms = std::max<std::int64_t>(1, whole_ms(action.retry_after));
-    headers.add("Retry-After", std::to_string(std::max<std::int64_t>(1, (ms + 999) / 1000)));
-    headers.add("Retry-After-Ms", std::to_string(ms));
-    headers.add("X-Should-Retry", "true");
-    headers.add(std::string(engine::kRequestIdHeader), r->name);
+    auto answer = r->in.exchange->refusal(action.retry_after);
+    const int status = answer.status;
+    reply(r->client, std::move(answer));
     const std::string reason = r->attempts == 0 ? "held" : "attempts";
-    reply_error(
-        r->client,
-        {503, "no room to serve this in time; nothing was done, try again", "server_error", "", "refused"},
-        headers);
-    finish(*r, Fate::refused, 503, reason);
+    finish(*r, Fate::refused, status, reason);
     drop_if_over(action.id);
 }
 
@@ -937,8 +820,7 @@
     call.server = action.server.value;
     call.server_kind = s->second.entry.kind;
     call.address = s->second.address;
-    call.method = "GET";
-    call.target = settings_.load == config::LoadSource::metrics ? "/metrics" : "/health";
+    put(call, convention_->probe());
     Outgoing out;
     out.id = call.call;
     out.kind = call.kind;
@@ -1000,7 +882,7 @@
             const bool paused = r.call && calls_.at(*r.call).paused;
             const Time idle = (paused ? now_ : r.last_chunk) + settings_.limits.stream_idle;
             // A client that wants one object has nothing in hand until the end: its deadline goes on.
-            const Time last = r.collector != nullptr ? std::min(longest, r.deadline) : longest;
+            const Time last = r.in.exchange->streams() ? longest : std::min(longest, r.deadline);
             if (now_ < last && now_ < idle) {
                 arm(r, std::min(last, idle));
                 continue;
@@ -1023,7 +905,7 @@
             arm(r, now_ + 2 * settings_.module.tick);
             events_.emplace_back(TimerFired{{0}});
         } else {
-            emit(Note{observe::GuardRecord{r.name, "no final answer at the deadline"}});
+            emit(Note{observe::GuardRecord{r.in.name, "no final answer at the deadline"}});
             events_.emplace_back(ClientGone{id});
             fail(r, 504, "deadline", "no answer in time");
             drop_if_over(id);
@@ -1034,18 +916,17 @@
 // ================= ends =================
 
 void Edge::fail(Open& r, int status, std::string reason, std::string message) {
-    const auto& c = settings_.module.classes[r.in.cls];
-    const chat::ApiError error{status, std::move(message), "server_error", "", "failed"};
-    if (r.started && r.in.chat.stream) {
-        emit(StreamBytes{r.client, chat::format_event(chat::format_error(error))});
-        emit(StreamEnd{r.client});
+    if (r.started && r.in.exchange->streams()) {
+        auto last = r.in.exchange->stream_error(status, message);
+        if (last) {
+            emit(StreamBytes{r.client, std::move(*last)});
+            emit(StreamEnd{r.client});
+        } else {
+            emit(StreamCut{r.client});
+        }
     } else {
-        http::Headers headers;
-        headers.add(std::string(engine::kRequestIdHeader), r.name);
-        // The OpenAI clients try again by themselves after any 5xx. What may have run and must not run twice
-        // says no.
-        if (c.effect != Effect::repeatable && r.may_have_run) headers.add("X-Should-Retry", "false");
-        reply_error(r.client, error, headers);
+        const bool repeatable = settings_.module.classes[r.in.cls].effect == Effect::repeatable;
+        reply(r.client, r.in.exchange->failure(status, message, repeatable || !r.may_have_run));
     }
     finish(r, Fate::failed, status, std::move(reason));
 }
@@ -1057,24 +938,23 @@
     by_client_.erase(r.client.value);
     disarm(r);
     observe::RequestRecord record;
-    record.request = r.name;
-    record.client_request = r.client_name;
-    record.class_name = settings_.classes[r.in.cls].name;
+    record.request = r.in.name;
+    record.client_request = r.in.client_name;
+    record.class_name = settings_.module.classes[r.in.cls].name;
     record.tenant = r.in.tenant;
     record.fate = fate;
     record.status = status;
     record.reason = std::move(reason);
     record.total = now_ - r.arrived;
     if (r.started) record.first_token = r.first_chunk - r.arrived;
-    record.prompt_tokens = r.prompt_tokens;
-    record.prompt_tokens_told = r.told_prompt_tokens;
-    record.completion_tokens = r.completion_tokens;
+    record.prompt_tokens = r.in.prompt_tokens;
+    record.prompt_tokens_told = r.told_prompt_tokens();
+    record.completion_tokens = r.in.exchange->completion_tokens();
     record.chunks = r.chunks;
-    record.streamed = r.in.chat.stream;
+    record.streamed = r.in.exchange->streams();
     record.trail = r.trail;
     emit(Note{std::move(record)});
-    std::string().swap(r.body);
-    r.collector.reset();
+    r.in.exchange->drop_request();
 }
 
 // Forgets a request that has its answer and no attempt out. A state that is still held goes at once.
@@ -1090,14 +970,14 @@
     const auto held = std::move(*r.held);
     r.held.reset();
     held_ -= 1;
-    release_call(r, held.attempt, held.server, held.server_kind, held.address, held.kv_params);
+    release_call(r, held.attempt, held.server, held.server_kind, held.address, held.state);
 }
 
 void Edge::release_call(const Open& r, std::int64_t attempt, const std::string& server,
                         const std::string& server_kind, const Address& address,
-                        const std::string& kv_params) {
-    const auto* kind = kind_config(server_kind);
-    if ((kind != nullptr && !kind->release) || no_release_.contains(server)) {
+                        const std::string& state) {
+    auto request = convention_->release(r.in.name, attempt, state, server_kind);
+    if (!request || no_release_.contains(server)) {
         // Counted and noted: the state stays until the engine drops it by its own time.
         emit(Note{observe::ServerRecord{server, "release", "none"}});
         return;
@@ -1108,13 +988,8 @@
     call.server = server;
     call.server_kind = server_kind;
     call.address = address;
-    call.method = "POST";
-    call.target = engine::kReleasePath;
     call.worth = kLetGoWorth;
-    call.headers.add("Content-Type", "application/json");
-    call.headers.add(std::string(engine::kRequestIdHeader), r.name);
-    call.headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
-    call.body = engine::release_body(r.name, kv_params);
+    put(call, std::move(*request));
     Outgoing out;
     out.id = call.call;
     out.kind = call.kind;
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -27,13 +27,10 @@
 #include <vector>
 
 #include "base/units.hpp"
-#include "chat/collect.hpp"
 #include "config/settings.hpp"
+#include "core/convention.hpp"
 #include "core/decider.hpp"
-#include "core/intake.hpp"
-#include "core/token_estimate.hpp"
 #include "engine/outcome.hpp"
-#include "engine/protocol.hpp"
 #include "engine/vocabulary.hpp"
 #include "http/message.hpp"
 #include "membership/verification.hpp"
@@ -125,6 +122,9 @@
 struct StreamEnd {
     ClientId client;
 };
+struct StreamCut {  // its connection ends, without the stream's own end
+    ClientId client;
+};
 // `verify`: only a connection whose server has proved its name; nothing is asked on it. Done, or failed.
 enum class CallKind { attempt, release, probe, verify };
 struct Call {
@@ -172,7 +172,7 @@
 struct Note {
     observe::Record record;
 };
-using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, Call, CallAbort, CallSettled,
+using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, StreamCut, Call, CallAbort, CallSettled,
                             CallFlow, CacheFollow, CacheLeave, CacheReplay, CacheKeep, CacheDrop, Note>;
 
 struct Gauges {
@@ -213,7 +213,7 @@
     void on(const ClientClosed& in);
     void on(const ClientBacklog& in);
     void take(ClientId client, http::Request& request);
-    void reply_error(ClientId client, const chat::ApiError& error, http::Headers headers = {});
+    void reply(ClientId client, Answer answer);
     // calls
     void on(const CallSent& in);
     void on(CallHead& in);
@@ -221,7 +221,7 @@
     void on(const CallDone& in);
     void on(const CallFailed& in);
     void take_stream(Outgoing& call, std::string_view bytes);
-    void take_chunk(Open& open, Outgoing& call, const std::string& data);
+    void begin_stream(Open& open, const Outgoing& call);
     void end_attempt(CallId id, engine::Ending ending, const std::string& detail);
     void end_other(const Outgoing& call, engine::Ending ending, const std::string& detail);
     void end_probe(const Outgoing& call, engine::Ending ending);
@@ -267,11 +267,10 @@
     void drop_if_over(RequestId id);
     void let_go(Open& open);
     void release_call(const Open& open, std::int64_t attempt, const std::string& server,
-                      const std::string& server_kind, const Address& address, const std::string& kv_params);
+                      const std::string& server_kind, const Address& address, const std::string& state);
 
     Open* find(RequestId id);
     Open* find(ClientId client);
-    [[nodiscard]] const config::KindConfig* kind_config(const std::string& kind) const;
     [[nodiscard]] Role role_of(const std::string& kind) const;
     template <class E>
     void emit(E effect) {
@@ -280,7 +279,7 @@
 
     config::EdgeSettings settings_;
     std::unique_ptr<Decider> decider_;
-    TokenEstimate tokens_;
+    std::unique_ptr<Convention> convention_;
     Time now_{};
     bool draining_ = false;
     std::vector<Output> effects_;
--- /dev/null
+++ b/src/core/vllm_convention.cpp
@@ -0,0 +1,363 @@
+#include "core/vllm_convention.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <cmath>
+#include <utility>
+
+#include "base/json.hpp"
+#include "chat/collect.hpp"
+#include "chat/request.hpp"
+#include "chat/sse.hpp"
+#include "engine/protocol.hpp"
+
+namespace chalksail::core {
+namespace {
+
+http::Headers json_headers() {
+    http::Headers out;
+    out.add("Content-Type", "application/json");
+    return out;
+}
+Answer error_answer(const chat::ApiError& error, http::Headers headers) {
+    headers.add("Content-Type", "application/json");
+    return {error.status, std::move(headers), chat::format_error(error)};
+}
+http::Headers named(const std::string& name) {
+    http::Headers out;
+    out.add(std::string(engine::kRequestIdHeader), name);
+    return out;
+}
+
+bool matches(std::string_view pattern, std::string_view text) {
+    if (pattern.empty()) return true;
+    if (pattern.ends_with('*')) return text.starts_with(pattern.substr(0, pattern.size() - 1));
+    return pattern == text;
+}
+bool matches(const config::ClassRule& rule, const http::Request& request, const std::string& model) {
+    if (!matches(rule.model, model) || !matches(rule.path, request.path())) return false;
+    if (rule.header.empty()) return true;
+    return request.headers.has(rule.header) && matches(rule.is, request.headers.get(rule.header));
+}
+
+}  // namespace
+
+class VllmConvention::Request : public Exchange {
+public:
+    const config::EdgeSettings* settings = nullptr;
+    TokenEstimate* tokens = nullptr;
+    std::size_t cls = 0;
+    std::string name;
+    std::string client_name;
+    std::string idempotency_key;
+    chat::Request chat;
+    std::string body;
+    std::unique_ptr<chat::Collector> collector;  // where the client wants one object
+    engine::Usage usage;
+
+    [[nodiscard]] ServerRequest read(std::int64_t attempt) const override {
+        return {"POST", std::string(engine::kChatPath), headers(attempt), engine::read_body(body, chat)};
+    }
+    [[nodiscard]] ServerRequest write(std::int64_t attempt, const std::string& state) const override {
+        return {"POST", std::string(engine::kChatPath), headers(attempt), engine::write_body(body, chat, state)};
+    }
+    [[nodiscard]] std::unique_ptr<WriterAnswer> writer_answer() override;
+    void drop_request() override {
+        std::string().swap(body);
+        std::vector<chat::Member>().swap(chat.members);
+    }
+
+    [[nodiscard]] std::string prompt_text() const override {
+        const auto messages = std::find_if(chat.members.begin(), chat.members.end(),
+                                           [](const auto& m) { return m.name == "messages"; });
+        if (messages == chat.members.end()) return {};
+        const auto value = std::string_view(body).substr(messages->value, messages->end - messages->value);
+        const config::CacheEvents& c = settings->cache_events;
+        return c.vocabulary == config::Vocabulary::tokenizer
+                   ? engine::prompt_text(value, {c.prompt_begin, c.prompt_message})
+                   : engine::prompt_text(value);
+    }
+    void prompt_counted(double count) override { tokens->correct(cls, chat.prompt_bytes, count); }
+    [[nodiscard]] double told_prompt_tokens() const override { return usage.prompt_tokens; }
+    [[nodiscard]] double completion_tokens() const override { return usage.completion_tokens; }
+
+    [[nodiscard]] bool streams() const override { return chat.stream; }
+    [[nodiscard]] Answer collected() override {
+        auto headers = json_headers();
+        headers.add(std::string(engine::kRequestIdHeader), name);
+        return {200, std::move(headers), collector->finish()};
+    }
+    [[nodiscard]] http::Headers stream_head() const override {
+        http::Headers out;
+        out.add("Content-Type", "text/event-stream; charset=utf-8");
+        out.add("Cache-Control", "no-cache");
+        out.add(std::string(engine::kRequestIdHeader), name);
+        return out;
+    }
+    [[nodiscard]] std::string stream_tail() const override { return chat::format_event(chat::kDone); }
+    [[nodiscard]] std::optional<std::string> stream_error(int status, const std::string& message) const override {
+        return chat::format_event(chat::format_error({status, message, "server_error", "", "failed"}));
+    }
+    [[nodiscard]] Answer refusal(Duration retry_after) const override {
+        http::Headers headers;
+        const auto ms = std::max<std::int64_t>(
+            1, std::chrono::duration_cast<std::chrono::milliseconds>(retry_after).count());
+        headers.add("Retry-After", std::to_string(std::max<std::int64_t>(1, (ms + 999) / 1000)));
+        headers.add("Retry-After-Ms", std::to_string(ms));
+        headers.add("X-Should-Retry", "true");
+        headers.add(std::string(engine::kRequestIdHeader), name);
+        return error_answer(
+            {503, "no room to serve this in time; nothing was done, try again", "server_error", "", "refused"},
+            std::move(headers));
+    }
+    [[nodiscard]] Answer failure(int status, const std::string& message, bool once_more) const override {
+        auto headers = named(name);
+        // The OpenAI clients try again by themselves after any 5xx. What may have run and must not run twice
+        // says no.
+        if (!once_more) headers.add("X-Should-Retry", "false");
+        return error_answer({status, message, "server_error", "", "failed"}, std::move(headers));
+    }
+    [[nodiscard]] Answer verdict(int status, const HeadFacts& head, std::string answer) const override {
+        http::Headers headers;
+        headers.add("Content-Type", head.content_type.empty() ? "application/json" : head.content_type);
+        headers.add(std::string(engine::kRequestIdHeader), name);
+        return {status, std::move(headers), std::move(answer)};
+    }
+
+private:
+    [[nodiscard]] http::Headers headers(std::int64_t attempt) const {
+        http::Headers out;
+        out.add("Content-Type", "application/json");
+        out.add(std::string(engine::kRequestIdHeader), name);
+        out.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
+        if (!client_name.empty()) out.add("X-Client-Request-Id", client_name);
+        if (!idempotency_key.empty()) out.add(std::string(kIdempotencyHeader), idempotency_key);
+        if (settings->load == config::LoadSource::headers) out.add("endpoint-load-metrics-format", "TEXT");
+        return out;
+    }
+};
+
+namespace {
+
+template <class Request>
+class Events : public WriterAnswer {
+public:
+    Events(Request& request, std::size_t event_bytes) : request_(request), reader_(event_bytes) {}
+
+    Progress feed(std::string_view bytes) override {
+        Progress out;
+        for (const auto& data : reader_.feed(bytes)) {
+            const auto chunk = engine::read_chunk(data);
+            if (chunk.usage) request_.usage = *chunk.usage;
+            switch (chunk.kind) {
+                case engine::ChunkKind::done:
+                    done_ = true;
+                    out.state = State::whole;
+                    return out;
+                case engine::ChunkKind::error: return spoilt(std::move(out), "error event");
+                case engine::ChunkKind::broken: return spoilt(std::move(out), "not a chunk");
+                case engine::ChunkKind::chunk:
+                case engine::ChunkKind::usage_only: break;
+            }
+            out.events += 1;
+            if (request_.collector != nullptr) {
+                if (!request_.collector->add(data))
+                    return spoilt(std::move(out), "answer too large, or not a chunk");
+                continue;
+            }
+            // The engine's count is asked for always, to correct our own; the client sees it only if it asked
+            // too.
+            if (chunk.kind == engine::ChunkKind::usage_only && !request_.chat.include_usage) continue;
+            out.to_client += chat::format_event(data);
+        }
+        if (reader_.overflowed()) return spoilt(std::move(out), "event too large");
+        return out;
+    }
+    [[nodiscard]] bool whole() const override { return done_; }
+
+private:
+    static Progress spoilt(Progress out, const char* detail) {
+        out.state = State::spoilt;
+        out.detail = detail;
+        return out;
+    }
+    Request& request_;
+    chat::SseReader reader_;
+    bool done_ = false;
+};
+
+}  // namespace
+
+std::unique_ptr<WriterAnswer> VllmConvention::Request::writer_answer() {
+    return std::make_unique<Events<Request>>(*this, settings->limits.event_bytes);
+}
+
+VllmConvention::VllmConvention(const config::EdgeSettings& settings)
+    : settings_(settings), tokens_(settings.module.classes.size(), settings.tokens_per_byte) {}
+
+std::string VllmConvention::name_of(std::uint64_t number) const {
+    return settings_.name + "-" + std::to_string(settings_.seed) + "-" + std::to_string(number);
+}
+
+// ================= clients =================
+
+std::optional<Answer> VllmConvention::answer(const http::Request& request, bool) const {
+    const auto path = request.path();
+    if (path == engine::kChatPath) {
+        if (request.method == "POST") return std::nullopt;
+        http::Headers allow;
+        allow.add("Allow", "POST");
+        return error_answer({405, "use POST", "invalid_request_error", "", "method_not_allowed"}, std::move(allow));
+    }
+    if (path == "/v1/models" && request.method == "GET") {
+        std::string list;
+        for (const auto& model : settings_.models) {
+            if (!list.empty()) list += ',';
+            list += json::ObjectWriter()
+                        .text("id", model)
+                        .text("object", "model")
+                        .whole("created", 0)
+                        .text("owned_by", "chalksail")
+                        .done();
+        }
+        return Answer{200, json_headers(), R"({"object":"list","data":[)" + list + "]}"};
+    }
+    return error_answer({404, "no such path", "invalid_request_error", "", "not_found"}, {});
+}
+
+Rejection VllmConvention::turn_away(const http::Request& request, std::uint64_t number, Away why) const {
+    const auto name = name_of(number);
+    auto headers = named(name);
+    headers.add("Retry-After", "1");
+    headers.add("X-Should-Retry", "true");
+    const bool draining = why == Away::draining;
+    if (draining) headers.add("Connection", "close");
+    return {error_answer({503, draining ? "this gateway is going away" : "too many open requests", "server_error",
+                          "", "refused"},
+                         std::move(headers)),
+            name, std::string(request.headers.get(engine::kRequestIdHeader))};
+}
+
+tl::expected<Intake, Rejection> VllmConvention::take_in(http::Request& request, std::uint64_t number) {
+    Intake out;
+    out.name = name_of(number);
+    out.client_name = request.headers.get(engine::kRequestIdHeader);
+    const auto reject = [&](const chat::ApiError& error) {
+        return tl::unexpected(Rejection{error_answer(error, named(out.name)), out.name, out.client_name});
+    };
+    std::string_view key = request.headers.get("authorization");
+    if (key.size() > 7 && http::same_name(key.substr(0, 7), "bearer ")) key.remove_prefix(7);
+    for (const auto& t : settings_.tenants)
+        if (std::find(t.keys.begin(), t.keys.end(), key) != t.keys.end()) out.tenant = t.name;
+    if (settings_.require_key && out.tenant.empty())
+        return reject({401, "unknown or missing API key", "authentication_error", "", "invalid_api_key"});
+
+    auto chat = chat::parse_request(request.body);
+    if (!chat) return reject(chat.error());
+    const auto& models = settings_.models;
+    if (!models.empty() && std::find(models.begin(), models.end(), chat->model) == models.end())
+        return reject({404, "the model '" + chat->model + "' does not exist", "invalid_request_error", "model",
+                       "model_not_found"});
+
+    const auto cls = std::find_if(settings_.classes.begin(), settings_.classes.end(), [&](const auto& c) {
+        return c.rules.empty() || std::any_of(c.rules.begin(), c.rules.end(), [&](const auto& r) {
+                   return matches(r, request, chat->model);
+               });
+    });
+    if (cls == settings_.classes.end())
+        return reject({404, "no class of request fits this model, path and headers", "invalid_request_error",
+                       "model", "no_class"});
+    out.cls = static_cast<std::size_t>(cls - settings_.classes.begin());
+    const ClassSettings& c = settings_.module.classes[out.cls];
+
+    std::string idempotency_key{request.headers.get(kIdempotencyHeader)};
+    if (c.effect == Effect::by_key && idempotency_key.empty())
+        return reject({400, "requests of class '" + c.name + "' need the header Idempotency-Key",
+                       "invalid_request_error", "Idempotency-Key", "missing_key"});
+
+    out.deadline = c.deadline;
+    if (const auto told = request.headers.get(kTimeoutHeader); cls->deadline_header && !told.empty()) {
+        std::int64_t ms = 0;
+        const auto [end, why] = std::from_chars(told.data(), told.data() + told.size(), ms);
+        if (why != std::errc{} || end != told.data() + told.size() || ms < 1)
+            return reject({400, "X-Request-Timeout-Ms must be a whole number of at least 1",
+                           "invalid_request_error", "X-Request-Timeout-Ms", ""});
+        out.deadline = std::min(out.deadline,
+                                Duration(std::chrono::milliseconds(std::min<std::int64_t>(ms, 86'400'000))));
+    }
+
+    out.session = request.headers.get(settings_.session_header);
+    if (out.session.empty()) out.session = chat->session;
+    // Sessions of two tenants never are the same one.
+    out.session = out.session.empty() ? out.name : out.tenant + "/" + out.session;
+    const auto retries = request.headers.get(kRetryHeader);
+    out.retry = !retries.empty() && retries != "0";
+    out.prefix = chat->prefix;
+    out.prompt_tokens = std::ceil(tokens_.tokens(out.cls, chat->prompt_bytes));
+    out.shared_tokens = std::floor(tokens_.tokens(out.cls, chat->prefix_bytes));
+    out.max_output = chat->max_output;
+
+    auto exchange = std::make_unique<Request>();
+    exchange->settings = &settings_;
+    exchange->tokens = &tokens_;
+    exchange->cls = out.cls;
+    exchange->name = out.name;
+    exchange->client_name = out.client_name;
+    exchange->idempotency_key = std::move(idempotency_key);
+    exchange->chat = std::move(*chat);
+    exchange->body = std::move(request.body);
+    if (!exchange->chat.stream)
+        exchange->collector = std::make_unique<chat::Collector>(settings_.limits.answer_bytes);
+    out.exchange = std::move(exchange);
+    return out;
+}
+
+// ================= servers =================
+
+HeadFacts VllmConvention::read_head(int, const http::Headers& headers) const {
+    HeadFacts out;
+    out.not_run = engine::parse_not_run(headers.get(engine::kNotRunHeader));
+    out.content_type = headers.get("content-type");
+    if (settings_.load == config::LoadSource::headers)
+        out.report = engine::parse_load_header(headers.get(engine::kLoadHeader)).report();
+    return out;
+}
+
+std::optional<ReadResult> VllmConvention::read_result(int status, std::string_view body) const {
+    if (status != 200) return std::nullopt;
+    auto answer = engine::parse_read_answer(body);
+    if (!answer) return std::nullopt;
+    return ReadResult{std::move(answer->kv_params), answer->prompt_tokens, answer->cached_tokens};
+}
+
+engine::Judgement VllmConvention::judge(const engine::Facts& seen, const std::string& kind) const {
+    engine::Facts facts = seen;
+    if (const auto* k = settings_.kind(kind))
+        facts.not_run_status = std::find(k->not_run_statuses.begin(), k->not_run_statuses.end(), facts.status) !=
+                               k->not_run_statuses.end();
+    return engine::judge(facts);
+}
+
+std::optional<ServerRequest> VllmConvention::release(const std::string& name, std::int64_t attempt,
+                                                     const std::string& state, const std::string& kind) const {
+    if (const auto* k = settings_.kind(kind); k != nullptr && !k->release) return std::nullopt;
+    auto headers = json_headers();
+    headers.add(std::string(engine::kRequestIdHeader), name);
+    headers.add(std::string(engine::kAttemptHeader), std::to_string(attempt));
+    return ServerRequest{"POST", std::string(engine::kReleasePath), std::move(headers),
+                         engine::release_body(name, state)};
+}
+bool VllmConvention::no_release(int status) const { return status == 404 || status == 405 || status == 501; }
+
+ServerRequest VllmConvention::probe() const {
+    return {"GET", settings_.load == config::LoadSource::metrics ? "/metrics" : "/health", {}, ""};
+}
+std::vector<double> VllmConvention::probe_report(const HeadFacts& head, std::string_view body) const {
+    return settings_.load == config::LoadSource::metrics ? engine::parse_metrics_page(body).report() : head.report;
+}
+
+std::unique_ptr<Convention> make_convention(const config::EdgeSettings& settings) {
+    return std::make_unique<VllmConvention>(settings);
+}
+
+}  // namespace chalksail::core
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -8,6 +8,7 @@
 #include <stdexcept>
 #include <utility>
 
+#include "chat/request.hpp"
 #include "net/tls/files.hpp"
 
 namespace chalksail::net {
@@ -254,6 +255,8 @@
         clients_->begin_stream(begin->client.value, std::move(begin->headers));
     } else if (auto* end = std::get_if<core::StreamEnd>(&output)) {
         clients_->end_stream(end->client.value);
+    } else if (const auto* cut = std::get_if<core::StreamCut>(&output)) {
+        clients_->abort(cut->client.value);
     } else if (auto* call = std::get_if<core::Call>(&output)) {
         if (call->kind == core::CallKind::verify)
             return servers_->connect(call->call.value, target_of(*call));
