--- a/adapter/wire.hpp
+++ b/adapter/wire.hpp
@@ -2,17 +2,16 @@
 #pragma once
 
 #include <chalksail/chalksail.hpp>
-#include <stdexcept>
 #include <string>
 #include <string_view>
 #include <variant>
 
+#include "platform/fields.hpp"
+
 namespace chalksail::wire {
 
 // A line that is not the wire; the text names the field.
-struct BadLine : std::runtime_error {
-    using std::runtime_error::runtime_error;
-};
+using BadLine = platform::BadField;
 
 struct BatchBegins {
     Time now;
--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -4,14 +4,18 @@
 
 #include <CLI/CLI.hpp>
 #include <csignal>
+#include <cstdlib>
 #include <ctime>
 #include <fstream>
+#include <functional>
 #include <iostream>
 #include <iterator>
 #include <random>
 
 #include "base/json.hpp"
 #include "config/settings.hpp"
+#include "core/platform_settings.hpp"
+#include "net/discovery_watch.hpp"
 #include "net/edge_shell.hpp"
 #include "net/tls/files.hpp"
 #include "observe/log.hpp"
@@ -64,6 +68,7 @@
 
 struct Signals {
     chalksail::net::EdgeShell* shell = nullptr;
+    std::function<void()> reload;  // at SIGHUP
     uv_signal_t term{};
     uv_signal_t interrupt{};
     uv_signal_t hang_up{};
@@ -79,8 +84,7 @@
         uv_signal_init(&loop, &hang_up);
         hang_up.data = this;
         uv_signal_start(
-            &hang_up, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell->reload_tls(); },
-            SIGHUP);
+            &hang_up, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->reload(); }, SIGHUP);
         uv_unref(reinterpret_cast<uv_handle_t*>(&hang_up));
     }
     void stop() {
@@ -90,26 +94,29 @@
     }
 };
 
-int serve(const std::string& file) {
-    auto settings = read_settings(file);
-    if (!settings) return 1;
-    if (settings->seed == 0) settings->seed = std::random_device()() | 1U;
+// Serves until a signal ends it. `list` and `reload` may need the loop, and come of it.
+struct Origin {
+    std::unique_ptr<chalksail::membership::ListSource> list;
+    std::function<void()> reload;
+};
+int serve(const EdgeSettings& settings,
+          const std::function<Origin(uv_loop_t&, chalksail::observe::Log&)>& origin_of) {
     std::signal(SIGPIPE, SIG_IGN);
-    chalksail::observe::Log log(settings->name, settings->log_level);
+    chalksail::observe::Log log(settings.name, settings.log_level);
     uv_loop_t loop;
     uv_loop_init(&loop);
     int status = 0;
     try {
-        chalksail::net::EdgeShell shell(loop, *settings, log);
+        Origin origin = origin_of(loop, log);
+        chalksail::net::EdgeShell shell(loop, settings, log, std::move(origin.list));
         Signals signals;
         signals.shell = &shell;
+        signals.reload = origin.reload ? std::move(origin.reload) : [&shell] { shell.reload_tls(); };
         signals.start(loop);
-        std::cout << chalksail::json::ObjectWriter()
-                         .text("event", "listening")
-                         .text("address", format_address(shell.address()))
-                         .text("admin", format_address(shell.admin_address()))
-                         .done()
-                  << std::endl;
+        chalksail::json::ObjectWriter line;
+        line.text("event", "listening").text("address", format_address(shell.address()));
+        if (settings.admin) line.text("admin", format_address(shell.admin_address()));
+        std::cout << line.done() << std::endl;
         uv_run(&loop, UV_RUN_DEFAULT);
         signals.stop();
     } catch (const std::exception& error) {
@@ -122,6 +129,52 @@
     return status;
 }
 
+int serve(const std::string& file) {
+    auto settings = read_settings(file);
+    if (!settings) return 1;
+    if (settings->seed == 0) settings->seed = std::random_device()() | 1U;
+    return serve(*settings, [](uv_loop_t&, chalksail::observe::Log&) { return Origin{}; });
+}
+
+// ---- the users' platform ----
+
+std::string variable(const char* name) {
+    const char* const value = std::getenv(name);
+    return value == nullptr ? std::string() : std::string(value);
+}
+
+// At a reload the file alone counts: the variables are those of the start.
+tl::expected<chalksail::platform::Configuration, std::string> read_configuration(
+    const std::string& file, const chalksail::platform::Environment& environment) {
+    std::ifstream in(file, std::ios::binary);
+    if (!in) return tl::unexpected(std::string("can't be read"));
+    const std::string text{std::istreambuf_iterator<char>(in), {}};
+    return chalksail::platform::parse_configuration(text, environment);
+}
+
+int serve_platform() {
+    const std::string file = variable("EDGE_CONFIG");
+    if (file.empty()) {
+        std::cerr << "chalksail-edge: EDGE_CONFIG is not set\n";
+        return 1;
+    }
+    auto told = read_configuration(file, {variable("EDGE_NAME"), variable("EDGE_LISTEN"), variable("EDGE_DISCOVERY")});
+    if (!told) {
+        std::cerr << file << ": " << told.error() << '\n';
+        return 1;
+    }
+    return serve(chalksail::core::platform_settings(*told), [&](uv_loop_t& loop, chalksail::observe::Log& log) {
+        auto watch = std::make_unique<chalksail::net::DiscoveryWatch>(loop, log, told->discovery,
+                                                                      std::move(told->known));
+        auto* const list = watch.get();
+        return Origin{std::move(watch), [list, &log, file] {
+                          const auto now = read_configuration(file, {});
+                          if (now) return list->move(now->discovery);
+                          log.say("error", "configuration", file + ": " + now.error() + "; the old one stays");
+                      }};
+    });
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
@@ -132,6 +185,8 @@
     auto* serve_command =
         app.add_subcommand("serve", "Serve until SIGTERM or SIGINT; then finish what is open and exit 0");
     serve_command->add_option("settings", file, "The settings, a KDL file")->required();
+    auto* platform_command = app.add_subcommand(
+        "platform", "Serve as a gateway of the platform that EDGE_CONFIG and the other EDGE_ variables describe");
     auto* check_command = app.add_subcommand(
         "check", "Check a settings file: exit 0 if it is good, 1 with each problem's place");
     check_command->add_option("settings", file, "The settings, a KDL file")->required();
@@ -145,5 +200,6 @@
     probe_command->add_option("--trust", trust, "PEM bundle of the CAs that may sign for it")->required();
     CLI11_PARSE(app, argc, argv);
     if (probe_command->parsed()) return tls_probe(server, name, trust);
+    if (platform_command->parsed()) return serve_platform();
     return check_command->parsed() ? check(file) : serve(file);
 }
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -22,7 +22,7 @@
         std::int64_t number = 0;
         if (top.whole("seed", number, 0, INT64_MAX)) out_.seed = static_cast<std::uint64_t>(number);
         top.address("listen", out_.listen);
-        top.address("admin", out_.admin);
+        top.address("admin", *out_.admin);
         top.text("session-header", out_.session_header);
         top.flag("require-key", out_.require_key);
         top.real("tokens-per-byte", out_.tokens_per_byte, 0.01, 10);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -80,6 +80,11 @@
     Duration snapshot_every = std::chrono::seconds(60);             // of one server
     std::size_t snapshots_bytes = std::size_t{1024} * 1024 * 1024;  // of the folder, at most
 };
+// The convention spoken with clients and servers.
+enum class Speaks {
+    vllm,      // OpenAI-style clients, vLLM's disaggregated prefill
+    platform,  // the users' platform
+};
 enum class LoadSource { none, headers, metrics };
 
 struct ServerConfig {
@@ -112,7 +117,11 @@
     Duration stream_longest = std::chrono::minutes(30);
     Duration server_idle = std::chrono::seconds(30);     // an unused connection to a server
     Duration drain = std::chrono::seconds(30);           // from SIGTERM to the exit
+    Duration drain_grace{};                              // of it, new requests are still taken
     Duration release_timeout = std::chrono::seconds(2);  // for a let-go call, and for a probe
+    std::int64_t release_tries = 1;                      // of a let-go call that any server takes
+    std::int64_t server_connections = 0;                 // to all servers together; 0: no limit of its own
+    Duration first_timeout{};                            // a client's connection with nothing ever asked; 0: as idle
     std::int64_t handshakes = 64;                        // TLS to servers, under way at once, in all
     std::int64_t handshakes_per_server = 8;
     Duration unverified_pause = std::chrono::seconds(1);  // until a server is asked again to prove its name
@@ -123,10 +132,11 @@
 
 struct EdgeSettings {
     Settings module;  // what the decision module is given
+    Speaks speaks = Speaks::vllm;
     std::string name = "edge-0";
     std::uint64_t seed = 0;  // 0: drawn at the start
     Address listen{"127.0.0.1", 0};
-    Address admin{"127.0.0.1", 0};
+    std::optional<Address> admin = Address{"127.0.0.1", 0};  // none: no admin listener
     CacheEvents cache_events;
     std::optional<ListenerTls> listener_tls;  // none: clients speak in the clear
     EdgeLimits limits;
--- a/src/core/convention.hpp
+++ b/src/core/convention.hpp
@@ -69,9 +69,11 @@
 public:
     virtual ~Exchange() = default;
 
-    [[nodiscard]] virtual ServerRequest read(std::int64_t attempt) const = 0;
-    // `state`: as the read told; empty: the writer reads by itself. `left`: until the client's time ends.
-    [[nodiscard]] virtual ServerRequest write(std::int64_t attempt, const std::string& state) const = 0;
+    // `left`: until the client's time ends.
+    [[nodiscard]] virtual ServerRequest read(std::int64_t attempt, Duration left) const = 0;
+    // `state`: as the read told; empty: the writer reads by itself.
+    [[nodiscard]] virtual ServerRequest write(std::int64_t attempt, const std::string& state,
+                                              Duration left) const = 0;
     [[nodiscard]] virtual std::unique_ptr<WriterAnswer> writer_answer() = 0;
     // Nothing more is sent for it: what only sending needs can go.
     virtual void drop_request() = 0;
@@ -138,12 +140,20 @@
     [[nodiscard]] virtual std::optional<ReadResult> read_result(int status, std::string_view body) const = 0;
     [[nodiscard]] virtual engine::Judgement judge(const engine::Facts& facts, const std::string& kind) const = 0;
 
+    // What a let-go call covers. `attempt`: the state that this one left, at its own server. `request`: all that is
+    // held for the request, and any server passes it on: so never while an attempt of it is out.
+    enum class LetGo { attempt, request };
+    [[nodiscard]] virtual LetGo let_go_covers() const = 0;
     // Lets go of what is held for the request of that name; nothing: servers of this kind can't.
     [[nodiscard]] virtual std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
                                                                const std::string& state,
                                                                const std::string& kind) const = 0;
     // Does this answer to it say that the server has no such call?
     [[nodiscard]] virtual bool no_release(int status) const = 0;
+    // Asks a writer to hold a place for the request of that name; nothing: there is no such call.
+    [[nodiscard]] virtual std::optional<ServerRequest> seat(const std::string& name) const = 0;
+    enum class Seat { held, not_held, not_known };
+    [[nodiscard]] virtual Seat seat_answer(int status) const = 0;
     [[nodiscard]] virtual ServerRequest probe() const = 0;
     [[nodiscard]] virtual std::vector<double> probe_report(const HeadFacts& head, std::string_view body) const = 0;
 };
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -50,6 +50,11 @@
         std::int64_t attempt = 0;
     };
     std::optional<Held> held;  // the state that waits at a reader
+    // A read that was called off or broke may have ended well at that moment, and a place may be held: something
+    // of this request may be at some server. A call that is one for the whole request lets go of it once no
+    // attempt is out.
+    std::optional<Held> loose;
+    std::optional<CallId> letting;  // the last such call, if it may still be under way
 
     bool started = false;   // the client gets, or will get, this attempt's answer
     bool answered = false;  // final answer given, or the client is gone
@@ -80,11 +85,13 @@
     Time timeout{};  // the module's own for this attempt; zero: none
     bool read = false;
     bool sent = false;
+    bool written = false;
     bool paused = false;
     int status = 0;
     HeadFacts head;
     std::string body;  // of a read, a probe or an error; bounded
     std::unique_ptr<WriterAnswer> answer;
+    std::optional<Letting> letting;
 };
 
 namespace {
@@ -135,11 +142,14 @@
     // What went out counts first, wherever it stands among the rest: a list, a hang-up or a time-out in the
     // same turn must not take an attempt for one that never left, and so for one that is proved not to have
     // run.
-    for (const auto& input : inputs)
+    for (const auto& input : inputs) {
         if (const auto* sent = std::get_if<CallSent>(&input)) on(*sent);
+        if (const auto* written = std::get_if<CallWritten>(&input)) on(*written);
+    }
     for (auto& input : inputs) std::visit([this](auto& in) { on(in); }, input);
     fire_due();
     run_module();
+    let_go_loose();
     try_verification();
     return std::exchange(effects_, {});
 }
@@ -286,6 +296,10 @@
     if (const auto it = calls_.find(in.call); it != calls_.end()) it->second.sent = true;
 }
 
+void Edge::on(const CallWritten& in) {
+    if (const auto it = calls_.find(in.call); it != calls_.end()) it->second.sent = it->second.written = true;
+}
+
 void Edge::on(CallHead& in) {
     const auto it = calls_.find(in.call);
     if (it == calls_.end()) return;
@@ -348,6 +362,7 @@
         r.held.reset();
         held_ -= 1;
     }
+    r.loose.reset();
     const bool streams = r.in.exchange->streams();
     const Time idle = now_ + settings_.limits.stream_idle;
     arm(r, streams ? idle : std::min(idle, r.deadline));
@@ -388,6 +403,7 @@
     engine::Facts facts;
     facts.ending = ending;
     facts.sent = call.sent;
+    facts.written = call.written;
     facts.read = call.read;
     facts.started = r.started;
     facts.whole =
@@ -424,8 +440,17 @@
         ended.remark = r.in.exchange->kept_tokens();
         if (const double told = r.told_prompt_tokens(); told > 0) r.in.exchange->prompt_counted(told);
     }
+    const bool by_request = convention_->let_go_covers() == Convention::LetGo::request;
     // The writer could not fetch the state; its reader may have it all the same, and must not keep it.
-    if (judged.outcome == Outcome::full && judged.remark == 1) let_go(r);
+    if (judged.outcome == Outcome::full && judged.remark == 1 && r.held) {
+        if (by_request) {
+            r.loose = std::exchange(r.held, std::nullopt);
+            held_ -= 1;
+            loose_.push_back(request);
+        } else {
+            let_go(r);
+        }
+    }
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") +
                r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms";
@@ -437,8 +462,16 @@
     if (call.read && call.sent && judged.outcome != Outcome::read &&
         (judged.outcome == Outcome::cancelled || judged.outcome == Outcome::timeout ||
          judged.outcome == Outcome::reset)) {
-        if (const auto s = servers_.find({call.server}); s != servers_.end())
-            release_call(r, call.attempt.value, call.server, call.server_kind, s->second.address, "");
+        if (const auto s = servers_.find({call.server}); s != servers_.end()) {
+            r.loose = Open::Held{call.server, call.server_kind, s->second.address, "", call.attempt.value};
+            if (by_request) {
+                loose_.push_back(request);
+            } else {
+                release_call({r.in.name, call.attempt.value, "", call.server_kind, {}, 0}, call.server,
+                             s->second.address);
+                r.loose.reset();
+            }
+        }
     }
     events_.emplace_back(std::move(ended));
 
@@ -470,6 +503,7 @@
         case CallKind::attempt: break;
         case CallKind::probe: return end_probe(call, ending);
         case CallKind::release: return end_release(call, ending);
+        case CallKind::seat: return end_seat(call, ending);
         case CallKind::verify:
             std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
             if (ending == Ending::answered) verified(call.server);
@@ -499,6 +533,42 @@
     if (has_none) no_release_.insert(call.server);
     const bool done = ending == Ending::answered && call.status < 300;
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
+    // Where any server takes it another is asked, at once: the time to let go runs on while one does not answer.
+    if (done || convention_->let_go_covers() == Convention::LetGo::attempt) return;
+    Letting letting = *call.letting;
+    letting.tried.insert(call.server);
+    if (letting.tries >= settings_.limits.release_tries) return;
+    const ListedServer* next = server_for_release(letting.tried);
+    if (next == nullptr) {
+        letting.tried = {call.server};
+        next = server_for_release(letting.tried);
+    }
+    if (next == nullptr) return;
+    const auto again = release_call(std::move(letting), next->entry.id.value, next->address);
+    if (Open* r = find(call.request)) r->letting = again;
+    calls_.at(again).request = call.request;
+}
+
+// Whoever is in service, was not asked, and comes first by name: that it lives is all that is wanted.
+const ListedServer* Edge::server_for_release(const std::set<std::string>& tried) const {
+    for (const auto& [id, s] : servers_)
+        if (s.entry.state == ServerState::up && !tried.contains(id.value)) return &s;
+    return nullptr;
+}
+
+void Edge::end_seat(const Outgoing& call, Ending ending) {
+    std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
+    using Seat = Convention::Seat;
+    const Seat seat = ending == Ending::answered ? convention_->seat_answer(call.status) : Seat::not_known;
+    Open* r = find(call.request);
+    if (r == nullptr) return;
+    if (seat != Seat::not_known) events_.emplace_back(SeatAnswer{r->id, {call.server}, seat == Seat::held});
+    // A place that may be held is let go of like a state, unless an attempt takes it.
+    if (seat != Seat::not_held && call.sent && !r->started) {
+        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->loose)
+            r->loose = Open::Held{call.server, call.server_kind, s->second.address, "", call.attempt.value};
+        loose_.push_back(r->id);
+    }
 }
 
 // ================= the list of servers =================
@@ -747,8 +817,10 @@
     call.server_kind = s.entry.kind;
     call.address = s.address;
     call.worth = settings_.module.classes[r->in.cls].worth;
-    put(call, read ? r->in.exchange->read(attempt)
-                   : r->in.exchange->write(attempt, r->held ? r->held->state : std::string()));
+    const Duration left = r->deadline - now_;
+    put(call, read ? r->in.exchange->read(attempt, left)
+                   : r->in.exchange->write(attempt, r->held ? r->held->state : std::string(), left));
+    stop_letting(*r);
 
     Outgoing out;
     out.id = call.call;
@@ -808,6 +880,42 @@
     if (Open* r = find(action.id)) let_go(*r);
 }
 
+// The client comes again for the rest, which is read and written elsewhere.
+void Edge::act(const MoveStream& action) {
+    Open* r = find(action.id);
+    if (r == nullptr || !r->started || r->answered || !r->call || !settings_.module.resume) return;
+    const CallId id = *r->call;
+    emit(CallAbort{id});
+    emit(StreamCut{r->client});
+    finish(*r, Fate::failed, 0, "moved");
+    end_attempt(id, Ending::cancelled, "moved");
+}
+
+void Edge::act(const BookSeat& action) {
+    Open* r = find(action.id);
+    const auto s = servers_.find(action.server);
+    if (r == nullptr || r->answered || s == servers_.end() || s->second.entry.state != ServerState::up) return;
+    auto request = convention_->seat(r->in.name);
+    if (!request || !settings_.module.early_pairing) return;
+    Call call;
+    call.call = {++last_call_};
+    call.kind = CallKind::seat;
+    call.server = action.server.value;
+    call.server_kind = s->second.entry.kind;
+    call.address = s->second.address;
+    put(call, std::move(*request));
+    Outgoing out;
+    out.id = call.call;
+    out.kind = call.kind;
+    out.request = r->id;
+    out.server = call.server;
+    out.server_kind = call.server_kind;
+    out.begun = now_;
+    call_due_.emplace(std::max(r->deadline, now_ + settings_.limits.release_timeout), out.id);
+    calls_.emplace(out.id, std::move(out));
+    emit(std::move(call));
+}
+
 void Edge::act(const Probe& action) {
     const auto s = servers_.find(action.server);
     if (s == servers_.end() || verification_.out(action.server.value)) {
@@ -966,27 +1074,52 @@
 }
 
 void Edge::let_go(Open& r) {
-    if (!r.held || r.call) return;  // with an attempt out the state is that attempt's to take
-    const auto held = std::move(*r.held);
+    if (r.call || (!r.held && !r.loose)) return;  // with an attempt out the state is that attempt's to take
+    const auto held = r.held ? std::move(*r.held) : std::move(*r.loose);
+    if (r.held) held_ -= 1;
     r.held.reset();
-    held_ -= 1;
-    release_call(r, held.attempt, held.server, held.server_kind, held.address, held.state);
+    r.loose.reset();
+    const auto call = release_call({r.in.name, held.attempt, held.state, held.server_kind, {}, 0}, held.server,
+                                   held.address);
+    if (call == CallId{}) return;
+    r.letting = call;
+    calls_.at(call).request = r.id;
+}
+
+void Edge::let_go_loose() {
+    if (loose_.empty()) return;
+    std::vector<RequestId> wait;
+    for (const auto id : std::exchange(loose_, {})) {
+        Open* r = find(id);
+        if (r == nullptr || !r->loose) continue;
+        if (r->call) wait.push_back(id);
+        else if (!r->held) let_go(*r);  // with a state that waits, both go together
+        else wait.push_back(id);
+    }
+    loose_ = std::move(wait);
+}
+
+void Edge::stop_letting(Open& r) {
+    if (!r.letting || convention_->let_go_covers() == Convention::LetGo::attempt) return;
+    const CallId id = *std::exchange(r.letting, std::nullopt);
+    if (calls_.erase(id) == 0) return;
+    std::erase_if(call_due_, [&](const auto& d) { return d.second == id; });
+    emit(CallAbort{id});
 }
 
-void Edge::release_call(const Open& r, std::int64_t attempt, const std::string& server,
-                        const std::string& server_kind, const Address& address,
-                        const std::string& state) {
-    auto request = convention_->release(r.in.name, attempt, state, server_kind);
+CallId Edge::release_call(Letting letting, const std::string& server, const Address& address) {
+    auto request = convention_->release(letting.name, letting.attempt, letting.state, letting.server_kind);
     if (!request || no_release_.contains(server)) {
         // Counted and noted: the state stays until the engine drops it by its own time.
         emit(Note{observe::ServerRecord{server, "release", "none"}});
-        return;
+        return {};
     }
+    letting.tries += 1;
     Call call;
     call.call = {++last_call_};
     call.kind = CallKind::release;
     call.server = server;
-    call.server_kind = server_kind;
+    call.server_kind = letting.server_kind;
     call.address = address;
     call.worth = kLetGoWorth;
     put(call, std::move(*request));
@@ -995,9 +1128,11 @@
     out.kind = call.kind;
     out.server = server;
     out.begun = now_;
+    out.letting = std::move(letting);
     call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
     calls_.emplace(out.id, std::move(out));
     emit(std::move(call));
+    return {last_call_};
 }
 
 }  // namespace chalksail::core
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -58,6 +58,9 @@
 struct CallSent {  // its first byte was handed to a connection
     CallId call;
 };
+struct CallWritten {  // its last byte was
+    CallId call;
+};
 struct CallHead {
     CallId call;
     int status = 0;
@@ -99,7 +102,7 @@
 };
 struct TrustChanged {};  // what servers are verified against is not what it was
 struct DrainBegins {};   // no new request is taken from now on
-using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallHead, CallBody, CallDone,
+using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallWritten, CallHead, CallBody, CallDone,
                            CallFailed, ServerList, CacheMessage, CacheReplayEnded, CacheSnapshots,
                            TrustChanged, DrainBegins>;
 
@@ -126,7 +129,7 @@
     ClientId client;
 };
 // `verify`: only a connection whose server has proved its name; nothing is asked on it. Done, or failed.
-enum class CallKind { attempt, release, probe, verify };
+enum class CallKind { attempt, release, seat, probe, verify };
 struct Call {
     CallId call;
     CallKind kind = CallKind::attempt;
@@ -216,6 +219,7 @@
     void reply(ClientId client, Answer answer);
     // calls
     void on(const CallSent& in);
+    void on(const CallWritten& in);
     void on(CallHead& in);
     void on(CallBody& in);
     void on(const CallDone& in);
@@ -226,6 +230,7 @@
     void end_other(const Outgoing& call, engine::Ending ending, const std::string& detail);
     void end_probe(const Outgoing& call, engine::Ending ending);
     void end_release(const Outgoing& call, engine::Ending ending);
+    void end_seat(const Outgoing& call, engine::Ending ending);
     // list
     void on(const ServerList& in);
     void on(const DrainBegins&) { draining_ = true; }
@@ -250,8 +255,8 @@
     void act(const Fail& action);
     void act(const CancelAttempt& action);
     void act(const Release& action);
-    void act(const MoveStream&) {}  // streams are not moved
-    void act(const BookSeat&) {}    // engines of this convention hold no places ahead
+    void act(const MoveStream& action);
+    void act(const BookSeat& action);
     void act(const Probe& action);
     void act(const Wake& action);
     void act(const FollowList&) {}  // the list is pushed
@@ -266,8 +271,20 @@
     void finish(Open& open, observe::Fate fate, int status, std::string reason);
     void drop_if_over(RequestId id);
     void let_go(Open& open);
-    void release_call(const Open& open, std::int64_t attempt, const std::string& server,
-                      const std::string& server_kind, const Address& address, const std::string& state);
+    // One let-go call, and what it takes to ask again.
+    struct Letting {
+        std::string name;
+        std::int64_t attempt = 0;
+        std::string state;
+        std::string server_kind;
+        std::set<std::string> tried;
+        std::int64_t tries = 0;
+    };
+    CallId release_call(Letting letting, const std::string& server, const Address& address);
+    void let_go_loose();
+    // Places and states that a let-go call under way would take from a new attempt.
+    void stop_letting(Open& open);
+    [[nodiscard]] const ListedServer* server_for_release(const std::set<std::string>& tried) const;
 
     Open* find(RequestId id);
     Open* find(ClientId client);
@@ -304,6 +321,7 @@
     std::size_t unanswered_ = 0;
     std::size_t held_ = 0;
     std::set<std::string> no_release_;  // servers that have no let-go call
+    std::vector<RequestId> loose_;      // requests for which something may be held that no attempt may want
 };
 
 }  // namespace chalksail::core
--- /dev/null
+++ b/src/core/platform_convention.cpp
@@ -0,0 +1,218 @@
+#include "core/platform_convention.hpp"
+
+#include <algorithm>
+#include <memory>
+#include <utility>
+
+#include "platform/answer.hpp"
+#include "platform/request.hpp"
+
+namespace chalksail::core {
+namespace {
+
+Answer error_answer(int status, std::string_view message) {
+    Answer out;
+    out.status = status;
+    out.headers.add("Content-Type", "application/json");
+    out.body = platform::format_error(message);
+    return out;
+}
+
+class Events : public WriterAnswer {
+public:
+    explicit Events(std::shared_ptr<platform::EventReader> reader) : reader_(std::move(reader)) {}
+    Progress feed(std::string_view bytes) override {
+        auto events = reader_->feed(bytes);
+        Progress out;
+        out.to_client = std::move(events.bytes);
+        out.events = events.count;
+        // Its end is the answer's last chunk: a stream may still be spoilt after its [DONE].
+        if (reader_->spoilt()) {
+            out.state = State::spoilt;
+            out.detail = "no event, or one too large";
+        }
+        return out;
+    }
+    [[nodiscard]] bool whole() const override { return reader_->done(); }
+
+private:
+    std::shared_ptr<platform::EventReader> reader_;
+};
+
+}  // namespace
+
+class PlatformConvention::Request : public Exchange {
+public:
+    Request(PlatformConvention& owner, std::string id, http::Request request)
+        : owner_(owner),
+          id_(std::move(id)),
+          method_(std::move(request.method)),
+          target_(std::move(request.target)),
+          body_(std::move(request.body)) {
+        owner_.open_.insert(id_);
+    }
+    ~Request() override { owner_.open_.erase(id_); }
+    Request(const Request&) = delete;
+    Request& operator=(const Request&) = delete;
+
+    // Readers and writers get the same: the request's id is enough to find its state.
+    [[nodiscard]] ServerRequest read(std::int64_t, Duration left) const override { return passed_on(left); }
+    [[nodiscard]] ServerRequest write(std::int64_t, const std::string&, Duration left) const override {
+        return passed_on(left);
+    }
+    [[nodiscard]] std::unique_ptr<WriterAnswer> writer_answer() override {
+        auto reader = std::make_shared<platform::EventReader>(owner_.settings_.limits.event_bytes);
+        reader_ = reader;
+        return std::make_unique<Events>(std::move(reader));
+    }
+    void drop_request() override { std::string().swap(body_); }
+
+    [[nodiscard]] double told_prompt_tokens() const override { return reader_ ? reader_->prompt_tokens() : 0; }
+    [[nodiscard]] double completion_tokens() const override { return reader_ ? reader_->completion_tokens() : 0; }
+    [[nodiscard]] double kept_tokens() const override { return reader_ ? reader_->cached_tokens() : 0; }
+
+    [[nodiscard]] http::Headers stream_head() const override {
+        http::Headers out;
+        out.add("Content-Type", "text/event-stream");
+        return out;
+    }
+    [[nodiscard]] std::optional<std::string> stream_error(int, const std::string&) const override {
+        return std::nullopt;
+    }
+    [[nodiscard]] Answer refusal(Duration retry_after) const override {
+        auto out = error_answer(503, "no room to serve this in time; nothing was done");
+        if (retry_after > Duration::zero())
+            out.headers.add("Retry-After", platform::format_retry_after(retry_after));
+        return out;
+    }
+    [[nodiscard]] Answer failure(int status, const std::string& message, bool) const override {
+        return error_answer(status, message);
+    }
+    [[nodiscard]] Answer verdict(int status, const HeadFacts&, std::string) const override {
+        return error_answer(status, "the model server turned it down");
+    }
+
+private:
+    [[nodiscard]] ServerRequest passed_on(Duration left) const {
+        ServerRequest out{method_, target_, {}, body_};
+        out.headers.add("Content-Type", "application/json");
+        out.headers.add(std::string(platform::kIdHeader), id_);
+        out.headers.add(std::string(platform::kTimeLeftHeader), platform::format_time_left(left));
+        return out;
+    }
+
+    PlatformConvention& owner_;
+    std::string id_;
+    std::string method_;
+    std::string target_;
+    std::string body_;
+    std::shared_ptr<const platform::EventReader> reader_;  // of the last answer: its figures
+};
+
+// ================= clients =================
+
+std::optional<Answer> PlatformConvention::answer(const http::Request& request, bool draining) const {
+    const auto path = request.path();
+    if (path == platform::kReadyPath)
+        return draining ? error_answer(503, "going away") : Answer{200, {}, "ready\n"};
+    if (path != platform::kChatPath) return error_answer(404, "no such path");
+    if (request.method != "POST") return error_answer(405, "use POST");
+    return std::nullopt;
+}
+
+Rejection PlatformConvention::turn_away(const http::Request& request, std::uint64_t, Away why) const {
+    const bool draining = why == Away::draining;
+    Rejection out{error_answer(503, draining ? "this gateway is going away" : "too many open requests"),
+                  std::string(request.headers.get(platform::kIdHeader)),
+                  {}};
+    if (draining) out.answer.headers.add("Connection", "close");
+    else if (settings_.module.max_retry_after > Duration::zero())
+        out.answer.headers.add("Retry-After", platform::format_retry_after(settings_.module.max_retry_after / 2));
+    return out;
+}
+
+tl::expected<Intake, Rejection> PlatformConvention::take_in(http::Request& request, std::uint64_t) {
+    const auto reject = [&](int status, std::string_view message) {
+        return tl::unexpected(Rejection{error_answer(status, message), {}, {}});
+    };
+    auto told = platform::read_request(request);
+    if (!told) return reject(400, told.error());
+    const auto& classes = settings_.module.classes;
+    const auto cls =
+        std::find_if(classes.begin(), classes.end(), [&](const auto& c) { return c.name == told->class_name; });
+    if (cls == classes.end()) return reject(400, "X-Service-Class: no such class");
+    // Two requests of one id could not be told apart at the servers.
+    if (open_.contains(told->id)) return reject(409, "X-Correlation-Id: of a request that is open");
+    Intake out;
+    out.name = told->id;
+    out.cls = static_cast<std::size_t>(cls - classes.begin());
+    out.tenant = std::move(told->tenant);
+    out.session = told->session.empty() ? told->id : std::move(told->session);
+    out.prefix = std::move(told->prefix);
+    out.deadline = told->time_left;
+    out.prompt_tokens = told->prompt_tokens;
+    out.shared_tokens = told->shared_tokens;
+    out.max_output = told->max_output;
+    out.retry = told->retry;
+    out.again = told->again;
+    out.exchange = std::make_unique<Request>(*this, std::move(told->id), std::move(request));
+    return out;
+}
+
+// ================= servers =================
+
+HeadFacts PlatformConvention::read_head(int status, const http::Headers& headers) const {
+    HeadFacts out;
+    if (headers.get(platform::kNotRunHeader) == "1")
+        out.not_run = status == 410 ? engine::NotRun::no_state : engine::NotRun::full;
+    return out;
+}
+
+std::optional<ReadResult> PlatformConvention::read_result(int status, std::string_view body) const {
+    if (status != 202) return std::nullopt;
+    return ReadResult{{}, 0, platform::read_cached_tokens(body)};
+}
+
+engine::Judgement PlatformConvention::judge(const engine::Facts& f, const std::string&) const {
+    platform::Facts facts;
+    switch (f.ending) {
+        case engine::Ending::answered: facts.ended = platform::Ended::answered; break;
+        case engine::Ending::no_resources:
+            // Our own trouble tells nothing of the server: it is as if the attempt had never been made.
+            if (!f.sent) return {Outcome::moot, 0, false};
+            facts.ended = platform::Ended::broke;
+            break;
+        case engine::Ending::dial_failed:
+        case engine::Ending::not_verified:
+        case engine::Ending::withdrawn: facts.ended = platform::Ended::no_connection; break;
+        case engine::Ending::closed: facts.ended = platform::Ended::broke; break;
+        case engine::Ending::bad_answer: facts.ended = platform::Ended::spoilt; break;
+        case engine::Ending::timed_out: facts.ended = platform::Ended::timed_out; break;
+        case engine::Ending::cancelled: facts.ended = platform::Ended::called_off; break;
+    }
+    facts.written = f.written;
+    facts.read = f.read;
+    facts.started = f.started;
+    facts.whole = f.whole;
+    facts.status = f.status;
+    facts.not_run = f.not_run != engine::NotRun::not_said;
+    const auto verdict = platform::judge(facts);
+    return {verdict.outcome, verdict.remark, false};
+}
+
+std::optional<ServerRequest> PlatformConvention::release(const std::string& name, std::int64_t, const std::string&,
+                                                         const std::string&) const {
+    return ServerRequest{"DELETE", platform::lease_target(name), {}, ""};
+}
+std::optional<ServerRequest> PlatformConvention::seat(const std::string& name) const {
+    return ServerRequest{"POST", platform::lease_target(name), {}, ""};
+}
+Convention::Seat PlatformConvention::seat_answer(int status) const {
+    if (status == 200) return Seat::held;
+    return status == 204 ? Seat::not_known : Seat::not_held;
+}
+
+ServerRequest PlatformConvention::probe() const { return {"GET", std::string(platform::kHealthPath), {}, ""}; }
+std::vector<double> PlatformConvention::probe_report(const HeadFacts&, std::string_view) const { return {}; }
+
+}  // namespace chalksail::core
--- /dev/null
+++ b/src/core/platform_convention.hpp
@@ -0,0 +1,36 @@
+// The users' platform: the codecs of src/platform put together.
+#pragma once
+
+#include <unordered_set>
+
+#include "core/convention.hpp"
+
+namespace chalksail::core {
+
+class PlatformConvention : public Convention {
+public:
+    explicit PlatformConvention(const config::EdgeSettings& settings) : settings_(settings) {}
+
+    [[nodiscard]] std::optional<Answer> answer(const http::Request& request, bool draining) const override;
+    [[nodiscard]] Rejection turn_away(const http::Request& request, std::uint64_t number, Away why) const override;
+    [[nodiscard]] tl::expected<Intake, Rejection> take_in(http::Request& request, std::uint64_t number) override;
+    [[nodiscard]] HeadFacts read_head(int status, const http::Headers& headers) const override;
+    [[nodiscard]] std::optional<ReadResult> read_result(int status, std::string_view body) const override;
+    [[nodiscard]] engine::Judgement judge(const engine::Facts& facts, const std::string& kind) const override;
+    [[nodiscard]] LetGo let_go_covers() const override { return LetGo::request; }
+    [[nodiscard]] std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
+                                                       const std::string& state,
+                                                       const std::string& kind) const override;
+    [[nodiscard]] bool no_release(int) const override { return false; }
+    [[nodiscard]] std::optional<ServerRequest> seat(const std::string& name) const override;
+    [[nodiscard]] Seat seat_answer(int status) const override;
+    [[nodiscard]] ServerRequest probe() const override;
+    [[nodiscard]] std::vector<double> probe_report(const HeadFacts& head, std::string_view body) const override;
+
+private:
+    class Request;
+    config::EdgeSettings settings_;
+    std::unordered_set<std::string> open_;  // ids: no two requests share one while either is kept
+};
+
+}  // namespace chalksail::core
--- /dev/null
+++ b/src/core/platform_settings.cpp
@@ -0,0 +1,68 @@
+#include "core/platform_settings.hpp"
+
+#include <algorithm>
+
+namespace chalksail::core {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr std::int64_t kDescriptorsKept = 32;  // standard streams, the loop, listener, discovery, and a reserve
+constexpr std::size_t kKiB = 1024;
+
+}  // namespace
+
+config::EdgeSettings platform_settings(const platform::Configuration& told) {
+    config::EdgeSettings out;
+    out.module = told.settings;
+    out.speaks = config::Speaks::platform;
+    out.name = told.name;
+    out.seed = told.seed;
+    out.listen = told.listen;
+    out.admin.reset();
+    for (const auto& c : out.module.classes) {
+        config::ClassConfig cls;
+        cls.name = c.name;
+        out.classes.push_back(std::move(cls));
+    }
+    for (const auto& k : out.module.kinds) {
+        config::KindConfig kind;
+        kind.name = k.name;
+        out.kinds.push_back(std::move(kind));
+    }
+    Duration longest{};
+    for (const auto& c : out.module.classes) longest = std::max(longest, c.deadline);
+
+    config::EdgeLimits& l = out.limits;
+    // Descriptors: a bit over half for clients, of whom some ask nothing; each open request has one server at most.
+    const std::int64_t free = told.limits.sockets - kDescriptorsKept;
+    l.connections = free * 11 / 20;
+    l.open_requests = l.connections;
+    l.server_connections = free - l.connections;
+    l.per_server = l.server_connections;
+    l.dial_queue = l.open_requests;
+    // Bytes: no body of the platform's is larger, heads are some hundred.
+    l.head_bytes = 16 * kKiB;
+    l.body_bytes = 256 * kKiB;
+    l.answer_bytes = 64 * kKiB;
+    l.event_bytes = 64 * kKiB;
+    l.stream_buffer = 64 * kKiB;
+    l.pipelined_bytes = 4 * kKiB;
+    // Times: whoever asks nothing, or half a request, is let go before the platform calls it kept waiting.
+    l.head_timeout = milliseconds(2000);
+    l.body_timeout = milliseconds(400);
+    l.first_timeout = milliseconds(2200);
+    l.idle_timeout = seconds(60);
+    l.stall_timeout = seconds(4);
+    l.stream_idle = seconds(4);
+    // A server closes a connection at its limit: it is closed here, well before.
+    if (told.server_idle > Duration::zero()) l.server_idle = told.server_idle / 2;
+    l.release_timeout = milliseconds(150);
+    l.release_tries = 6;
+    l.drain_grace = milliseconds(500);
+    l.drain = longest + l.drain_grace;
+    return out;
+}
+
+}  // namespace chalksail::core
--- a/src/core/vllm_convention.cpp
+++ b/src/core/vllm_convention.cpp
@@ -55,10 +55,10 @@
     std::unique_ptr<chat::Collector> collector;  // where the client wants one object
     engine::Usage usage;
 
-    [[nodiscard]] ServerRequest read(std::int64_t attempt) const override {
+    [[nodiscard]] ServerRequest read(std::int64_t attempt, Duration) const override {
         return {"POST", std::string(engine::kChatPath), headers(attempt), engine::read_body(body, chat)};
     }
-    [[nodiscard]] ServerRequest write(std::int64_t attempt, const std::string& state) const override {
+    [[nodiscard]] ServerRequest write(std::int64_t attempt, const std::string& state, Duration) const override {
         return {"POST", std::string(engine::kChatPath), headers(attempt), engine::write_body(body, chat, state)};
     }
     [[nodiscard]] std::unique_ptr<WriterAnswer> writer_answer() override;
@@ -356,8 +356,4 @@
     return settings_.load == config::LoadSource::metrics ? engine::parse_metrics_page(body).report() : head.report;
 }
 
-std::unique_ptr<Convention> make_convention(const config::EdgeSettings& settings) {
-    return std::make_unique<VllmConvention>(settings);
-}
-
 }  // namespace chalksail::core
--- a/src/engine/outcome.hpp
+++ b/src/engine/outcome.hpp
@@ -36,6 +36,7 @@
 struct Facts {
     Ending ending = Ending::answered;
     bool sent = false;     // some byte of it was handed to a connection
+    bool written = false;  // ... and its last one too: the line for conventions whose servers begin with it
     bool read = false;     // at a prefill engine
     bool started = false;  // a first piece of the answer has been seen
     bool whole = false;  // the answer makes sense to its end: state parameters of a read, [DONE] of a stream
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -83,17 +83,21 @@
     EdgeShell& shell;
 };
 
-EdgeShell::EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log)
+EdgeShell::EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log,
+                     std::unique_ptr<membership::ListSource> list)
     : loop_(loop),
       settings_(settings),
       log_(log),
       metrics_(settings.name),
       edge_(settings, vocabulary_of(settings.cache_events)),
-      admin_handler_(std::make_unique<AdminHandler>(*this)) {
+      admin_handler_(std::make_unique<AdminHandler>(*this)),
+      list_(std::move(list)) {
     std::set<std::string> kinds;
     for (const auto& k : settings_.kinds) kinds.insert(k.name);
-    settings_source_ = std::make_unique<SettingsSource>(settings_);
-    admin_source_ = std::make_unique<AdminSource>(std::move(kinds), offset_now());
+    if (list_ == nullptr) {
+        settings_source_ = std::make_unique<SettingsSource>(settings_);
+        admin_source_ = std::make_unique<AdminSource>(std::move(kinds), offset_now());
+    }
     for (const auto& k : settings_.kinds) {
         if (!k.tls) continue;
         auto& rotation = tls_.try_emplace(k.name, *k.tls).first->second;
@@ -107,7 +111,8 @@
     }
     clients_ = std::make_unique<HttpServer>(loop_, static_cast<HttpServer::Handler&>(*this),
                                             client_limits(settings_.limits));
-    admin_ = std::make_unique<HttpServer>(loop_, *admin_handler_, admin_limits(settings_.limits));
+    if (settings_.admin)
+        admin_ = std::make_unique<HttpServer>(loop_, *admin_handler_, admin_limits(settings_.limits));
     servers_ =
         std::make_unique<HttpPool>(loop_, static_cast<HttpPool::Handler&>(*this), pool_limits(settings_));
     if (listener_tls_) clients_->set_tls(listener_tls_->context());
@@ -131,7 +136,7 @@
     }
     address_ = clients_->listen(settings_.listen,
                                 listener_tls_ ? HttpServer::Speaks::tls : HttpServer::Speaks::clear);
-    admin_address_ = admin_->listen(settings_.admin);
+    if (admin_) admin_address_ = admin_->listen(*settings_.admin);
 
     check_ = new uv_check_t;
     uv_check_init(&loop_, check_);
@@ -157,8 +162,12 @@
             look, look);
         uv_unref(reinterpret_cast<uv_handle_t*>(reload_timer_));
     }
-    admin_source_->start(*this);
-    settings_source_->start(*this);
+    if (list_) {
+        list_->start(*this);
+    } else {
+        admin_source_->start(*this);
+        settings_source_->start(*this);
+    }
     pump();
 }
 
@@ -172,6 +181,7 @@
     inputs_.emplace_back(core::ClientBacklog{{peer}, full});
 }
 void EdgeShell::on_sent(HttpPool::Call call) { inputs_.emplace_back(core::CallSent{{call}}); }
+void EdgeShell::on_written(HttpPool::Call call) { inputs_.emplace_back(core::CallWritten{{call}}); }
 void EdgeShell::on_head(HttpPool::Call call, int status, http::Headers headers) {
     inputs_.emplace_back(core::CallHead{{call}, status, std::move(headers)});
 }
@@ -201,7 +211,7 @@
         for (auto& output : edge_.step(now, std::exchange(inputs_, {}))) carry_out(output);
         clients_->flush();
     }
-    admin_->flush();
+    if (admin_) admin_->flush();
     if (const auto wake = edge_.next_wake()) {
         const auto left =
             std::chrono::duration_cast<std::chrono::microseconds>(*wake - uv_now_time()).count();
@@ -301,6 +311,10 @@
     http::Headers headers;
     headers.add("Content-Type", "application/json");
     const auto path = request.path();
+    if (path == "/servers" && admin_source_ == nullptr)
+        return admin_->reply(peer, 404, headers,
+                             chat::format_error({404, "the list comes from elsewhere", "invalid_request_error", "",
+                                                 "not_found"}));
     if (path == "/servers" && request.method == "POST") {
         if (const auto wrong = admin_source_->post(request.body)) {
             log_.say("warn", "list_refused", *wrong);
@@ -380,9 +394,9 @@
     draining_ = true;
     log_.say("info", "drain",
              "stops accepting; " + std::to_string(edge_.gauges().open_requests) + " requests are open");
-    clients_->stop_listening();
-    clients_->drain();
-    inputs_.emplace_back(core::DrainBegins{});
+    take_until_ = uv_now_time() + settings_.limits.drain_grace;
+    if (settings_.limits.drain_grace == Duration::zero()) stop_taking();
+    else clients_->last_answers();
     drain_timer_ = new uv_timer_t;
     uv_timer_init(&loop_, drain_timer_);
     drain_timer_->data = this;
@@ -391,6 +405,10 @@
         drain_timer_,
         [](uv_timer_t* t) {
             auto& shell = *static_cast<EdgeShell*>(t->data);
+            if (shell.take_until_ != Time::max()) {
+                if (uv_now_time() < shell.take_until_) return shell.pump();
+                shell.stop_taking();
+            }
             shell.pump();
             const auto g = shell.edge_.gauges();
             const bool done =
@@ -404,6 +422,13 @@
         kDrainLookMs, kDrainLookMs);
 }
 
+void EdgeShell::stop_taking() {
+    take_until_ = Time::max();
+    clients_->stop_listening();
+    clients_->drain();
+    inputs_.emplace_back(core::DrainBegins{});
+}
+
 // Without a snapshot the index only has to be filled anew: never a reason to stop.
 void EdgeShell::store_snapshot(const std::function<void()>& write) {
     try {
@@ -423,6 +448,7 @@
     uv_close(reinterpret_cast<uv_handle_t*>(check_),
              [](uv_handle_t* h) { delete reinterpret_cast<uv_check_t*>(h); });
     check_ = nullptr;
+    list_.reset();
     caches_.reset();
     if (snapshots_) store_snapshot([&] { snapshots_->flush(); });
     snapshots_.reset();
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -27,12 +27,15 @@
 class EdgeShell : HttpServer::Handler, HttpPool::Handler, CacheFeed::Handler, membership::ListSink {
 public:
     // Throws std::runtime_error if an address can't be listened on, std::invalid_argument for bad settings.
-    EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log);
+    // `list`: where the list of servers comes from; nullptr: the settings' own, and the admin listener.
+    EdgeShell(uv_loop_t& loop, const config::EdgeSettings& settings, observe::Log& log,
+              std::unique_ptr<membership::ListSource> list = nullptr);
     ~EdgeShell() override;
     EdgeShell(const EdgeShell&) = delete;
     EdgeShell& operator=(const EdgeShell&) = delete;
 
     [[nodiscard]] const Address& address() const { return address_; }
+    // Port 0: there is no admin listener.
     [[nodiscard]] const Address& admin_address() const { return admin_address_; }
     // Stops accepting; when all is answered, or the drain time is over, closes everything, so that the loop
     // ends.
@@ -47,6 +50,7 @@
     void on_closed(HttpServer::Peer peer) override;
     void on_backlog(HttpServer::Peer peer, bool full) override;
     void on_sent(HttpPool::Call call) override;
+    void on_written(HttpPool::Call call) override;
     void on_head(HttpPool::Call call, int status, http::Headers headers) override;
     void on_body(HttpPool::Call call, std::string bytes) override;
     void on_done(HttpPool::Call call) override;
@@ -60,6 +64,7 @@
     [[nodiscard]] Target target_of(const core::Call& call);
     void pump();  // gives the core what has come, and does what it says, until nothing is left
     void carry_out(core::Output& output);
+    void stop_taking();
     void finish();
 
     uv_loop_t& loop_;
@@ -78,6 +83,7 @@
     std::vector<core::Input> inputs_;
     std::map<std::string, tls::Rotation> tls_;  // by kind of server
     std::optional<tls::Rotation> listener_tls_;
+    std::unique_ptr<membership::ListSource> list_;
     std::unique_ptr<SettingsSource> settings_source_;
     std::unique_ptr<AdminSource> admin_source_;
     Address address_;
@@ -86,6 +92,7 @@
     uv_timer_t* wake_ = nullptr;
     uv_timer_t* drain_timer_ = nullptr;
     uv_timer_t* reload_timer_ = nullptr;
+    Time take_until_{};  // while draining: requests that come until then are served
     Time drain_until_{};
     std::uint64_t tls_refused_ = 0;
     std::uint64_t tls_replaced_ = 0;
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -28,11 +28,6 @@
     return format_address(key.first) + ' ' + key.second;
 }
 
-struct WriteJob {
-    uv_write_t request{};
-    std::string bytes;
-};
-
 }  // namespace
 
 struct HttpPool::Connection {
@@ -54,6 +49,16 @@
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
 };
 
+namespace {
+template <class Connection>
+struct WriteJob {
+    uv_write_t request{};
+    std::string bytes;
+    Connection* connection = nullptr;
+    HttpPool::Call whole = 0;  // the call whose last byte this brings; 0: none
+};
+}  // namespace
+
 HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
     : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), gate_(limits.handshakes) {
     sweeper_ = new uv_timer_t;
@@ -196,19 +201,37 @@
     c.reader.reset();
     busy_[call] = &c;
     handler_.on_sent(call);  // from here on it may run, whatever the write says
-    if (!write(c, c.filter ? c.filter->send(bytes).to_peer : std::move(bytes)))
+    if (!write(c, c.filter ? c.filter->send(bytes).to_peer : std::move(bytes), call))
         broke(c, Ending::closed, "write failed");
 }
 
-bool HttpPool::write(Connection& c, std::string bytes) {
+void HttpPool::wrote(Connection& c, Call call) {
+    if (c.state == Connection::State::busy && c.call == call) handler_.on_written(call);
+}
+
+bool HttpPool::write(Connection& c, std::string bytes, Call whole) {
     if (bytes.empty()) return true;
-    auto* job = new WriteJob;
+    // Most requests fit into the socket's buffer: they are out when this returns, without a job of their own.
+    if (uv_stream_get_write_queue_size(c.stream()) == 0) {
+        uv_buf_t all = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
+        const int done = uv_try_write(c.stream(), &all, 1);
+        if (done < 0 && done != UV_EAGAIN) return false;
+        if (done == static_cast<int>(bytes.size())) {
+            if (whole != 0) c.pool->wrote(c, whole);
+            return true;
+        }
+        if (done > 0) bytes.erase(0, static_cast<std::size_t>(done));
+    }
+    auto* job = new WriteJob<Connection>;
     job->bytes = std::move(bytes);
     job->request.data = job;
+    job->connection = &c;  // its handle outlives its writes
+    job->whole = whole;
     uv_buf_t buffer = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
-    const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int) {
+    const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int status) {
+        const std::unique_ptr<WriteJob<Connection>> over(static_cast<WriteJob<Connection>*>(w->data));
         // A failed write is seen by the reader too, as the end of the connection.
-        delete static_cast<WriteJob*>(w->data);
+        if (status == 0 && over->whole != 0) over->connection->pool->wrote(*over->connection, over->whole);
     });
     if (error != 0) delete job;
     return error == 0;
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -57,7 +57,8 @@
     using Call = std::uint64_t;
     struct Handler {
         virtual ~Handler() = default;
-        virtual void on_sent(Call) {}
+        virtual void on_sent(Call) {}     // its first byte was handed to a connection
+        virtual void on_written(Call) {}  // its last one was
         virtual void on_head(Call call, int status, http::Headers headers) = 0;
         virtual void on_body(Call call, std::string bytes) = 0;
         virtual void on_done(Call call) = 0;
@@ -122,7 +123,8 @@
     static void start_reading(Connection& c);
     void ready(Connection& c);
     void send(Connection& c, Call call, std::string bytes);
-    static bool write(Connection& c, std::string bytes);
+    static bool write(Connection& c, std::string bytes, Call whole = 0);
+    void wrote(Connection& c, Call call);
     void took(Connection& c, std::string_view bytes);
     void plain(Connection& c, std::string_view bytes);
     void tls_fault(Connection& c, const tls::Fault& fault);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -205,7 +205,7 @@
         }
         auto& request = std::get<http::Request>(progress);
         c.midway = false;
-        c.keep_alive = request.keep_alive && !draining_;
+        c.keep_alive = request.keep_alive && !draining_ && !last_answers_;
         c.head_only = request.method == "HEAD";
         c.http_1_0 = request.http_1_0;
         c.peer = ++last_peer_;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -61,6 +61,8 @@
     // that speaks TLS nothing is accepted before set_tls().
     Address listen(const Address& address, Speaks speaks = Speaks::clear);
     void stop_listening();
+    // From now on each answer is its connection's last.
+    void last_answers() { last_answers_ = true; }
     // Closes connections that have no request in hand, and from now on each other one after its answer.
     void drain();
     // Closes all at once.
@@ -122,6 +124,7 @@
     std::vector<std::uint64_t> dirty_;
     std::uint64_t last_connection_ = 0;
     Peer last_peer_ = 0;
+    bool last_answers_ = false;
     bool draining_ = false;
     Counts counts_;
 };
--- /dev/null
+++ b/src/platform/list.cpp
@@ -0,0 +1,80 @@
+#include "platform/list.hpp"
+
+#include <set>
+
+#include "base/json.hpp"
+#include "platform/fields.hpp"
+
+namespace chalksail::platform {
+namespace {
+
+Instance read_instance(const Json& item) {
+    Instance out;
+    out.id = required<std::string>(item, "instanceId");
+    if (out.id.empty()) reject("instanceId", "text wanted");
+    out.state = word<ServerState>(item, "lifecycle",
+                                  {{"up", ServerState::up},
+                                   {"draining", ServerState::draining},
+                                   {"removed", ServerState::removed}});
+    const auto address = parse_address(optional<std::string>(item, "hostPort"));
+    // One that is gone needs no address.
+    if ((!address || address->port == 0) && out.state != ServerState::removed)
+        reject("hostPort", "IP:PORT wanted");
+    if (address) out.address = *address;
+    out.zone = optional<std::string>(item, "zone");
+    out.kind = optional<std::string>(item, "machineType");
+    out.cell = optional<std::int64_t>(item, "cell");
+    if (find(item, "weight") != nullptr) out.weight = required<double>(item, "weight");
+    out.started_unix_ms = optional<std::int64_t>(item, "startedAtMs");
+    // A time that no clock shows would overflow further on.
+    if (out.started_unix_ms < 0 || out.started_unix_ms > 9'000'000'000'000) reject("startedAtMs", "time wanted");
+    return out;
+}
+
+}  // namespace
+
+tl::expected<ListUpdate, std::string> read_list(const Json& list) {
+    try {
+        if (!list.IsObject()) return tl::unexpected(std::string("an object wanted"));
+        ListUpdate out;
+        out.generation = required<std::int64_t>(list, "generation");
+        out.whole = optional<bool>(list, "reset");
+        std::set<std::string> named;
+        for (const auto& item : array(list, "instances").GetArray()) {
+            if (!item.IsObject()) reject("instances", "objects wanted");
+            out.instances.push_back(read_instance(item));
+            if (!named.insert(out.instances.back().id).second) reject("instanceId", "named twice");
+        }
+        return out;
+    } catch (const BadField& error) {
+        return tl::unexpected(std::string(error.what()));
+    }
+}
+
+tl::expected<ListUpdate, std::string> parse_list(std::string_view text) {
+    json::Document list;
+    if (!json::parse(text, list)) return tl::unexpected(std::string("not JSON"));
+    return read_list(list);
+}
+
+std::string watch_target(std::int64_t since) { return "/v1/endpoints?follow=1&since=" + std::to_string(since); }
+
+std::vector<std::string> LineReader::feed(std::string_view bytes) {
+    std::vector<std::string> out;
+    while (!overflowed_ && !bytes.empty()) {
+        const auto end = bytes.find('\n');
+        line_ += bytes.substr(0, end);
+        if (line_.size() > most_) {
+            overflowed_ = true;
+            std::string().swap(line_);
+            break;
+        }
+        if (end == std::string_view::npos) break;
+        bytes.remove_prefix(end + 1);
+        if (!line_.empty() && line_.back() == '\r') line_.pop_back();
+        if (!line_.empty()) out.push_back(std::exchange(line_, {}));
+    }
+    return out;
+}
+
+}  // namespace chalksail::platform
--- /dev/null
+++ b/src/platform/list.hpp
@@ -0,0 +1,54 @@
+// The platform's list of model servers, as discovery tells it: whole, or as a watch of one JSON object a line. Bytes
+// to typed values; no I/O. Bounded: a line over its limit is an error before it is stored.
+#pragma once
+
+#include <rapidjson/document.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <tl/expected.hpp>
+#include <vector>
+
+#include "base/units.hpp"
+
+namespace chalksail::platform {
+
+struct Instance {
+    std::string id;
+    Address address;
+    std::string zone;
+    std::string kind;
+    std::int64_t cell = 0;
+    ServerState state = ServerState::up;
+    double weight = 1;
+    std::int64_t started_unix_ms = 0;  // 0: long ago
+};
+struct ListUpdate {
+    std::int64_t generation = 0;
+    bool whole = false;  // all that are left out are gone
+    std::vector<Instance> instances;
+};
+
+// Taken whole or not at all: an unknown word, a name twice, an address that is none refuse all of it, with the reason.
+[[nodiscard]] tl::expected<ListUpdate, std::string> read_list(const rapidjson::Value& list);
+[[nodiscard]] tl::expected<ListUpdate, std::string> parse_list(std::string_view text);
+
+// The path of a watch that begins after what is known.
+[[nodiscard]] std::string watch_target(std::int64_t since);
+
+// Cuts a watch's bytes into lines. Empty ones, which only say that discovery lives, are left out.
+class LineReader {
+public:
+    explicit LineReader(std::size_t most_bytes) : most_(most_bytes) {}
+    // The lines that became whole. After an overflow nothing more is given.
+    [[nodiscard]] std::vector<std::string> feed(std::string_view bytes);
+    [[nodiscard]] bool overflowed() const { return overflowed_; }
+
+private:
+    std::size_t most_;
+    std::string line_;
+    bool overflowed_ = false;
+};
+
+}  // namespace chalksail::platform
