Bodies bounded in sum, rested server connections first, metrics go with their servers

Need: within 32 MB and 256 descriptors whatever comes. Each body is within 256 KiB, but a hundred half-sent ones are not; let-go calls must go out also where all server connections are in use; counters by server stayed for good.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -101,7 +101,10 @@
 struct EdgeLimits {
     std::size_t head_bytes = 32 * 1024;
     std::size_t body_bytes = 8 * 1024 * 1024;
-    std::int64_t connections = 12'000;  // from clients
+    std::size_t request_bytes = std::size_t{1}
+                                << 30U;  // of all open requests' bodies, as long as they are kept
+    std::size_t unfinished_bytes = std::size_t{1} << 30U;  // of all requests that are still coming
+    std::int64_t connections = 12'000;                     // from clients
     std::int64_t open_requests = 11'000;
     std::int64_t per_server = 1'024;        // connections to one server
     std::int64_t dial_queue = 4'096;        // attempts waiting for a connection to one server
@@ -118,7 +121,8 @@
     Duration stall_timeout = std::chrono::seconds(30);  // a client that takes nothing of what waits for it
     Duration stream_idle = std::chrono::seconds(30);    // a started stream without a byte from its engine
     Duration stream_longest = std::chrono::minutes(30);
-    Duration server_idle = std::chrono::seconds(30);     // an unused connection to a server
+    Duration server_idle = std::chrono::seconds(30);  // an unused connection to a server
+    Duration server_rest{};  // one that has rested so long is taken before one that has just answered
     Duration drain = std::chrono::seconds(30);           // from SIGTERM to the exit
     Duration drain_grace{};                              // of it, new requests are still taken ...
     Duration drain_answers{};                            // ... and answered within this, from SIGTERM
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -35,6 +35,7 @@
     RequestId id;
     ClientId client;
     Intake in;
+    std::size_t body_bytes = 0;  // as long as it is kept
     Time arrived{};
     Time deadline{};                   // the module's: the client's less the slack that an answer needs
     double counted_prompt_tokens = 0;  // by the read
@@ -224,8 +225,10 @@
     using Away = Convention::Away;
     if (draining_)
         return turn_away(convention_->turn_away(request, number, Away::draining), Fate::refused, "draining");
-    if (unanswered_ >= static_cast<std::size_t>(settings_.limits.open_requests))
+    if (unanswered_ >= static_cast<std::size_t>(settings_.limits.open_requests) ||
+        request_bytes_ + request.body.size() > settings_.limits.request_bytes)
         return turn_away(convention_->turn_away(request, number, Away::limit), Fate::refused, "limit");
+    const std::size_t bytes = request.body.size();
     auto in = convention_->take_in(request, number);
     if (!in) return turn_away(std::move(in.error()), Fate::rejected, "invalid");
     auto open = std::make_unique<Open>();
@@ -233,6 +236,8 @@
     r.id = {number};
     r.client = client;
     r.in = std::move(*in);
+    r.body_bytes = bytes;
+    request_bytes_ += bytes;
     r.arrived = now_;
     if (answered_by_ != Time::max() && settings_.module.resume) r.moves_at = answered_by_;
     r.deadline =
@@ -369,7 +374,7 @@
     Time look = now_ + settings_.limits.stream_idle;
     if (r.moves_at != Time{}) look = std::min(look, r.moves_at);
     arm(r, streams ? look : std::min(look, r.deadline));
-    r.in.exchange->drop_request();
+    drop_body(r);
     if (streams) emit(StreamBegin{r.client, r.in.exchange->stream_head()});
 }
 
@@ -619,8 +624,11 @@
     for (const auto& [id, call] : calls_) used.insert(call.server);
     std::erase_if(servers_, [&](const auto& p) {
         const bool over = p.second.entry.state == ServerState::removed && !used.contains(p.first.value);
-        if (over) verification_.forget(p.first.value);
-        return over;
+        if (!over) return false;
+        verification_.forget(p.first.value);
+        no_release_.erase(p.first.value);
+        emit(ServerForgotten{p.first.value});
+        return true;
     });
 }
 
@@ -1047,6 +1055,11 @@
     finish(r, Fate::failed, status, std::move(reason));
 }
 
+void Edge::drop_body(Open& r) {
+    r.in.exchange->drop_request();
+    request_bytes_ -= std::exchange(r.body_bytes, 0);
+}
+
 void Edge::finish(Open& r, Fate fate, int status, std::string reason) {
     r.answered = true;
     unanswered_ -= 1;
@@ -1070,7 +1083,7 @@
     record.streamed = r.in.exchange->streams();
     record.trail = r.trail;
     emit(Note{std::move(record)});
-    r.in.exchange->drop_request();
+    drop_body(r);
 }
 
 // Forgets a request that has its answer and no attempt out. A state that is still held goes at once.
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -176,12 +176,15 @@
 struct CacheDrop {  // it is of no use any more
     std::string server;
 };
+struct ServerForgotten {  // off the list, and nothing of it is left here
+    std::string server;
+};
 struct Note {
     observe::Record record;
 };
 using Output =
     std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, StreamCut, Call, CallAbort, CallSettled,
-                 CallFlow, CacheFollow, CacheLeave, CacheReplay, CacheKeep, CacheDrop, Note>;
+                 CallFlow, CacheFollow, CacheLeave, CacheReplay, CacheKeep, CacheDrop, ServerForgotten, Note>;
 
 struct Gauges {
     std::size_t open_requests = 0;  // without a final answer
@@ -275,6 +278,7 @@
     // ends
     void fail(Open& open, int status, std::string reason, std::string message);
     void finish(Open& open, observe::Fate fate, int status, std::string reason);
+    void drop_body(Open& open);
     void drop_if_over(RequestId id);
     void let_go(Open& open);
     // One let-go call, and what it takes to ask again.
@@ -326,6 +330,7 @@
     std::uint64_t last_call_ = 0;
     std::size_t started_ = 0;
     std::size_t unanswered_ = 0;
+    std::size_t request_bytes_ = 0;  // of the bodies of open requests
     std::size_t held_ = 0;
     std::set<std::string> no_release_;  // servers that have no let-go call
     std::vector<RequestId> loose_;      // requests for which something may be held that no attempt may want
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -47,6 +47,10 @@
     // Bytes: no body of the platform's is larger, heads are some hundred.
     l.head_bytes = 16 * kKiB;
     l.body_bytes = 256 * kKiB;
+    // In sum: a body is copied while it waits for its connection, so twice of the first at most.
+    const std::size_t memory = static_cast<std::size_t>(told.limits.memory_mb) * kKiB * kKiB;
+    l.request_bytes = memory / 8;
+    l.unfinished_bytes = memory / 8;
     l.answer_bytes = 64 * kKiB;
     l.event_bytes = 64 * kKiB;
     l.chunk_bytes = l.body_bytes;
@@ -61,6 +65,7 @@
     l.stream_idle = seconds(4);
     // A server closes a connection at its limit: it is closed here, well before.
     if (told.server_idle > Duration::zero()) l.server_idle = told.server_idle / 2;
+    l.server_rest = milliseconds(5);
     l.release_timeout = milliseconds(150);
     l.release_tries = 6;
     // The platform kills no sooner than this after SIGTERM. Half of it goes by as before, and what comes then
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -141,6 +141,7 @@
 RequestReader::RequestReader(RequestReader&&) noexcept = default;
 RequestReader& RequestReader::operator=(RequestReader&&) noexcept = default;
 bool RequestReader::in_body() const { return state_->head_done; }
+std::size_t RequestReader::body_bytes() const { return state_->request.body.size(); }
 
 RequestReader::Progress RequestReader::feed(std::string_view& bytes) {
     State& s = *state_;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -76,6 +76,7 @@
     [[nodiscard]] Progress feed(std::string_view& bytes);
     // Is the head of the message that is being read whole?
     [[nodiscard]] bool in_body() const;
+    [[nodiscard]] std::size_t body_bytes() const;  // of it, so far
 
 private:
     struct State;
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -19,6 +19,7 @@
 ServerLimits client_limits(const config::EdgeLimits& l) {
     ServerLimits out;
     out.message = {l.head_bytes, l.body_bytes};
+    out.unfinished_bytes = l.unfinished_bytes;
     out.connections = static_cast<std::size_t>(l.connections);
     out.stream_buffer = l.stream_buffer;
     out.pipelined_bytes = l.pipelined_bytes;
@@ -44,6 +45,7 @@
     out.connections = static_cast<std::size_t>(s.limits.server_connections);
     out.dial_timeout = s.module.dial_timeout;
     out.idle = s.limits.server_idle;
+    out.rest = s.limits.server_rest;
     out.settle = s.limits.release_timeout;
     out.handshakes = {static_cast<std::size_t>(s.limits.handshakes),
                       static_cast<std::size_t>(s.limits.handshakes_per_server)};
@@ -275,7 +277,8 @@
         if (call->kind == core::CallKind::verify)
             return servers_->connect(call->call.value, target_of(*call));
         servers_->start(call->call.value, target_of(*call), call->method, call->target,
-                        std::move(call->headers), call->body, call->worth);
+                        std::move(call->headers), call->body, call->worth,
+                        call->kind == core::CallKind::release);
     } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
         servers_->cancel(abort->call.value);
     } else if (const auto* settled = std::get_if<core::CallSettled>(&output)) {
@@ -301,8 +304,10 @@
     } else if (const auto* drop = std::get_if<core::CacheDrop>(&output)) {
         store_snapshot([&] { snapshots_->erase(drop->server); });
     } else if (const auto* note = std::get_if<core::Note>(&output)) {
-        metrics_.count(note->record);
+        if (admin_) metrics_.count(note->record);  // else nobody can ask for them
         log_.write(note->record);
+    } else if (const auto* gone = std::get_if<core::ServerForgotten>(&output)) {
+        metrics_.forget(gone->server);
     }
 }
 
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -80,7 +80,7 @@
     void store_snapshot(const std::function<void()>& write);
     std::unique_ptr<store::Store> snapshots_;  // nullptr: none are kept
     std::uint64_t snapshots_written_ = 0;
-    std::unique_ptr<CacheFeed> caches_;        // nullptr: no kind publishes cache events
+    std::unique_ptr<CacheFeed> caches_;  // nullptr: no kind publishes cache events
     std::vector<core::Input> inputs_;
     std::map<std::string, tls::Rotation> tls_;  // by kind of server
     std::optional<tls::Rotation> listener_tls_;
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -79,7 +79,7 @@
 }
 
 void HttpPool::start(Call call, const Target& to, std::string_view method, std::string_view target,
-                     http::Headers headers, std::string_view body, double worth) {
+                     http::Headers headers, std::string_view body, double worth, bool beyond_limit) {
     http::Headers all;
     all.add("Host", to.tls ? to.tls_name : format_address(to.address));
     for (auto& h : headers.all()) all.add(std::move(h.name), std::move(h.value));
@@ -94,7 +94,7 @@
     Host& host = hosts_[to.key()];
     Waiting waiting{call, uv_now_time(), std::move(bytes), std::make_shared<Target>(to), worth};
     if (host.connections < limits_.per_server) {
-        if (may_dial()) return dial(to, host, std::move(waiting));
+        if (may_dial() || beyond_limit) return dial(to, host, std::move(waiting));
         if (host.connections == 0) hosts_.erase(to.key());
         return handler_.on_failed(call, Ending::no_resources,
                                   "connections to all servers are at their limit");
@@ -112,14 +112,18 @@
     for (;;) {
         const auto host = hosts_.find(key);
         if (host == hosts_.end() || host->second.idle.empty()) return nullptr;
-        Connection* c = host->second.idle.back();
+        auto& idle = host->second.idle;
+        const Time rested = uv_now_time() - limits_.rest;
+        const auto at =
+            std::find_if(idle.rbegin(), idle.rend(), [&](const auto* i) { return i->since <= rested; });
+        Connection* c = at == idle.rend() ? idle.back() : *at;
         uv_os_fd_t fd = -1;
         char byte = 0;
         const bool quiet = uv_fileno(reinterpret_cast<uv_handle_t*>(&c->socket), &fd) == 0 &&
                            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
                            (errno == EAGAIN || errno == EWOULDBLOCK);
         if (quiet) {
-            host->second.idle.pop_back();
+            std::erase(idle, c);
             return c;
         }
         counts_.stale += 1;
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -36,6 +36,8 @@
     std::size_t queue = 4096;     // calls waiting for one server
     Duration dial_timeout = std::chrono::milliseconds(250);
     Duration idle = std::chrono::seconds(30);
+    Duration rest{};  // one that has rested so long is taken first: a close right behind its answer would
+                      // have come
     tls::HandshakeGate::Limits handshakes;
     Duration settle = std::chrono::seconds(2);  // for the end of an answer of which all that matters is here
 };
@@ -72,9 +74,9 @@
     HttpPool& operator=(const HttpPool&) = delete;
 
     // Sends the request; Host, Content-Length and Connection are added. `worth` orders what waits for a
-    // handshake.
+    // handshake. `beyond_limit`: it is made a connection even where all may have no more: few, and short.
     void start(Call call, const Target& to, std::string_view method, std::string_view target,
-               http::Headers headers, std::string_view body, double worth = 0);
+               http::Headers headers, std::string_view body, double worth = 0, bool beyond_limit = false);
     // Only makes a connection, verified where the target says so, and keeps it for later calls: done, or
     // failed.
     void connect(Call call, const Target& to);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,7 +14,7 @@
 constexpr std::size_t kReadBuffer = 64 * 1024;
 constexpr std::uint64_t kSweepMs = 250;
 constexpr int kBacklog = 1024;
-constexpr Duration kJustCome = std::chrono::milliseconds(200);
+constexpr Duration kJustCome = std::chrono::milliseconds(20);  // a request follows its connection at once
 constexpr std::size_t kPressed = 4;  // under pressure once fewer than one in so many connections is left
 
 sockaddr_storage to_sockaddr(const Address& address) {
@@ -55,6 +55,7 @@
     Time begun{};  // of the message being read, or of the wait for one
     Time heard{};  // the last byte of it
     bool midway = false;
+    std::size_t unfinished = 0;               // bytes of the request that is coming
     bool asked = false;                       // it has sent a whole request before
     std::list<Connection*>* among = nullptr;  // the list it stands in, and where
     std::list<Connection*>::iterator place;
@@ -181,6 +182,7 @@
     Connection* out = leaving_.empty() ? nullptr : leaving_.front();
     if (out == nullptr) out = oldest(silent_, settled);
     if (out == nullptr) out = oldest(resting_, Time::max());
+    if (out == nullptr) out = oldest(silent_, Time::max());
     if (out == nullptr) return false;
     counts_.evicted += 1;
     close(*out);
@@ -250,11 +252,16 @@
                 write_out(c);
             }
             if (c.ahead.empty()) std::string().swap(c.ahead);
+            count_unfinished(c, c.reader.body_bytes());
+            // Guards against many that send half of a large request and stay: each is within its own limit.
+            if (unfinished_ > limits_.unfinished_bytes)
+                refuse(c, {503, "too many requests are still coming"});
             return;
         }
         auto& request = std::get<http::Request>(progress);
         c.midway = false;
         c.asked = true;
+        count_unfinished(c, 0);
         c.keep_alive = request.keep_alive && !draining_;
         c.head_only = request.method == "HEAD";
         c.http_1_0 = request.http_1_0;
@@ -265,6 +272,11 @@
     }
 }
 
+void HttpServer::count_unfinished(Connection& c, std::size_t bytes) {
+    unfinished_ += bytes;
+    unfinished_ -= std::exchange(c.unfinished, bytes);
+}
+
 void HttpServer::refuse(Connection& c, const http::Fault& fault) {
     counts_.bad_requests += 1;
     const std::string body = R"({"error":{"message":")" + fault.text +
@@ -277,6 +289,8 @@
     put(c, body);
     c.close_after = true;
     std::string().swap(c.ahead);
+    c.reader = http::RequestReader(limits_.message);  // what it has read of the request goes
+    count_unfinished(c, 0);
     write_out(c);
 }
 
@@ -349,6 +363,7 @@
         connections_.erase(c->id);
         c->closing = true;
         stir(*c);
+        count_unfinished(*c, 0);
         uv_tcp_close_reset(&c->socket, [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
     }
@@ -447,6 +462,7 @@
     if (c.closing) return;
     c.closing = true;
     stir(c);
+    count_unfinished(c, 0);
     if (c.filter && c.filter->connected()) {
         std::string bye = c.filter->close().to_peer;
         uv_buf_t buffer = uv_buf_init(bye.data(), static_cast<unsigned>(bye.size()));
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -29,7 +29,8 @@
     std::size_t connections = 1024;
     std::size_t stream_buffer = 64 * 1024;
     std::size_t pipelined_bytes = 64 * 1024;
-    Duration head_timeout = std::chrono::seconds(10);  // without a byte of a request that has begun
+    std::size_t unfinished_bytes = std::size_t{1} << 30U;  // of all requests that are still coming
+    Duration head_timeout = std::chrono::seconds(10);      // without a byte of a request that has begun
     Duration body_timeout = std::chrono::seconds(30);  // from its first byte to its last, beside the head's
     Duration first_timeout{};                          // with nothing ever asked; zero: as idle
     Duration idle_timeout = std::chrono::seconds(75);
@@ -112,6 +113,7 @@
     bool make_room();
     [[nodiscard]] static bool unread(const Connection& c);
     void say_last(Connection& c);
+    void count_unfinished(Connection& c, std::size_t bytes);
     static void start_reading(Connection& connection);
     void feed(Connection& c);
     void took(Connection& c, std::string_view bytes);
@@ -134,6 +136,7 @@
     std::unordered_map<std::uint64_t, Connection*> connections_;
     std::unordered_map<Peer, Connection*> in_hand_;
     std::vector<std::uint64_t> dirty_;
+    std::size_t unfinished_ = 0;      // bytes of requests that are still coming
     std::list<Connection*> silent_;   // that never asked anything
     std::list<Connection*> resting_;  // that may ask again
     std::list<Connection*> leaving_;  // that have had their last answer
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -6,6 +6,10 @@
 #include <prometheus/registry.h>
 #include <prometheus/text_serializer.h>
 
+#include <map>
+#include <set>
+#include <utility>
+
 namespace chalksail::observe {
 namespace {
 
@@ -24,6 +28,9 @@
     prometheus::Family<prometheus::Histogram>& first_token;
     prometheus::Family<prometheus::Histogram>& attempt_seconds;
     std::map<std::string, prometheus::Family<prometheus::Gauge>*> gauges;
+    // What is counted by server, to be dropped with it: new servers come without end.
+    std::map<std::string, std::set<std::pair<prometheus::Family<prometheus::Counter>*, prometheus::Counter*>>>
+        by_server;
     std::string gateway;
 
     explicit Families(const std::string& name)
@@ -75,18 +82,29 @@
             f.first_token.Add({{"class", r->class_name}}, kSeconds).Observe(seconds(r->first_token));
     } else if (const auto* a = std::get_if<AttemptRecord>(&record)) {
         const std::string stage = a->read ? "read" : "write";
-        f.attempts.Add({{"server", a->server}, {"stage", stage}, {"outcome", std::string(a->outcome)}})
-            .Increment();
+        auto& counter =
+            f.attempts.Add({{"server", a->server}, {"stage", stage}, {"outcome", std::string(a->outcome)}});
+        counter.Increment();
+        f.by_server[a->server].emplace(&f.attempts, &counter);
         f.attempt_seconds.Add({{"stage", stage}}, kSeconds).Observe(seconds(a->taken));
     } else if (const auto* s = std::get_if<ServerRecord>(&record)) {
         const bool call = s->what == "probe" || s->what == "release";
-        f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}})
-            .Increment();
+        auto& counter =
+            f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}});
+        counter.Increment();
+        f.by_server[s->server].emplace(&f.servers, &counter);
     } else {
         f.guards.Add({{"what", std::get<GuardRecord>(record).what}}).Increment();
     }
 }
 
+void Metrics::forget(const std::string& server) {
+    const auto it = families_->by_server.find(server);
+    if (it == families_->by_server.end()) return;
+    for (const auto& [family, counter] : it->second) family->Remove(counter);
+    families_->by_server.erase(it);
+}
+
 void Metrics::set(const std::string& gauge, double value) {
     auto& family = families_->gauges[gauge];
     if (family == nullptr)
--- a/src/observe/metrics.hpp
+++ b/src/observe/metrics.hpp
@@ -15,6 +15,8 @@
     explicit Metrics(const std::string& gateway);
     ~Metrics();
     void count(const Record& record);
+    // It is gone: what is counted by its name goes too.
+    void forget(const std::string& server);
     // Values that are read off now and then.
     void set(const std::string& gauge, double value);
     // The text page.
--- a/tests/apps/platform_test.sh
+++ b/tests/apps/platform_test.sh
@@ -5,7 +5,8 @@
 run=$1
 folder=$(mktemp -d)
 chmod 755 "$folder"
-trap 'kill "${gateway:-0}" 2>/dev/null || true; rm -rf "$folder"' EXIT
+gateway=
+trap '[ -z "$gateway" ] || kill "$gateway" 2>/dev/null || true; rm -rf "$folder"' EXIT
 as=(env -i)
 [ "$(id -u)" -ne 0 ] || as=(setpriv --reuid=65534 --regid=65534 --clear-groups env -i)
 settings='{"az":"a","classes":[{"aim_ns":1000000000,"deadline_ns":4000000000,"effect":"repeatable","gain":1.0,"name":"chat"}],"discovery":"push","extra":{"duty_by_kind":["read","write"]},"fleet_size":1,"limits":{"send_cap":4},"me":0,"report":{"fields":[]},"rules":{"cold_from":0.3,"fall_multiple":3.0,"fall_ns":2000000000},"skus":["r","w"],"tick_ns":2000000}'
--- a/tests/core/driver.hpp
+++ b/tests/core/driver.hpp
@@ -66,6 +66,7 @@
             else if (std::get_if<StreamEnd>(&o) != nullptr) streams_ended += 1;
             else if (std::get_if<StreamCut>(&o) != nullptr) streams_cut += 1;
             else if (auto* flow = std::get_if<CallFlow>(&o)) flows.push_back(*flow);
+            else if (auto* gone = std::get_if<ServerForgotten>(&o)) forgotten.push_back(gone->server);
             else if (auto* note = std::get_if<Note>(&o)) {
                 if (auto* r = std::get_if<observe::RequestRecord>(&note->record)) requests.push_back(*r);
                 if (auto* a = std::get_if<observe::AttemptRecord>(&note->record)) attempts.push_back(*a);
@@ -147,6 +148,7 @@
     std::vector<observe::AttemptRecord> attempts;
     std::vector<observe::GuardRecord> guards;
     std::vector<observe::ServerRecord> servers;
+    std::vector<std::string> forgotten;
     std::string streamed;
     int streams_begun = 0;
     int streams_ended = 0;
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -12,9 +12,8 @@
 
 struct Platform : Driver {
     explicit Platform(const std::string& text = told::configuration_text())
-        : Driver(platform_settings(platform::parse_configuration(text, {}).value())) {
-        usual_list();
-    }
+        : Platform(platform_settings(platform::parse_configuration(text, {}).value())) {}
+    explicit Platform(const config::EdgeSettings& with) : Driver(with) { usual_list(); }
     void get(const std::string& bytes, std::uint64_t client = 1) {
         http::RequestReader reader({});
         std::string_view rest = bytes;
@@ -155,6 +154,34 @@
     EXPECT_EQ(d.releases().size(), 1U);
 }
 
+TEST(PlatformEdge, BodiesInSumAreBoundedAndGivenBack) {
+    auto settings = platform_settings(platform::parse_configuration(told::configuration_text(), {}).value());
+    settings.limits.request_bytes = 60;  // one body has 43
+    Platform d(settings);
+    for (int i = 0; i < 3; ++i) {
+        const auto before = d.replies.size();
+        const auto write = d.to_write();
+        d.get(told::post("other"), 2);
+        ASSERT_EQ(d.replies.size(), before + 1);
+        EXPECT_EQ(d.replies.back().status, 503);
+        d.answer(write, 200, kEvent + kDoneEvent);
+        d.calls.clear();
+    }
+}
+
+TEST(PlatformEdge, ServerIsForgottenOnceNothingOfItIsOut) {
+    Platform d;
+    const auto write = d.to_write();
+    auto gone = listed(d.sent().back().server, "writer", ServerState::removed);
+    d.written(write);
+    d.list({gone}, ListScope::changes);
+    EXPECT_TRUE(d.forgotten.empty());  // its stream may still come
+    d.give({CallHead{write, 200, {}}, CallBody{write, kEvent + kDoneEvent}, CallDone{write}});
+    EXPECT_EQ(d.streams_ended, 1);
+    d.list({listed("r9", "reader")}, ListScope::changes);
+    EXPECT_EQ(d.forgotten, std::vector{gone.entry.id.value});
+}
+
 TEST(PlatformEdge, ReadyUntilItGoesAway) {
     Platform d;
     d.get("GET /ready HTTP/1.1\r\n\r\n");
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -114,6 +114,19 @@
     EXPECT_EQ(reader->requests, 0);
 }
 
+// Each is within its own limit; all together they would take the memory.
+TEST_F(PlatformRig, HalfRequestsTogetherStayWithinALimit) {
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.unfinished_bytes = 500'000; });
+    const std::string half =
+        "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 250000\r\n\r\n" + std::string(200'000, 'x');
+    for (int i = 0; i < 6; ++i) client().send(half);
+    EXPECT_TRUE(until([&] {
+        return std::count_if(clients.begin(), clients.end(),
+                             [](const auto& c) { return c->got().starts_with("HTTP/1.1 503"); }) >= 4;
+    }));
+    EXPECT_TRUE(served("a1"));
+}
+
 // Its end was there before the next request: that goes out on another connection, and only once.
 TEST_F(PlatformRig, ConnectionThatWasClosedOrSaidMoreIsNotUsedAgain) {
     for (const auto& more : {std::string(), kStream}) {
