Kept server connections are used only up to an age at which few have broken

Ruled out: the platform's idle limit (15 s, halved here), single servers, servers that died (those break later).

Change: RestLimit counts what broke at once, and what was answered, by how long it had rested; from the first age at which more than a twentieth broke on, connections are dialled anew until that is some time past.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -462,7 +462,8 @@
     }
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") +
-               r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms";
+               r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms" +
+               (detail.empty() ? "" : " (" + detail + ")");
     emit(Note{observe::AttemptRecord{r.in.name, call.attempt.value, call.server, call.read,
                                      engine::name(judged.outcome), call.status, call.sent,
                                      r.started && !call.read, now_ - call.begun, detail}});
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -17,6 +17,7 @@
 namespace {
 
 constexpr std::size_t kReadBuffer = 64 * 1024;
+constexpr Duration kAtOnce = std::chrono::milliseconds(25);  // some round trips
 constexpr std::uint64_t kSweepMs = 10;  // dial time-outs are tens of milliseconds and more
 constexpr std::uint64_t kSweepsToIdle = 25;
 
@@ -42,6 +43,8 @@
     enum class State { dialling, idle, busy, closing } state = State::dialling;
     Call call = 0;
     tls::HandshakeGate::Id shake = 0;  // 0: not at the gate
+    Duration rested{};                 // before this call; of a new connection: zero
+    bool heard = false;                // something of this call's answer has come
     bool settled = false;              // nobody listens to the rest of this answer
     bool paused = false;
     Waiting first;  // to send once connected
@@ -109,6 +112,7 @@
 // or more than was asked for, is of no use: what is written to it would be lost, or answered by what came
 // before.
 HttpPool::Connection* HttpPool::take_idle(const Key& key) {
+    const Duration longest = rest_limit_.longest(uv_now_time());
     for (;;) {
         const auto host = hosts_.find(key);
         if (host == hosts_.end() || host->second.idle.empty()) return nullptr;
@@ -122,7 +126,7 @@
         const bool quiet = uv_fileno(reinterpret_cast<uv_handle_t*>(&c->socket), &fd) == 0 &&
                            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
                            (errno == EAGAIN || errno == EWOULDBLOCK);
-        if (quiet) {
+        if (quiet && uv_now_time() - c->since <= longest) {
             std::erase(idle, c);
             return c;
         }
@@ -236,9 +240,10 @@
 }
 
 void HttpPool::send(Connection& c, Call call, std::string bytes) {
+    c.rested = c.state == Connection::State::idle ? uv_now_time() - c.since : Duration{};
     c.state = Connection::State::busy;
     c.call = call;
-    c.settled = c.paused = false;
+    c.settled = c.paused = c.heard = false;
     c.since = uv_now_time();
     c.reader.reset();
     busy_[call] = &c;
@@ -321,6 +326,8 @@
 
 void HttpPool::plain(Connection& c, std::string_view bytes) {
     if (c.state != Connection::State::busy) return close(c);  // nothing was asked for
+    if (!std::exchange(c.heard, true) && c.rested > Duration::zero())
+        rest_limit_.used(uv_now_time(), c.rested, false);
     pieces(c, c.reader.feed(bytes));
 }
 
@@ -372,11 +379,19 @@
 
 void HttpPool::broke(Connection& c, Ending ending, const std::string& detail) {
     const Call call = c.call;
-    const bool heard = !c.settled;
+    const bool told = !c.settled;
+    // Tells a kept connection that was no longer good from a server that died.
+    std::string why = detail;
+    if (c.state == Connection::State::busy && !c.heard && c.rested > Duration::zero()) {
+        // One that was dropped breaks at once; later it is the server that did.
+        if (uv_now_time() - c.since < kAtOnce) rest_limit_.used(uv_now_time(), c.rested, true);
+        why += "; kept, unused for " +
+               format_duration(std::chrono::duration_cast<std::chrono::milliseconds>(c.rested));
+    }
     busy_.erase(call);
     c.call = 0;
     close(c);
-    if (heard) handler_.on_failed(call, ending, detail);
+    if (told) handler_.on_failed(call, ending, why);
 }
 
 void HttpPool::close(Connection& c) {
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -24,6 +24,7 @@
 #include "base/units.hpp"
 #include "engine/outcome.hpp"
 #include "http/message.hpp"
+#include "net/rest_limit.hpp"
 #include "net/tls/filter.hpp"
 #include "net/tls/gate.hpp"
 
@@ -155,6 +156,7 @@
     std::unordered_map<Call, Key> queued_;
     std::set<Connection*> all_;
     std::set<Connection*> dialling_;
+    RestLimit rest_limit_;
     tls::HandshakeGate gate_;
     std::unordered_map<tls::HandshakeGate::Id, Connection*> at_gate_;  // waiting or in their handshake
     tls::HandshakeGate::Id last_shake_ = 0;
--- /dev/null
+++ b/tests/net/rest_limit_test.cpp
@@ -0,0 +1,32 @@
+#include "net/rest_limit.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chalksail::net {
+namespace {
+
+using namespace std::chrono_literals;
+
+TEST(RestLimit, AgesAtWhichTooManyBreakAreNotUsedUntilThatIsPast) {
+    RestLimit limit;
+    Time now{1000s};
+    EXPECT_EQ(limit.longest(now), Duration::max());
+    for (int i = 0; i < 100; ++i) limit.used(now, 20ms, i == 0);  // one of a hundred: chance
+    for (int i = 0; i < 4; ++i) limit.used(now, 200ms, true);
+    EXPECT_GE(limit.longest(now), 20ms);
+    EXPECT_LT(limit.longest(now), 200ms);
+    now += 60s;  // nothing tells any more that it is still so
+    EXPECT_EQ(limit.longest(now), Duration::max());
+}
+
+TEST(RestLimit, AFewAmongManyAreChance) {
+    RestLimit limit;
+    const Time now{1000s};
+    for (int i = 0; i < 200; ++i) limit.used(now, 1s, i % 40 == 0);
+    EXPECT_EQ(limit.longest(now), Duration::max());
+    for (int i = 0; i < 20; ++i) limit.used(now, Duration{}, true);
+    EXPECT_EQ(limit.longest(now), Duration{});  // none is to be used that has rested at all
+}
+
+}  // namespace
+}  // namespace chalksail::net
