--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -467,11 +467,11 @@
     emit(Note{observe::AttemptRecord{r.in.name, call.attempt.value, call.server, call.read,
                                      engine::name(judged.outcome), call.status, call.sent,
                                      r.started && !call.read, now_ - call.begun, detail}});
-    // A read called off may have been done all the same, its answer on the way: the state is let go by its
-    // number.
+    // A read called off may have been done all the same, its answer on the way, and so may one whose answer can't
+    // be read: the state is let go by its number.
     if (call.read && call.sent && judged.outcome != Outcome::read &&
-        (judged.outcome == Outcome::cancelled || judged.outcome == Outcome::timeout ||
-         judged.outcome == Outcome::reset)) {
+        (ending == Ending::bad_answer || judged.outcome == Outcome::cancelled ||
+         judged.outcome == Outcome::timeout || judged.outcome == Outcome::reset)) {
         if (const auto s = servers_.find({call.server}); s != servers_.end()) {
             r.loose = Open::Held{call.server, call.server_kind, s->second.address, "", call.attempt.value};
             if (by_request) {
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -154,6 +154,18 @@
     EXPECT_EQ(d.releases().size(), 1U);
 }
 
+// The read has run, whatever its answer looks like.
+TEST(PlatformEdge, ReadWhoseAnswerIsSpoiltIsLetGo) {
+    Platform d;
+    d.get(told::post("9b1f"));
+    d.written(d.sent()[0].call);
+    d.give({CallFailed{d.sent()[0].call, engine::Ending::bad_answer, "noise"}});
+    d.give({ClientClosed{{1}}});
+    d.give({CallFailed{d.sent().back().call, engine::Ending::dial_failed, ""}});
+    EXPECT_EQ(d.releases().size(), 1U);
+    expect_empty(d);
+}
+
 TEST(PlatformEdge, BodiesInSumAreBoundedAndGivenBack) {
     auto settings = platform_settings(platform::parse_configuration(told::configuration_text(), {}).value());
     settings.limits.request_bytes = 60;  // one body has 43
