Which resting client connections go is decided in one table without I/O; calls share one path

Need: HttpServer kept three lists of connections at rest and the figures to weigh them; the edge core built each kind of call by hand. Limits of the platform (request-idle, server-rest, ...) could not be set in KDL.

Change: net::Places, free of sockets and clock, says who makes room and whose time is over. RestLimit decides itself what broke at once. Edge::call_out sends what is no attempt. head-timeout is what its name says, request-idle the time without a byte.

--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -15,8 +15,8 @@
 net::ServerLimits engine_limits() {
     net::ServerLimits out;
     out.message = {64 * 1024, 32 * 1024 * 1024};
-    out.connections = 8192;
-    out.idle_timeout = std::chrono::seconds(300);
+    out.places.connections = 8192;
+    out.places.idle = std::chrono::seconds(300);
     return out;
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -156,6 +156,14 @@
         b.duration("head-timeout", l.head_timeout);
         b.duration("body-timeout", l.body_timeout);
         b.duration("idle-timeout", l.idle_timeout);
+        b.duration("idle-pressed", l.idle_pressed);
+        b.duration("first-timeout", l.first_timeout);
+        b.duration("request-idle", l.request_idle);
+        b.duration("linger", l.linger);
+        b.size("request-bytes", l.request_bytes);
+        b.size("unfinished-bytes", l.unfinished_bytes);
+        b.whole("server-connections", l.server_connections, 0, 1'000'000);
+        b.duration("server-rest", l.server_rest);
         b.duration("stall-timeout", l.stall_timeout);
         b.duration("stream-idle", l.stream_idle);
         b.duration("stream-longest", l.stream_longest);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -113,8 +113,10 @@
     std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;  // one chunk of an engine's answer
     std::size_t answer_bytes = 16 * 1024 * 1024;  // of an answer that is put together, and of a read's answer
     std::size_t pipelined_bytes = 64 * 1024;      // taken from a client ahead of the request in hand
-    Duration head_timeout = std::chrono::seconds(10);   // without a byte of a request that has begun
-    Duration body_timeout = std::chrono::seconds(30);   // from its first byte to its last, beside the head's
+    Duration head_timeout =
+        std::chrono::seconds(10);  // from the first byte of a request to the end of its head
+    Duration body_timeout = std::chrono::seconds(30);
+    Duration request_idle{};  // without a byte of a request that has begun; 0: no limit of its own
     Duration idle_timeout = std::chrono::seconds(75);   // a client's connection with nothing asked
     Duration idle_pressed = std::chrono::seconds(2);    // the same where few connections are left to give
     Duration linger = std::chrono::milliseconds(1500);  // for a client to read its error while it still sends
--- a/src/core/convention.hpp
+++ b/src/core/convention.hpp
@@ -17,7 +17,6 @@
 
 #include "config/settings.hpp"
 #include "engine/outcome.hpp"
-#include "engine/vocabulary.hpp"
 #include "http/message.hpp"
 
 namespace chalksail::core {
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -44,10 +44,8 @@
     std::int64_t attempts = 0;
     bool may_have_run = false;  // some writer attempt is not proved not to have run
     struct Held {
-        std::string server;
-        std::string server_kind;  // kept here: once off the list, nothing else tells how it is spoken to
-        Address address;
-        std::string state;  // as the read told it
+        ListedServer server;  // kept here: once off the list, nothing else tells how it is spoken to
+        std::string state;    // as the read told it
         std::int64_t attempt = 0;
     };
     std::optional<Held> held;  // the state that waits at a reader
@@ -441,9 +439,9 @@
             r.counted_prompt_tokens = read_answer->prompt_tokens;
             r.in.exchange->prompt_counted(read_answer->prompt_tokens);
         }
-        r.held = Open::Held{call.server, call.server_kind,
-                            servers_.contains({call.server}) ? servers_.at({call.server}).address : Address{},
-                            std::move(read_answer->state), call.attempt.value};
+        const auto at = servers_.find({call.server});
+        r.held = Open::Held{at == servers_.end() ? ListedServer{} : at->second, std::move(read_answer->state),
+                            call.attempt.value};
         held_ += 1;
     } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault) {
         ended.remark = r.in.exchange->kept_tokens();
@@ -467,19 +465,17 @@
     emit(Note{observe::AttemptRecord{r.in.name, call.attempt.value, call.server, call.read,
                                      engine::name(judged.outcome), call.status, call.sent,
                                      r.started && !call.read, now_ - call.begun, detail}});
-    // A read called off may have been done all the same, its answer on the way, and so may one whose answer can't
-    // be read: the state is let go by its number.
+    // A read called off may have been done all the same, its answer on the way, and so may one whose answer
+    // can't be read: the state is let go by its number.
     if (call.read && call.sent && judged.outcome != Outcome::read &&
         (ending == Ending::bad_answer || judged.outcome == Outcome::cancelled ||
          judged.outcome == Outcome::timeout || judged.outcome == Outcome::reset)) {
         if (const auto s = servers_.find({call.server}); s != servers_.end()) {
-            r.loose = Open::Held{call.server, call.server_kind, s->second.address, "", call.attempt.value};
             if (by_request) {
+                r.loose = Open::Held{s->second, "", call.attempt.value};
                 loose_.push_back(request);
             } else {
-                release_call({r.in.name, call.attempt.value, "", call.server_kind, {}, 0}, call.server,
-                             s->second.address);
-                r.loose.reset();
+                release_call({r.in.name, call.attempt.value, "", {}, 0}, s->second);
             }
         }
     }
@@ -555,7 +551,7 @@
         next = server_for_release(letting.tried);
     }
     if (next == nullptr) return;
-    const auto again = release_call(std::move(letting), next->entry.id.value, next->address);
+    const auto again = release_call(std::move(letting), *next);
     if (Open* r = find(call.request)) r->letting = again;
     calls_.at(again).request = call.request;
 }
@@ -577,7 +573,7 @@
     // A place that may be held is let go of like a state, unless an attempt takes it.
     if (seat != Seat::not_held && call.sent && !r->started) {
         if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->loose)
-            r->loose = Open::Held{call.server, call.server_kind, s->second.address, "", call.attempt.value};
+            r->loose = Open::Held{s->second, "", call.attempt.value};
         loose_.push_back(r->id);
     }
 }
@@ -766,21 +762,7 @@
             verification_.forget(server);
             continue;
         }
-        Call call;
-        call.call = {++last_call_};
-        call.kind = CallKind::verify;
-        call.server = server;
-        call.server_kind = s->second.entry.kind;
-        call.address = s->second.address;
-        Outgoing out;
-        out.id = call.call;
-        out.kind = call.kind;
-        out.server = server;
-        out.server_kind = call.server_kind;
-        out.begun = now_;
-        call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
-        calls_.emplace(out.id, std::move(out));
-        emit(std::move(call));
+        call_out(CallKind::verify, s->second, {}, now_ + settings_.limits.release_timeout);
     }
 }
 
@@ -912,23 +894,8 @@
         return;
     auto request = convention_->seat(r->in.name);
     if (!request || !settings_.module.early_pairing) return;
-    Call call;
-    call.call = {++last_call_};
-    call.kind = CallKind::seat;
-    call.server = action.server.value;
-    call.server_kind = s->second.entry.kind;
-    call.address = s->second.address;
-    put(call, std::move(*request));
-    Outgoing out;
-    out.id = call.call;
-    out.kind = call.kind;
-    out.request = r->id;
-    out.server = call.server;
-    out.server_kind = call.server_kind;
-    out.begun = now_;
-    call_due_.emplace(std::max(r->deadline, now_ + settings_.limits.release_timeout), out.id);
-    calls_.emplace(out.id, std::move(out));
-    emit(std::move(call));
+    const Time due = std::max(r->deadline, now_ + settings_.limits.release_timeout);
+    call_out(CallKind::seat, s->second, std::move(*request), due).request = r->id;
 }
 
 void Edge::act(const Probe& action) {
@@ -937,22 +904,7 @@
         events_.emplace_back(ProbeEnded{action.server, Outcome::moot, {}, {}});
         return;
     }
-    Call call;
-    call.call = {++last_call_};
-    call.kind = CallKind::probe;
-    call.server = action.server.value;
-    call.server_kind = s->second.entry.kind;
-    call.address = s->second.address;
-    put(call, convention_->probe());
-    Outgoing out;
-    out.id = call.call;
-    out.kind = call.kind;
-    out.server = call.server;
-    out.server_kind = s->second.entry.kind;
-    out.begun = now_;
-    call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
-    calls_.emplace(out.id, std::move(out));
-    emit(std::move(call));
+    call_out(CallKind::probe, s->second, convention_->probe(), now_ + settings_.limits.release_timeout);
 }
 
 void Edge::act(const Wake& action) { wakes_.emplace(action.at, action.id); }
@@ -1101,8 +1053,7 @@
     if (r.held) held_ -= 1;
     r.held.reset();
     r.loose.reset();
-    const auto call = release_call({r.in.name, held.attempt, held.state, held.server_kind, {}, 0},
-                                   held.server, held.address);
+    const auto call = release_call({r.in.name, held.attempt, held.state, {}, 0}, held.server);
     if (call == CallId{}) return;
     r.letting = call;
     calls_.at(call).request = r.id;
@@ -1129,32 +1080,40 @@
     emit(CallAbort{id});
 }
 
-CallId Edge::release_call(Letting letting, const std::string& server, const Address& address) {
-    auto request = convention_->release(letting.name, letting.attempt, letting.state, letting.server_kind);
+Edge::Outgoing& Edge::call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
+                               double worth) {
+    Call call;
+    call.call = {++last_call_};
+    call.kind = kind;
+    call.server = to.entry.id.value;
+    call.server_kind = to.entry.kind;
+    call.address = to.address;
+    call.worth = worth;
+    put(call, std::move(request));
+    Outgoing out;
+    out.id = call.call;
+    out.kind = kind;
+    out.server = call.server;
+    out.server_kind = call.server_kind;
+    out.begun = now_;
+    call_due_.emplace(due, out.id);
+    emit(std::move(call));
+    return calls_.emplace(out.id, std::move(out)).first->second;
+}
+
+CallId Edge::release_call(Letting letting, const ListedServer& to) {
+    const auto& server = to.entry.id.value;
+    auto request = convention_->release(letting.name, letting.attempt, letting.state, to.entry.kind);
     if (!request || no_release_.contains(server)) {
         // Counted and noted: the state stays until the engine drops it by its own time.
         emit(Note{observe::ServerRecord{server, "release", "none"}});
         return {};
     }
     letting.tries += 1;
-    Call call;
-    call.call = {++last_call_};
-    call.kind = CallKind::release;
-    call.server = server;
-    call.server_kind = letting.server_kind;
-    call.address = address;
-    call.worth = kLetGoWorth;
-    put(call, std::move(*request));
-    Outgoing out;
-    out.id = call.call;
-    out.kind = call.kind;
-    out.server = server;
-    out.begun = now_;
+    const Time due = now_ + settings_.limits.release_timeout;
+    Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kLetGoWorth);
     out.letting = std::move(letting);
-    call_due_.emplace(now_ + settings_.limits.release_timeout, out.id);
-    calls_.emplace(out.id, std::move(out));
-    emit(std::move(call));
-    return {last_call_};
+    return out.id;
 }
 
 }  // namespace chalksail::core
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -281,16 +281,18 @@
     void drop_body(Open& open);
     void drop_if_over(RequestId id);
     void let_go(Open& open);
+    // Sends what is no attempt; it is given up at `due`.
+    Outgoing& call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
+                       double worth = 0);
     // One let-go call, and what it takes to ask again.
     struct Letting {
         std::string name;
         std::int64_t attempt = 0;
         std::string state;
-        std::string server_kind;
         std::set<std::string> tried;
         std::int64_t tries = 0;
     };
-    CallId release_call(Letting letting, const std::string& server, const Address& address);
+    CallId release_call(Letting letting, const ListedServer& to);
     void let_go_loose();
     // Places and states that a let-go call under way would take from a new attempt.
     void stop_letting(Open& open);
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -57,7 +57,8 @@
     l.stream_buffer = 64 * kKiB;
     l.pipelined_bytes = 4 * kKiB;
     // Times: whoever asks nothing, or half a request, is let go before the platform calls it kept waiting.
-    l.head_timeout = milliseconds(2300);
+    l.request_idle = milliseconds(2300);
+    l.head_timeout = seconds(8);
     l.body_timeout = seconds(8);
     l.first_timeout = milliseconds(2200);
     l.idle_timeout = seconds(60);
--- a/src/core/vllm_convention.cpp
+++ b/src/core/vllm_convention.cpp
@@ -10,6 +10,7 @@
 #include "chat/request.hpp"
 #include "chat/sse.hpp"
 #include "engine/protocol.hpp"
+#include "engine/vocabulary.hpp"
 
 namespace chalksail::core {
 namespace {
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -20,21 +20,22 @@
     ServerLimits out;
     out.message = {l.head_bytes, l.body_bytes};
     out.unfinished_bytes = l.unfinished_bytes;
-    out.connections = static_cast<std::size_t>(l.connections);
+    out.places.connections = static_cast<std::size_t>(l.connections);
+    out.places.first = l.first_timeout;
+    out.places.idle = l.idle_timeout;
+    out.places.pressed = l.idle_pressed;
+    out.places.linger = l.linger;
     out.stream_buffer = l.stream_buffer;
     out.pipelined_bytes = l.pipelined_bytes;
     out.head_timeout = l.head_timeout;
     out.body_timeout = l.body_timeout;
-    out.first_timeout = l.first_timeout;
-    out.idle_timeout = l.idle_timeout;
-    out.idle_pressed = l.idle_pressed;
-    out.linger = l.linger;
+    out.request_idle = l.request_idle;
     out.stall_timeout = l.stall_timeout;
     return out;
 }
 ServerLimits admin_limits(const config::EdgeLimits& l) {
     ServerLimits out = client_limits(l);
-    out.connections = static_cast<std::size_t>(l.admin_connections);
+    out.places.connections = static_cast<std::size_t>(l.admin_connections);
     return out;
 }
 PoolLimits pool_limits(const config::EdgeSettings& s) {
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -17,7 +17,6 @@
 namespace {
 
 constexpr std::size_t kReadBuffer = 64 * 1024;
-constexpr Duration kAtOnce = std::chrono::milliseconds(25);  // some round trips
 constexpr std::uint64_t kSweepMs = 10;  // dial time-outs are tens of milliseconds and more
 constexpr std::uint64_t kSweepsToIdle = 25;
 
@@ -54,15 +53,12 @@
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
 };
 
-namespace {
-template <class Connection>
-struct WriteJob {
+struct HttpPool::WriteJob {
     uv_write_t request{};
     std::string bytes;
-    Connection* connection = nullptr;
-    HttpPool::Call whole = 0;  // the call whose last byte this brings; 0: none
+    Connection* connection = nullptr;  // its handle outlives its writes
+    Call whole = 0;                    // the call whose last byte this brings; 0: none
 };
-}  // namespace
 
 HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
     : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), gate_(limits.handshakes) {
@@ -269,14 +265,14 @@
         }
         if (done > 0) bytes.erase(0, static_cast<std::size_t>(done));
     }
-    auto* job = new WriteJob<Connection>;
+    auto* job = new WriteJob;
     job->bytes = std::move(bytes);
     job->request.data = job;
-    job->connection = &c;  // its handle outlives its writes
+    job->connection = &c;
     job->whole = whole;
     uv_buf_t buffer = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
     const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int status) {
-        const std::unique_ptr<WriteJob<Connection>> over(static_cast<WriteJob<Connection>*>(w->data));
+        const std::unique_ptr<WriteJob> over(static_cast<WriteJob*>(w->data));
         // A failed write is seen by the reader too, as the end of the connection.
         if (status == 0 && over->whole != 0) over->connection->pool->wrote(*over->connection, over->whole);
     });
@@ -327,7 +323,7 @@
 void HttpPool::plain(Connection& c, std::string_view bytes) {
     if (c.state != Connection::State::busy) return close(c);  // nothing was asked for
     if (!std::exchange(c.heard, true) && c.rested > Duration::zero())
-        rest_limit_.used(uv_now_time(), c.rested, false);
+        rest_limit_.used(uv_now_time(), c.rested, {}, false);
     pieces(c, c.reader.feed(bytes));
 }
 
@@ -383,8 +379,8 @@
     // Tells a kept connection that was no longer good from a server that died.
     std::string why = detail;
     if (c.state == Connection::State::busy && !c.heard && c.rested > Duration::zero()) {
-        // One that was dropped breaks at once; later it is the server that did.
-        if (uv_now_time() - c.since < kAtOnce) rest_limit_.used(uv_now_time(), c.rested, true);
+        const Time now = uv_now_time();
+        rest_limit_.used(now, c.rested, now - c.since, true);
         why += "; kept, unused for " +
                format_duration(std::chrono::duration_cast<std::chrono::milliseconds>(c.rested));
     }
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -106,6 +106,7 @@
 
 private:
     struct Connection;
+    struct WriteJob;
     struct Waiting {
         Call call = 0;
         Time since{};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -14,8 +14,6 @@
 constexpr std::size_t kReadBuffer = 64 * 1024;
 constexpr std::uint64_t kSweepMs = 250;
 constexpr int kBacklog = 1024;
-constexpr Duration kJustCome = std::chrono::milliseconds(20);  // a request follows its connection at once
-constexpr std::size_t kPressed = 4;  // under pressure once fewer than one in so many connections is left
 
 sockaddr_storage to_sockaddr(const Address& address) {
     sockaddr_storage out{};
@@ -55,10 +53,8 @@
     Time begun{};  // of the message being read, or of the wait for one
     Time heard{};  // the last byte of it
     bool midway = false;
-    std::size_t unfinished = 0;               // bytes of the request that is coming
-    bool asked = false;                       // it has sent a whole request before
-    std::list<Connection*>* among = nullptr;  // the list it stands in, and where
-    std::list<Connection*>::iterator place;
+    std::size_t unfinished = 0;   // bytes of the request that is coming
+    bool asked = false;           // it has sent a whole request before
     Time last_progress{};         // of writing, while something waits
     std::size_t waiting = 0;      // writes under way
     std::size_t last_queued = 0;  // bytes of them, when last looked at
@@ -68,7 +64,7 @@
 };
 
 HttpServer::HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits)
-    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer) {
+    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), places_(limits.places) {
     sweeper_ = new uv_timer_t;
     uv_timer_init(&loop_, sweeper_);
     sweeper_->data = this;
@@ -141,52 +137,25 @@
         c->midway = true;  // a handshake has a request's time
     }
     rest(*c);
-    if (connections_.size() > limits_.connections && !make_room()) {
-        counts_.over_limit += 1;
-        return close(*c);
+    if (connections_.size() > limits_.places.connections) {
+        const auto room = places_.make_room(uv_now_time(), [this](auto id) { return unread(id); });
+        (room && *room != c->id ? counts_.evicted : counts_.over_limit) += 1;
+        close(room ? *connections_.at(*room) : *c);
+        if (c->closing) return;
     }
     start_reading(*c);
 }
 
 void HttpServer::rest(Connection& c) {
-    stir(c);
-    c.among = c.asked ? &resting_ : &silent_;
-    c.place = c.among->insert(c.among->end(), &c);
-}
-
-void HttpServer::stir(Connection& c) {
-    if (c.among == nullptr) return;
-    c.among->erase(c.place);
-    c.among = nullptr;
+    c.begun = uv_now_time();
+    places_.rest(c.id, c.asked ? Places::Kind::kept : Places::Kind::silent, c.begun);
 }
 
-// A request may have come that was not read yet: it is not closed under.
-bool HttpServer::unread(const Connection& c) {
+bool HttpServer::unread(std::uint64_t id) const {
     uv_os_fd_t fd = -1;
     char byte = 0;
-    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&c.socket), &fd) != 0) return false;
-    return recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-bool HttpServer::make_room() {
-    // Guards against a crowd that connects and asks nothing, and against clients that keep connections for
-    // good: neither may keep out who comes with a request. Whoever has just connected gets its time to ask.
-    const Time settled = uv_now_time() - kJustCome;
-    const auto oldest = [&](std::list<Connection*>& among, Time before) -> Connection* {
-        for (auto* c : among) {
-            if (c->begun > before) return nullptr;
-            if (!unread(*c)) return c;
-        }
-        return nullptr;
-    };
-    Connection* out = leaving_.empty() ? nullptr : leaving_.front();
-    if (out == nullptr) out = oldest(silent_, settled);
-    if (out == nullptr) out = oldest(resting_, Time::max());
-    if (out == nullptr) out = oldest(silent_, Time::max());
-    if (out == nullptr) return false;
-    counts_.evicted += 1;
-    close(*out);
-    return true;
+    const auto* handle = reinterpret_cast<const uv_handle_t*>(&connections_.at(id)->socket);
+    return uv_fileno(handle, &fd) == 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
 }
 
 void HttpServer::start_reading(Connection& connection) {
@@ -224,7 +193,7 @@
 
 void HttpServer::plain(Connection& c, std::string_view bytes) {
     if (c.close_after) return;  // it is on its way out: nothing more of it is taken
-    stir(c);
+    places_.stir(c.id);
     c.heard = uv_now_time();
     c.ahead += bytes;
     feed(c);
@@ -362,7 +331,7 @@
     if (reset && !c->closing) {
         connections_.erase(c->id);
         c->closing = true;
-        stir(*c);
+        places_.stir(c->id);
         count_unfinished(*c, 0);
         uv_tcp_close_reset(&c->socket, [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
@@ -444,11 +413,8 @@
 // The last answer is out. Closing while the client still sends would be a reset, which eats that answer: it
 // is told the end, and what it sends is thrown away until it closes too, for a while.
 void HttpServer::say_last(Connection& c) {
-    if (c.among == &leaving_) return;
-    stir(c);
-    c.begun = uv_now_time();
-    c.among = &leaving_;
-    c.place = leaving_.insert(leaving_.end(), &c);
+    if (places_.is_leaving(c.id)) return;
+    places_.rest(c.id, Places::Kind::leaving, uv_now_time());
     if (c.filter) return close(c);
     auto* end = new uv_shutdown_t;
     if (uv_shutdown(end, c.stream(), [](uv_shutdown_t* r, int) { delete r; }) != 0) {
@@ -461,7 +427,7 @@
 void HttpServer::close(Connection& c) {
     if (c.closing) return;
     c.closing = true;
-    stir(c);
+    places_.stir(c.id);
     count_unfinished(c, 0);
     if (c.filter && c.filter->connected()) {
         std::string bye = c.filter->close().to_peer;
@@ -483,7 +449,7 @@
     draining_ = true;
     std::vector<Connection*> idle;
     for (auto& [id, c] : connections_)
-        if (c->peer == 0 && !c->midway && c->out.empty() && c->waiting == 0 && !c->close_after && !unread(*c))
+        if (c->peer == 0 && !c->midway && c->out.empty() && c->waiting == 0 && !c->close_after && !unread(id))
             idle.push_back(c);
     for (auto* c : idle) close(*c);
 }
@@ -500,7 +466,6 @@
     const Time now = uv_now_time();
     std::vector<Connection*> stalled;
     std::vector<Connection*> slow;
-    std::vector<Connection*> idle;
     for (auto& [id, c] : connections_) {
         if (c->waiting > 0) {
             // Any part that the peer takes is progress, also where a write has not ended yet.
@@ -509,23 +474,16 @@
             c->last_queued = queued;
             if (now - c->last_progress > limits_.stall_timeout) stalled.push_back(c);
         } else if (c->peer == 0 && c->midway && !c->close_after) {
-            if (now - c->heard > limits_.head_timeout ||
-                now - c->begun > limits_.head_timeout + limits_.body_timeout)
+            const bool idle =
+                limits_.request_idle > Duration::zero() && now - c->heard > limits_.request_idle;
+            if (idle || now - c->begun >
+                            limits_.head_timeout + (c->reader.in_body() ? limits_.body_timeout : Duration{}))
                 slow.push_back(c);
         }
     }
-    const bool pressed = connections_.size() + limits_.connections / kPressed > limits_.connections;
-    const Duration rested = draining_ ? Duration{} : pressed ? limits_.idle_pressed : limits_.idle_timeout;
-    const Duration first = draining_                            ? Duration{}
-                           : limits_.first_timeout > Duration{} ? limits_.first_timeout
-                                                                : limits_.idle_timeout;
-    for (auto [among, longest] :
-         {std::pair{&resting_, rested}, std::pair{&silent_, first}, std::pair{&leaving_, limits_.linger}})
-        for (auto* c : *among) {
-            if (now - c->begun <= longest) break;
-            if (among == &leaving_ || !unread(*c)) idle.push_back(c);
-        }
-    for (auto* c : idle) close(*c);
+    for (const auto id :
+         places_.overdue(now, connections_.size(), draining_, [this](auto i) { return unread(i); }))
+        close(*connections_.at(id));
     for (auto* c : slow) {
         counts_.timed_out += 1;
         if (c->filter && !c->filter->connected()) {  // nothing can be said to it yet
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -11,7 +11,6 @@
 
 #include <chalksail/chalksail.hpp>
 #include <cstdint>
-#include <list>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -20,23 +19,21 @@
 
 #include "base/units.hpp"
 #include "http/message.hpp"
+#include "net/places.hpp"
 #include "net/tls/filter.hpp"
 
 namespace chalksail::net {
 
 struct ServerLimits {
     http::Limits message;
-    std::size_t connections = 1024;
+    PlaceLimits places;
     std::size_t stream_buffer = 64 * 1024;
     std::size_t pipelined_bytes = 64 * 1024;
     std::size_t unfinished_bytes = std::size_t{1} << 30U;  // of all requests that are still coming
-    Duration head_timeout = std::chrono::seconds(10);      // without a byte of a request that has begun
-    Duration body_timeout = std::chrono::seconds(30);  // from its first byte to its last, beside the head's
-    Duration first_timeout{};                          // with nothing ever asked; zero: as idle
-    Duration idle_timeout = std::chrono::seconds(75);
-    Duration idle_pressed = std::chrono::seconds(2);  // the same where few connections are left to give
+    Duration head_timeout = std::chrono::seconds(10);  // from a request's first byte to the end of its head
+    Duration body_timeout = std::chrono::seconds(30);
+    Duration request_idle{};  // without a byte of a request that has begun; zero: no limit of its own
     Duration stall_timeout = std::chrono::seconds(30);
-    Duration linger = std::chrono::milliseconds(1500);  // for a client to read an error while it still sends
 };
 
 // A monotonic clock: the loop's, in nanoseconds.
@@ -106,12 +103,9 @@
         Speaks speaks = Speaks::clear;
     };
     void accept(Listener& listener);
-    // Keeps the connections with nothing in hand in order of how long they have rested.
     void rest(Connection& c);
-    void stir(Connection& c);
-    // Makes room for a new connection by closing the one that is missed least; false: all are in use.
-    bool make_room();
-    [[nodiscard]] static bool unread(const Connection& c);
+    // Has something of it come that was not read yet? It is not closed under a request.
+    [[nodiscard]] bool unread(std::uint64_t id) const;
     void say_last(Connection& c);
     void count_unfinished(Connection& c, std::size_t bytes);
     static void start_reading(Connection& connection);
@@ -136,10 +130,8 @@
     std::unordered_map<std::uint64_t, Connection*> connections_;
     std::unordered_map<Peer, Connection*> in_hand_;
     std::vector<std::uint64_t> dirty_;
-    std::size_t unfinished_ = 0;      // bytes of requests that are still coming
-    std::list<Connection*> silent_;   // that never asked anything
-    std::list<Connection*> resting_;  // that may ask again
-    std::list<Connection*> leaving_;  // that have had their last answer
+    std::size_t unfinished_ = 0;  // bytes of requests that are still coming
+    Places places_;
     std::uint64_t last_connection_ = 0;
     Peer last_peer_ = 0;
     bool draining_ = false;
--- a/src/net/rest_limit.cpp
+++ b/src/net/rest_limit.cpp
@@ -20,7 +20,8 @@
     }
 }
 
-void RestLimit::used(Time now, Duration rested, bool broke) {
+void RestLimit::used(Time now, Duration rested, Duration taken, bool broke) {
+    if (broke && taken >= limits_.at_once) return;
     fade(now);
     Count& c = ages_[age_of(rested)];
     (broke ? c.broken : c.good) += 1;
--- a/src/net/rest_limit.hpp
+++ b/src/net/rest_limit.hpp
@@ -16,12 +16,14 @@
         double broken_share = 0.05;  // of those of an age, and older: more is too many
         double least_broken = 3;     // fewer may be chance
         Duration half_life = std::chrono::seconds(15);
+        // One that had been dropped breaks within some round trips; later it is the server that died.
+        Duration at_once = std::chrono::milliseconds(25);
     };
     explicit RestLimit(Limits limits) : limits_(limits) {}
     RestLimit() : RestLimit(Limits{}) {}
 
-    // A request went out on a connection that had rested so long: it was answered, or broke at once.
-    void used(Time now, Duration rested, bool broke);
+    // A request went out on a connection that had rested so long, and was answered, or broke, after `taken`.
+    void used(Time now, Duration rested, Duration taken, bool broke);
     // Those that have rested for longer are not to be used.
     [[nodiscard]] Duration longest(Time now);
 
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -242,6 +242,74 @@
     EXPECT_EQ(d.replies[0].headers.get("retry-after"), "0.500");
 }
 
+// New servers with new ids replace the old ones all day.
+TEST(PlatformEdge, NothingOfWhatIsGoneStays) {
+    Platform d;
+    std::vector<std::string> now = {"r1", "w1"};
+    d.list({listed("r1", "reader"), listed("w1", "writer")});
+    for (int i = 0; i < 200; ++i) {
+        const std::vector<std::string> next = {"r-" + std::to_string(i), "w-" + std::to_string(i)};
+        d.list(
+            {listed(now[0], "reader", ServerState::removed), listed(now[1], "writer", ServerState::removed),
+             listed(next[0], "reader"), listed(next[1], "writer")},
+            ListScope::changes);
+        now = next;
+        d.calls.clear();
+        d.answer(d.to_write(), 200, kEvent + kDoneEvent);
+    }
+    EXPECT_EQ(d.streams_ended, 200);
+    EXPECT_EQ(d.edge.listed().size(), 2U);
+    EXPECT_EQ(d.forgotten.size(), 402U);  // and the two of the usual list
+    d.pass(10s);
+    EXPECT_EQ(d.edge.gauges().calls, 0U);
+    expect_empty(d);
+}
+
+// Back from nothing, with a list that may be old: what drains gets nothing, what has just started no crowd.
+TEST(PlatformEdge, OldListKeepsDrainsAndColdBudgets) {
+    for (const bool cold : {true, false}) {
+        Platform d;
+        auto writer = listed("w2", "writer");
+        if (cold) writer.entry.born = d.now - 100ms;
+        d.list({listed("r1", "reader"), listed("r2", "reader", ServerState::draining),
+                listed("w1", "writer", ServerState::draining), writer},
+               ListScope::recalled);
+        for (std::uint64_t i = 0; i < 30; ++i) d.get(told::post("id" + std::to_string(i)), i + 1);
+        for (std::size_t i = 0; i < d.sent().size(); ++i)
+            if (d.sent()[i].server == "r1") d.answer(d.sent()[i].call, 202);
+        int writes = 0;
+        for (const auto& call : d.sent()) {
+            EXPECT_TRUE(call.server == "r1" || call.server == "w2") << call.server;
+            writes += call.server == "w2" ? 1 : 0;
+        }
+        // Of what a warm one bears nothing is known yet: one at most.
+        EXPECT_TRUE(cold ? writes <= 1 : writes == 30) << writes;
+    }
+}
+
+// Whenever its client goes, nothing of it stays: no call, no state at a server, nothing in the module.
+TEST(PlatformEdge, ClientThatGoesLeavesNothingAtAnyStage) {
+    for (const int stage : {0, 1, 2, 3}) {
+        Platform d;
+        if (stage == 0) d.list({});  // held here
+        d.get(told::post("9b1f", "order"));
+        if (stage == 1) d.written(d.sent()[0].call);
+        if (stage >= 2) {
+            d.answer(d.sent().back().call, 202);
+            d.written(d.sent().back().call);
+        }
+        if (stage == 3) d.give({CallHead{d.sent()[1].call, 200, {}}, CallBody{d.sent()[1].call, kEvent}});
+        d.give({ClientClosed{{1}}});
+        d.pass(20s);
+        if (stage >= 1) {
+            EXPECT_TRUE(d.was_aborted(d.sent().back().call)) << stage;
+        }
+        EXPECT_EQ(d.releases().empty(), stage == 0 || stage == 3) << stage;  // a stream has taken the state
+        EXPECT_EQ(d.edge.gauges().calls, 0U) << stage;
+        expect_empty(d);
+    }
+}
+
 // ---- actions that the module may take ----
 
 class Scripted : public Decider {
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -47,10 +47,12 @@
             5s;  // a busy machine must not look like a server that can't be dialled
         change(settings);
         log = std::make_unique<observe::Log>("t", "off");
-        auto list = std::make_unique<DiscoveryWatch>(loop, *log, told->discovery, std::move(known));
+        auto list =
+            std::make_unique<DiscoveryWatch>(loop, *log, told->discovery, std::move(known), watch_limits);
         watch = list.get();
         edge = std::make_unique<EdgeShell>(loop, settings, *log, std::move(list));
     }
+    WatchLimits watch_limits;
     [[nodiscard]] std::string whole(int generation) const {
         return told::list_text(told::instance("r1", "reader", format_address(reader->address)) + "," +
                                    told::instance("w1", "writer", format_address(writer->address)),
@@ -151,7 +153,7 @@
 TEST_P(BadClient, GetsAnErrorOrACloseAndNothingIsPassedOn) {
     begin([](auto& p) { p.send(kStream); },
           [](auto& s) {
-              s.limits.head_timeout = 200ms;
+              s.limits.request_idle = 200ms;
               s.limits.first_timeout = 200ms;
           });
     RawClient& c = client();
@@ -178,6 +180,28 @@
         told::post("half").substr(0, told::post("half").size() - 4), told::post("bad", "nobody"),
         told::post("bad", "chat", "", "soon"), told::post("")));
 
+// Hundreds at once, on one connection and on many, and at once again after each refusal.
+TEST_F(PlatformRig, CrowdsAreAnsweredOneByOne) {
+    begin([](auto& p) { p.send(kStream); });
+    RawClient& c = client();
+    std::string bad;
+    for (int i = 0; i < 300; ++i) bad += told::post("bad", "nobody");
+    c.send(bad);
+    for (int i = 0; i < 100; ++i) client().send(told::post("id" + std::to_string(i)));
+    const auto answers = [](const RawClient& of) {
+        std::size_t count = 0;
+        for (auto at = of.got().find("HTTP/1.1 "); at != std::string::npos;
+             at = of.got().find("HTTP/1.1 ", at + 1))
+            ++count;
+        return count;
+    };
+    EXPECT_TRUE(until([&] {
+        return answers(c) == 300 && std::all_of(clients.begin() + 1, clients.end(),
+                                                [&](const auto& o) { return answers(*o) == 1; });
+    }));
+    EXPECT_EQ(c.got().find("HTTP/1.1 2"), std::string::npos);
+}
+
 // ---- bad servers ----
 
 class BadServer : public PlatformRig, public ::testing::WithParamInterface<std::pair<std::string, bool>> {};
@@ -223,6 +247,12 @@
 TEST_F(PlatformRig, WatchIsTakenUpAgainFromWhatIsKnown) {
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
+    // An older version says nothing new: the writer is still there.
+    discovery->peers[0]->send(
+        chunked(told::list_text(told::instance("w1", "writer", format_address(writer->address), "removed"),
+                                40, false) +
+                "\n"));
+    EXPECT_TRUE(served("a0"));
     discovery->peers[0]->close();
     ASSERT_TRUE(until([&] { return discovery->requests == 2; }));
     EXPECT_NE(discovery->last.find("since=41"), std::string::npos);
@@ -242,6 +272,14 @@
     EXPECT_NE(discovery->last.find("since=7"), std::string::npos);
 }
 
+// A watch that says nothing, not even an empty line, may have lost its other end.
+TEST_F(PlatformRig, SilentWatchIsTakenUpAnew) {
+    watch_limits.silence = 100ms;
+    begin([](auto& p) { p.send(kStream); });
+    EXPECT_TRUE(until([&] { return discovery->requests >= 3; }));
+    EXPECT_TRUE(served("a1"));
+}
+
 TEST_F(PlatformRig, DiscoveryMovesAndTheListStays) {
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
--- a/tests/net/rest_limit_test.cpp
+++ b/tests/net/rest_limit_test.cpp
@@ -11,8 +11,8 @@
     RestLimit limit;
     Time now{1000s};
     EXPECT_EQ(limit.longest(now), Duration::max());
-    for (int i = 0; i < 100; ++i) limit.used(now, 20ms, i == 0);  // one of a hundred: chance
-    for (int i = 0; i < 4; ++i) limit.used(now, 200ms, true);
+    for (int i = 0; i < 100; ++i) limit.used(now, 20ms, 1ms, i == 0);  // one of a hundred: chance
+    for (int i = 0; i < 4; ++i) limit.used(now, 200ms, 1ms, true);
     EXPECT_GE(limit.longest(now), 20ms);
     EXPECT_LT(limit.longest(now), 200ms);
     now += 60s;  // nothing tells any more that it is still so
@@ -22,9 +22,10 @@
 TEST(RestLimit, AFewAmongManyAreChance) {
     RestLimit limit;
     const Time now{1000s};
-    for (int i = 0; i < 200; ++i) limit.used(now, 1s, i % 40 == 0);
+    for (int i = 0; i < 200; ++i) limit.used(now, 1s, 1ms, i % 40 == 0);
+    for (int i = 0; i < 20; ++i) limit.used(now, 1s, 300ms, true);  // the server died, later
     EXPECT_EQ(limit.longest(now), Duration::max());
-    for (int i = 0; i < 20; ++i) limit.used(now, Duration{}, true);
+    for (int i = 0; i < 20; ++i) limit.used(now, Duration{}, 1ms, true);
     EXPECT_EQ(limit.longest(now), Duration{});  // none is to be used that has rested at all
 }
 
