Held states are released in time while no connection comes up; silent watches found sooner

Ruled out: release calls that fail (none was made yet), loops that are behind (10 to 20 ms of CPU in the busiest second).

Cause: go_on_to_writer counted the state's time from the last outcome (brain.cpp, last_outcome), and each dial that failed began it anew; an attempt that still dials was left alone by the core. The rule's time runs on until an attempt has come to a server.

Change: the module counts from the last outcome of what came to a server, and lets the state go after a failed dial once that time is over; the core calls off an attempt that has not come when the state's time is up. A release that fails is asked next of the server that spoke last, not of the first by name. Told: a watch's silence counted only after 6 s, when its news already count: 2.6 s now, 0.7 s for a new watch's first word, pauses of 0.4 s at most. Gone clients: an attempt that waits for its connection is called off by the core as its client goes, whatever the module may do; a close behind up to a whole request sent ahead is heard (reading had stopped after 4 KiB).

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -47,6 +47,7 @@
         ListedServer server;  // kept here: once off the list, nothing else tells how it is spoken to
         std::string state;    // as the read told it
         std::int64_t attempt = 0;
+        Time since{};  // from when on no attempt that reached a server has been out
     };
     std::optional<Held> held;  // the state that waits at a reader
     // A read that was called off or broke may have ended well at that moment, and a place may be held:
@@ -279,7 +280,9 @@
                       : "hung_up_held");
     // A stream that nobody reads ends; the module never calls off a started one by itself. One that has not
     // started is the module's to call off, once it hears that the client is gone.
-    if (r->started && r->call) {
+    // Nor does one begin for nobody that waits for its connection: in the dial queue, or at a server that is
+    // slow to take it.
+    if (r->call && (r->started || !may_have_come(calls_.at(*r->call)))) {
         const CallId call = *r->call;
         emit(CallAbort{call});
         return end_attempt(call, Ending::cancelled, "client gone");
@@ -312,6 +315,7 @@
     if (it == calls_.end()) return;
     Outgoing& call = it->second;
     call.sent = true;
+    heard_[call.server] = now_;
     call.status = in.status;
     call.head = convention_->read_head(in.status, in.headers);
     if (call.kind == CallKind::attempt && !call.read && in.status == 200)
@@ -343,7 +347,7 @@
             emit(CallAbort{id});
             return end_attempt(id, Ending::cancelled, "client gone");
         }
-        r.last_chunk = now_;
+        r.last_chunk = heard_[call.server] = now_;
         r.chunks += progress.events;
         if (!r.started) begin_stream(r, call);
         if (!progress.to_client.empty()) emit(StreamBytes{r.client, std::move(progress.to_client)});
@@ -441,7 +445,7 @@
         }
         const auto at = servers_.find({call.server});
         r.held = Open::Held{at == servers_.end() ? ListedServer{} : at->second, std::move(read_answer->state),
-                            call.attempt.value};
+                            call.attempt.value, now_};
         held_ += 1;
     } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault) {
         ended.remark = r.in.exchange->kept_tokens();
@@ -458,6 +462,7 @@
             let_go(r);
         }
     }
+    if (r.held && judged.outcome != Outcome::connect_failed) r.held->since = now_;
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") +
                r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms" +
@@ -556,11 +561,19 @@
     calls_.at(again).request = call.request;
 }
 
-// Whoever is in service, was not asked, and comes first by name: that it lives is all that is wanted.
+// Who spoke last of those in service that were not asked: that it lives is all that is wanted.
 const ListedServer* Edge::server_for_release(const std::set<std::string>& tried) const {
-    for (const auto& [id, s] : servers_)
-        if (s.entry.state == ServerState::up && !tried.contains(id.value)) return &s;
-    return nullptr;
+    const ListedServer* out = nullptr;
+    Time last{};
+    for (const auto& [id, s] : servers_) {
+        if (s.entry.state != ServerState::up || tried.contains(id.value)) continue;
+        const auto heard = heard_.find(id.value);
+        const Time at = heard == heard_.end() ? Time{} : heard->second;
+        if (out != nullptr && at <= last) continue;
+        out = &s;
+        last = at;
+    }
+    return out;
 }
 
 void Edge::end_seat(const Outgoing& call, Ending ending) {
@@ -624,6 +637,7 @@
         if (!over) return false;
         verification_.forget(p.first.value);
         no_release_.erase(p.first.value);
+        heard_.erase(p.first.value);
         emit(ServerForgotten{p.first.value});
         return true;
     });
@@ -826,10 +840,10 @@
     out.server_kind = s.entry.kind;
     out.begun = now_;
     out.read = read;
-    if (action.timeout > Duration::zero()) {
-        out.timeout = now_ + action.timeout;
-        arm(*r, std::min(r->deadline, out.timeout));
-    }
+    if (action.timeout > Duration::zero()) out.timeout = now_ + action.timeout;
+    // Guards against a state that waits while connections don't come up: until a byte of the attempt is out
+    // the state's time runs on.
+    arm(*r, r->held && !read ? std::min(ends_at(*r, out), state_due(*r)) : ends_at(*r, out));
     r->call = out.id;
     calls_.emplace(out.id, std::move(out));
     emit(std::move(call));
@@ -911,6 +925,19 @@
 
 // ================= time =================
 
+Time Edge::ends_at(const Open& r, const Outgoing& attempt) {
+    return attempt.timeout == Time{} ? r.deadline : std::min(r.deadline, attempt.timeout);
+}
+// Called off now, could it have run?
+bool Edge::may_have_come(const Outgoing& attempt) const {
+    engine::Facts facts;
+    facts.ending = Ending::cancelled;
+    facts.sent = attempt.sent;
+    facts.written = attempt.written;
+    return !engine::proves_not_run(convention_->judge(facts, attempt.server_kind).outcome);
+}
+Time Edge::state_due(const Open& r) const { return r.held->since + settings_.module.release_within; }
+
 void Edge::arm(Open& r, Time at) {
     disarm(r);
     r.due = at;
@@ -967,6 +994,12 @@
             const CallId call = *r.call;
             emit(CallAbort{call});
             end_attempt(call, Ending::timed_out, now_ >= last ? "time is over" : "silent stream");
+        } else if (r.call && now_ < ends_at(r, calls_.at(*r.call))) {
+            const CallId call = *r.call;
+            arm(r, ends_at(r, calls_.at(call)));
+            if (!r.held || may_have_come(calls_.at(call))) continue;
+            emit(CallAbort{call});
+            end_attempt(call, Ending::cancelled, "no connection in the state's time");
         } else if (r.call) {
             const CallId call = *r.call;
             const bool own = now_ < r.deadline;  // the module's own time-out of this attempt
@@ -975,6 +1008,8 @@
             else arm(r, now_ + 2 * settings_.module.tick);
             r.overdue = !own;
             end_attempt(call, Ending::timed_out, own ? "time-out" : "deadline");
+        } else if (now_ < r.deadline) {
+            arm(r, r.deadline);  // the attempt that this was for has ended
         } else if (!r.overdue) {
             // Nothing is out, and the module has not given it up: it hears of the time now, and has one
             // chance.
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -273,6 +273,9 @@
     [[nodiscard]] std::string guard(const Open& open, const Send& action) const;
     // time
     void fire_due();
+    [[nodiscard]] static Time ends_at(const Open& open, const Outgoing& attempt);
+    [[nodiscard]] bool may_have_come(const Outgoing& attempt) const;
+    [[nodiscard]] Time state_due(const Open& open) const;  // of one with a state that waits
     void arm(Open& open, Time at);
     void disarm(Open& open);
     // ends
@@ -334,8 +337,9 @@
     std::size_t unanswered_ = 0;
     std::size_t request_bytes_ = 0;  // of the bodies of open requests
     std::size_t held_ = 0;
-    std::set<std::string> no_release_;  // servers that have no let-go call
-    std::vector<RequestId> loose_;      // requests for which something may be held that no attempt may want
+    std::set<std::string> no_release_;             // servers that have no let-go call
+    std::unordered_map<std::string, Time> heard_;  // by server: when it last spoke; looked up, never walked
+    std::vector<RequestId> loose_;  // requests for which something may be held that no attempt may want
 };
 
 }  // namespace chalksail::core
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -54,7 +54,8 @@
         [](uv_timer_t* t) {
             auto& watch = *static_cast<DiscoveryWatch*>(t->data);
             const Time now = uv_now_time();
-            if (watch.out_ && now - watch.heard_ > watch.limits_.silence) {
+            const auto& l = watch.limits_;
+            if (watch.out_ && now - watch.heard_ > (watch.spoke_ ? l.silence : l.first_word)) {
                 watch.pool_.cancel(watch.call_);
                 watch.again("silent");
             } else if (!watch.out_ && now >= watch.open_at_) {
@@ -77,6 +78,7 @@
 void DiscoveryWatch::open() {
     lines_ = platform::LineReader(limits_.line_bytes);
     out_ = true;
+    spoke_ = false;
     heard_ = uv_now_time();
     pool_.start(++call_, Target(discovery_), "GET", platform::watch_target(since_), {}, "");
 }
@@ -89,7 +91,12 @@
 }
 
 void DiscoveryWatch::on_head(HttpPool::Call call, int status, http::Headers) {
-    if (call != call_ || status == 200) return;
+    if (call != call_) return;
+    if (status == 200) {
+        heard_ = uv_now_time();
+        spoke_ = true;
+        return;
+    }
     pool_.cancel(call);
     again("answers " + std::to_string(status));
 }
@@ -97,6 +104,7 @@
 void DiscoveryWatch::on_body(HttpPool::Call call, std::string bytes) {
     if (call != call_ || !out_) return;
     heard_ = uv_now_time();
+    spoke_ = true;
     for (const auto& line : lines_.feed(bytes)) {
         const auto update = platform::parse_list(line);
         if (!update) {
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -20,10 +20,13 @@
 
 struct WatchLimits {
     std::size_t line_bytes = 1024 * 1024;
+    // What a watch that has broken misses counts as told 6 s later: its silence is found, and a new one
+    // opened, well inside that, also if the first call or two come to nothing.
     Duration dial_timeout = std::chrono::milliseconds(500);
-    Duration silence = std::chrono::seconds(6);  // discovery says something every 2 s
+    Duration first_word = std::chrono::milliseconds(700);  // of a new watch: it is answered at once
+    Duration silence = std::chrono::milliseconds(2600);    // discovery says something every 2 s
     Duration retry_least = std::chrono::milliseconds(50);
-    Duration retry_most = std::chrono::seconds(1);
+    Duration retry_most = std::chrono::milliseconds(400);
 };
 
 class DiscoveryWatch : public membership::ListSource, HttpPool::Handler {
@@ -59,7 +62,8 @@
     // From the wall clock to the edge's; taken once, or a server told twice would seem to have started anew.
     Duration offset_{};
     HttpPool::Call call_ = 0;
-    bool out_ = false;  // the call is under way
+    bool out_ = false;    // the call is under way
+    bool spoke_ = false;  // something of it has come
     std::int64_t since_ = 0;
     platform::LineReader lines_;
     Time heard_{};
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -197,8 +197,12 @@
     c.heard = uv_now_time();
     c.ahead += bytes;
     feed(c);
-    // A peer that sends on ahead of its answers is not read further than this.
-    if (!c.closing && c.peer != 0 && c.ahead.size() > limits_.pipelined_bytes && c.reading) {
+    // A peer that sends on ahead of its answers is not read further than this. Its close is not heard from
+    // then on, so the limit is far above what clients send ahead.
+    if (c.closing || c.peer == 0) return;
+    count_unfinished(c, c.ahead.size());
+    const bool over = c.ahead.size() > limits_.pipelined_bytes || unfinished_ > limits_.unfinished_bytes;
+    if (over && c.reading) {
         c.reading = false;
         uv_read_stop(c.stream());
     }
@@ -230,7 +234,7 @@
         auto& request = std::get<http::Request>(progress);
         c.midway = false;
         c.asked = true;
-        count_unfinished(c, 0);
+        count_unfinished(c, c.ahead.size());
         c.keep_alive = request.keep_alive && !draining_;
         c.head_only = request.method == "HEAD";
         c.http_1_0 = request.http_1_0;
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -36,8 +36,8 @@
 constexpr double kWarmWindows = 4;    // windows over which the work sent to warm servers is averaged
 constexpr double kReadOverhead = 500;   // a read's fixed cost, in prompt tokens: steps and way there
 constexpr double kReadShare = 0.35;     // of the aim that reads waiting at one reader may take
-constexpr double kWaitForText = 0.7;  // of the aim: a request waits so long for who keeps its text
-constexpr double kMuchText = 0.3;     // of the prompt: by so much more than where there is room
+constexpr double kWaitForText = 0.7;    // of the aim: a request waits so long for who keeps its text
+constexpr double kMuchText = 0.3;       // of the prompt: by so much more than where there is room
 constexpr std::size_t kKeptMost = 400;  // texts remembered of a reader: some minutes of sessions
 constexpr double kFewRequests = 3;   // our part of a writer holds fewer: our sums tell next to nothing of it
 constexpr double kSizeStep = 0.02;   // weight of an arrival in the usual size: slow, so that it does not flap
@@ -428,11 +428,12 @@
     void go_on_to_writer(RequestId id, Request& r) {
         Server* writer = best_writer(r, true);
         // A state may wait for room, but not past its release time; then the least harmed writer gets it.
-        const Time last = r.last_outcome + s_.release_within - 3 * s_.tick;
-        if (writer == nullptr && now_ >= last) writer = best_writer(r, false);
+        const bool last = now_ >= state_due(r);
+        if (writer == nullptr && last) writer = best_writer(r, false);
         if (writer != nullptr) send(id, r, *writer, false);
-        else if (now_ >= last) let_go(id, r);  // no writer at all: the state goes, the request is held again
+        else if (last) let_go(id, r);  // no writer at all: the state goes, the request is held again
     }
+    Time state_due(const Request& r) const { return r.untaken_since + s_.release_within - 3 * s_.tick; }
 
     void let_go(RequestId id, Request& r) {
         if (!r.state_at) return;
@@ -599,10 +600,11 @@
         Request& r = it->second;
         const Attempt a = *r.out;
         r.out.reset();
-        r.last_outcome = now_;
+        // What never came to a server left the state waiting.
+        const bool came = e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot;
+        if (came) r.untaken_since = now_;
         if (s != nullptr) settle(*s, r, a, e);
-        const bool may_have_run = !a.read && e.outcome != Outcome::full &&
-                                  e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot;
+        const bool may_have_run = !a.read && came && e.outcome != Outcome::full;
         if (may_have_run && !r.ran_at && s != nullptr) {
             r.ran_at = s->entry;
             r.ran_sent = a.sent;
@@ -620,6 +622,7 @@
         }
         r.failed_at.insert(e.server);
         if (e.outcome == Outcome::full && e.remark == 1) drop_state(r);  // state gone: read anew
+        if (!came && now_ >= state_due(r)) let_go(e.id, r);              // no connection came up in its time
         if (e.outcome == Outcome::moot || !may_go_again(r) || now_ >= r.deadline) give_up(e.id);
     }
 
@@ -951,8 +954,8 @@
     Server pool_;                              // all writers together
     double average_report_ = 0;
     bool probes_queue_ = false;
-    bool any_lowered_ = false;  // a server's limit may be below its start
-    bool any_ejected_ = false;  // a server may not be in good standing
+    bool any_lowered_ = false;                                    // a server's limit may be below its start
+    bool any_ejected_ = false;                                    // a server may not be in good standing
     std::map<std::int64_t, std::pair<RunningMean, Time>> links_;  // by cell: first tokens of states leaving
     std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
     double writer_memory_ = 0;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -129,7 +129,7 @@
     bool ended = false;  // final answer given; kept for an attempt that is still out
     std::optional<Attempt> out;
     std::optional<ServerId> state_at;  // the reader that keeps the read state
-    Time last_outcome{};
+    Time untaken_since{};              // since when no attempt that reached a server has been out
     int sends = 0;
     std::set<ServerId> failed_at;
     // Once an attempt may have run: where and when the first such was sent.
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -287,6 +287,68 @@
     }
 }
 
+// Guards against a state that waits while its attempt's connection does not come up, or its bytes queue: the
+// time to release goes on, so the attempt is called off and the state released within the settings' time.
+TEST(PlatformEdge, StateIsReleasedWhileNoConnectionComesUp) {
+    auto settings = platform_settings(platform::parse_configuration(told::configuration_text(), {}).value());
+    settings.module.release_within = 200ms;
+    for (const bool there : {false, true}) {
+        Platform d(settings);
+        const auto write = d.to_write();
+        d.give({CallSent{write}});  // a part of it may be out: it has not come before its last byte
+        if (there) d.written(write);
+        d.pass(210ms);
+        EXPECT_EQ(d.was_aborted(write), !there);
+        EXPECT_EQ(d.releases().size(), there ? 0U : 1U);
+        EXPECT_EQ(d.replies.size(), 0U);  // the request goes on
+        EXPECT_EQ(d.edge.gauges().open_requests, 1U);
+    }
+}
+
+// Guards against an attempt that goes out for a client that has gone, where the module may not call any off.
+TEST(PlatformEdge, NoAttemptBeginsForAClientThatHasGone) {
+    auto settings = platform_settings(platform::parse_configuration(told::configuration_text(), {}).value());
+    settings.module.may_cancel = false;
+    for (const bool written : {false, true}) {
+        Platform d(settings);
+        d.get(told::post("9b1f"));
+        const auto read = d.sent().back().call;
+        d.give({CallSent{read}});
+        if (written) d.written(read);
+        d.give({ClientClosed{{1}}});
+        EXPECT_EQ(d.was_aborted(read), !written);  // what has come runs on; nothing else begins
+        d.pass(100ms);
+        EXPECT_EQ(d.sent().size(), 1U);
+    }
+}
+
+// Guards against a release that is asked of one silent server after another: next comes who spoke last.
+TEST(PlatformEdge, ReleaseThatFailsIsAskedOfWhoSpokeLast) {
+    Platform d;
+    d.list({listed("a1", "writer"), listed("a2", "writer"), listed("a3", "writer"), listed("r1", "reader"),
+            listed("z1", "writer")});
+    for (int i = 0; i < 40; ++i) {  // z1 alone speaks
+        d.get(told::post("warm" + std::to_string(i)), 100 + static_cast<std::uint64_t>(i));
+        d.answer(d.sent().back().call, 202);
+        const auto write = d.sent().back();
+        if (write.server == "z1") d.answer(write.call, 200, kEvent + kDoneEvent);
+        else
+            d.give({CallFailed{write.call, engine::Ending::dial_failed, ""},
+                    ClientClosed{{100 + static_cast<std::uint64_t>(i)}}});
+        if (write.server == "z1") break;
+    }
+    d.now += 1s;
+    d.calls.clear();
+    d.get(told::post("one"), 1);
+    d.written(d.sent().back().call);
+    d.give({ClientClosed{{1}}});  // the read is called off, its state released
+    ASSERT_EQ(d.releases().size(), 1U);
+    EXPECT_EQ(d.releases()[0].server, "r1");
+    d.pass(200ms);
+    ASSERT_GE(d.releases().size(), 2U);
+    EXPECT_EQ(d.releases()[1].server, "z1");
+}
+
 // Whenever its client goes, nothing of it stays: no call, no state at a server, nothing in the module.
 TEST(PlatformEdge, ClientThatGoesLeavesNothingAtAnyStage) {
     for (const int stage : {0, 1, 2, 3}) {
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -202,6 +202,21 @@
     EXPECT_EQ(c.got().find("HTTP/1.1 2"), std::string::npos);
 }
 
+// Guards against attempts for a client that has gone: a close behind bytes that nobody had read was not
+// heard.
+TEST_F(PlatformRig, CloseBehindRequestsSentAheadIsHeard) {
+    begin([](auto&) {});  // the writer says nothing
+    RawClient& c = client();
+    std::string all = told::post("a1");
+    for (int i = 0; i < 200; ++i) all += told::post("b" + std::to_string(i));
+    ASSERT_GT(all.size(), 20'000U);
+    c.send(all);
+    ASSERT_TRUE(until([&] { return writer->requests == 1; }));
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->gauges().open_requests == 0; }));
+    EXPECT_EQ(writer->requests, 1);
+}
+
 // ---- bad servers ----
 
 class BadServer : public PlatformRig, public ::testing::WithParamInterface<std::pair<std::string, bool>> {};
@@ -280,6 +295,28 @@
     EXPECT_TRUE(served("a1"));
 }
 
+// Guards against a watch that is opened to a discovery that takes connections and says nothing: it is
+// answered at once or given up, long before an old watch's silence counts.
+TEST_F(PlatformRig, NewWatchThatIsNotAnsweredIsTakenUpAnewSoon) {
+    watch_limits.first_word = 50ms;
+    watch_limits.silence = 1h;
+    quiet = true;
+    begin([](auto& p) { p.send(kStream); });
+    EXPECT_TRUE(until([&] { return discovery->requests >= 3; }));
+    quiet = false;
+    EXPECT_TRUE(served("a1"));
+}
+
+// What a broken watch misses counts as told 6 s later. Discovery says something every 2 s: silence is later
+// than that, and two calls that come to nothing, with the pauses behind them, still leave time for the third.
+TEST(WatchLimits, SilenceIsFoundAndMendedInsideSixSeconds) {
+    const WatchLimits l;
+    EXPECT_GT(l.silence, 2s);
+    const Duration look = 40ms;
+    const Duration lost_call = std::max(l.dial_timeout, l.first_word) + l.retry_most + look;
+    EXPECT_LT(l.silence + look + l.retry_most + 2 * lost_call, 6s - 500ms);
+}
+
 TEST_F(PlatformRig, DiscoveryMovesAndTheListStays) {
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
--- a/tests/net/pool_test.cpp
+++ b/tests/net/pool_test.cpp
@@ -63,12 +63,14 @@
         pool->start(++last, Target(peer.address), "POST", "/", {}, body, 0, beyond_limit);
     }
     void until(const std::function<bool()>& so) {
-        // Only keeps a broken build from standing still: a timer, as a loop with nothing to hear of would wait.
+        // Only keeps a broken build from standing still: a timer, as a loop with nothing to hear of would
+        // wait.
         uv_timer_t limit;
         bool over_limit = false;
         uv_timer_init(&loop, &limit);
         limit.data = &over_limit;
-        uv_timer_start(&limit, [](uv_timer_t* t) { *static_cast<bool*>(t->data) = true; }, 20'000, 0);
+        uv_timer_start(
+            &limit, [](uv_timer_t* t) { *static_cast<bool*>(t->data) = true; }, 20'000, 0);
         while (!so() && !over_limit) uv_run(&loop, UV_RUN_ONCE);
         bool closed = false;
         limit.data = &closed;
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -109,6 +109,24 @@
     EXPECT_LT(g.now - ended, 400ms);
 }
 
+// Guards against a state kept while one writer after another can't be reached: its time does not begin anew
+// with an attempt that never came to a server.
+TEST(Rules, StatesTimeRunsOnWhileNoConnectionComesUp) {
+    Gateway g;
+    g.list({server("r", "reader"), server("u", "writer"), server("v", "writer"), server("w", "writer")});
+    g.arrive(1);
+    g.end(1, 0, "r", Outcome::read);
+    const Time ended = g.now;
+    for (int attempt = 1; attempt < 4; ++attempt) {
+        const auto at = g.sent_to();
+        g.pass(150ms);
+        g.end(1, attempt, at, Outcome::connect_failed);
+        if (!g.all<Release>().empty()) break;
+    }
+    EXPECT_EQ(g.all<Release>().size(), 1U);
+    EXPECT_LE(g.now - ended, plain_settings().release_within + 150ms);
+}
+
 TEST(Rules, HeldRequestIsAnsweredBeforeItsDeadline) {
     Gateway g;
     g.list({server("w", "writer")});  // none that reads
