--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -672,7 +672,10 @@
                 (a.read ? read_time_ : first_token_).add(seconds(e.taken), kSmooth);
                 if (e.outcome == Outcome::timeout && s.last_answer <= a.sent) eject(s);  // silent ever since
                 break;
-            case Outcome::connect_failed: take_back_work(s, r); [[fallthrough]];
+            case Outcome::connect_failed:
+                take_back_work(s, r);
+                if (!r.ended) eject(s);  // its client went meanwhile: the dial was called off for that
+                break;
             case Outcome::reset: eject(s); break;
             default: break;
         }
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -92,6 +92,16 @@
     EXPECT_EQ(g.brain.tracked_requests(), 0U);
 }
 
+// Guards against healthy servers that are taken out by clients who leave while a connection is being made.
+TEST(Health, AClientThatGoesWhileItsAttemptDialsProvesNothing) {
+    Gateway g;
+    g.list({server("r", "reader"), server("w", "writer")});
+    g.arrive(1);
+    g.step({ClientGone{{1}}, AttemptEnded{{1}, {0}, {"r"}, Outcome::connect_failed, 20ms, true, 0, {}}});
+    g.arrive(2);
+    EXPECT_EQ(g.sent_to(), "r");
+}
+
 TEST(Rules, WaitingStateIsSentOnOrReleasedInTime) {
     Gateway g;
     g.list({server("r", "reader"), server("w", "writer")});
--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -1,4 +1,6 @@
 // A gateway among many: its own sums tell next to nothing, so it goes by the list and by what it sees in all.
+#include <algorithm>
+#include <cmath>
 #include <map>
 #include <set>
 
@@ -51,6 +53,107 @@
     EXPECT_LE(sent, 8);
 }
 
+// Rule 4 over the whole fleet: what each gateway sends a cold server alone adds up. `rate`: requests a second
+// over all gateways; at 10 a second each of 300 gateways is due far less than one request in the window.
+struct ColdFleet : ::testing::TestWithParam<std::pair<int, double>> {
+    static constexpr Duration kStep = 4ms;
+    struct Due {
+        std::size_t gateway;
+        AttemptEnded ended;
+    };
+    std::vector<Gateway> gateways;
+    std::multimap<Time, Due> due;
+    std::multimap<Time, std::size_t> wakes;
+    std::map<std::string, std::vector<Time>> sent;
+    Time now{10s};
+
+    void give(std::size_t at, std::vector<Event> events) {
+        Gateway& g = gateways[at];
+        g.now = now;
+        g.step(std::move(events));
+        for (const auto& wake : g.all<Wake>()) wakes.emplace(wake.at, at);
+        for (const auto& send : g.all<Send>()) {
+            sent[send.server.value].push_back(now);
+            const bool read = send.server.value.front() == 'r';
+            due.emplace(now + (read ? 20ms : 200ms), Due{at, AttemptEnded{send.id,
+                                                                          {read ? 0 : 1},
+                                                                          send.server,
+                                                                          read ? Outcome::read : Outcome::ok,
+                                                                          20ms,
+                                                                          !read,
+                                                                          0,
+                                                                          {}}});
+        }
+    }
+    // Requests arrive evenly in time; some gateways see several times as many as others.
+    void play(Duration length, double rate) {
+        const Time until = now + length;
+        double owed = 0;
+        for (; now < until; now += kStep) {
+            while (!due.empty() && due.begin()->first <= now) {
+                auto d = due.extract(due.begin());
+                give(d.mapped().gateway, {d.mapped().ended});
+            }
+            while (!wakes.empty() && wakes.begin()->first <= now) {
+                const auto at = wakes.begin()->second;
+                wakes.erase(wakes.begin());
+                give(at, {});
+            }
+            for (owed += rate * std::chrono::duration<double>(kStep).count(); owed >= 1; owed -= 1) {
+                const double place = unit_draw(++requests);
+                give(static_cast<std::size_t>(place * place * static_cast<double>(gateways.size())),
+                     {request_of(requests)});
+            }
+        }
+    }
+    static Arrived request_of(std::uint64_t id) {
+        Arrived out = Gateway::request(id);
+        out.prefix.clear();  // any reader is as good
+        return out;
+    }
+    static double unit_draw(std::uint64_t i) {
+        return static_cast<double>((i * 0x9E3779B97F4A7C15ULL) >> 11U) * 0x1p-53;
+    }
+    [[nodiscard]] double most_in(const std::string& server, Duration window) const {
+        const auto it = sent.find(server);
+        if (it == sent.end()) return 0;
+        std::size_t most = 0, first = 0;
+        for (std::size_t last = 0; last < it->second.size(); ++last) {
+            while (it->second[first] + window < it->second[last]) ++first;
+            most = std::max(most, last - first + 1);
+        }
+        return static_cast<double>(most);
+    }
+    std::uint64_t requests = 0;
+};
+
+TEST_P(ColdFleet, StaysWithinWhatAStartedServerBears) {
+    const auto [count, rate] = GetParam();
+    auto settings = plain_settings();
+    settings.gateways = count;
+    for (int i = 0; i < count; ++i) gateways.emplace_back(settings, static_cast<std::uint64_t>(i + 1));
+    const auto warm = fleet(4, 4);
+    for (std::size_t i = 0; i < gateways.size(); ++i) give(i, {ListChanged{ListScope::complete, warm}});
+    play(20s, rate);
+    auto reader = server("r-cold", "reader"), writer = server("w-cold", "writer");
+    reader.born = writer.born = now;
+    for (std::size_t i = 0; i < gateways.size(); ++i)
+        give(i, {ListChanged{ListScope::changes, {reader, writer}}});
+    play(6s, 1.5 * rate);
+    const double bears = settings.fall_multiple * settings.cold_from * rate / 4 *
+                         std::chrono::duration<double>(settings.fall_window).count();
+    for (const auto* cold : {"r-cold", "w-cold"}) {
+        const double most = most_in(cold, settings.fall_window);
+        EXPECT_LE(most, bears + 2 * std::sqrt(bears) + 2) << cold;
+        if (bears > 10) {  // else getting none is within the bound
+            EXPECT_GT(most, 0) << cold;
+        }
+    }
+}
+INSTANTIATE_TEST_SUITE_P(Sizes, ColdFleet,
+                         ::testing::Values(std::pair{1, 200.0}, std::pair{5, 200.0}, std::pair{25, 200.0},
+                                           std::pair{300, 200.0}, std::pair{300, 10.0}, std::pair{25, 3.0}));
+
 TEST(Fleet, AHotPrefixIsReadAtSeveralReaders) {
     Gateway g(one_of_many());
     g.list(fleet(8, 4));
