--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -154,6 +154,27 @@
                          ::testing::Values(std::pair{1, 200.0}, std::pair{5, 200.0}, std::pair{25, 200.0},
                                            std::pair{300, 200.0}, std::pair{300, 10.0}, std::pair{25, 3.0}));
 
+// The room of all writers is counted once a step, and what is sent in that step takes its part of it.
+TEST(Fleet, ACrowdInOneStepGetsTheRoomThereIs) {
+    const auto sent = [](bool one_step) {
+        Gateway g(one_of_many());
+        g.list(fleet(8, 8));
+        std::vector<Event> crowd;
+        std::size_t out = 0;
+        for (std::uint64_t id = 1; id <= 60; ++id) {
+            crowd.emplace_back(Gateway::request(id));
+            if (one_step) continue;
+            g.step(std::exchange(crowd, {}));
+            out += g.all<Send>().size();
+        }
+        g.step(crowd);
+        return out + g.all<Send>().size();
+    };
+    EXPECT_EQ(sent(true), sent(false));
+    EXPECT_GT(sent(true), 5U);
+    EXPECT_LT(sent(true), 20U);  // 1.5 of a hundredth of 800,000 tokens, in requests of 1,200
+}
+
 TEST(Fleet, AHotPrefixIsReadAtSeveralReaders) {
     Gateway g(one_of_many());
     g.list(fleet(8, 4));
