A bench of the module's step at full size while requests are held

Change: chalksail-policy-bench (Google Benchmark): 324 gateways, 100 servers, 50 to 400 requests held or sent.

--- /dev/null
+++ b/bench/policy_bench.cpp
@@ -0,0 +1,75 @@
+// What a step of the module costs at full size while requests are held: 324 gateways, 100 servers, one step
+// with nothing new. `held`: more requests than there is room for; `out`: all have been sent.
+//
+//   build/bin/chalksail-policy-bench
+#include <benchmark/benchmark.h>
+
+#include <chalksail/chalksail.hpp>
+#include <string>
+#include <vector>
+
+using namespace chalksail;
+using namespace std::chrono_literals;
+
+namespace {
+
+Settings fleet_settings(bool room) {
+    Settings s;
+    ClassSettings c;
+    c.name = "talk";
+    c.aim = 1s;
+    c.deadline = 1h;  // nothing is given up while it is measured
+    c.token_aim = 50ms;
+    s.classes = {c};
+    s.kinds = {{"reader", Role::prefill, 200'000}, {"writer", Role::decode, room ? 1e9 : 100'000}};
+    s.zone = "north";
+    s.gateways = 324;
+    s.tick = 2ms;
+    s.release_within = 500ms;
+    s.cold_for = 10s;
+    s.max_attempts = 5;
+    return s;
+}
+
+ListChanged list_of(int servers) {
+    ListChanged out;
+    const std::vector<std::string> zones = {"north", "south", "east"};
+    for (int i = 0; i < servers; ++i) {
+        ServerEntry e;
+        e.id = {"s-" + std::to_string(10'000'000 + i)};
+        e.kind = i % 2 == 0 ? "reader" : "writer";
+        e.zone = zones[static_cast<std::size_t>(i) % zones.size()];
+        e.cell = i / 6;
+        out.entries.push_back(std::move(e));
+    }
+    return out;
+}
+
+void step(benchmark::State& state, bool room) {
+    Brain brain(fleet_settings(room), 1);
+    Time now{10s};
+    (void)brain.step(now, std::vector<Event>{list_of(100)});
+    for (std::uint64_t id = 1; id <= static_cast<std::uint64_t>(state.range(0)); ++id) {
+        Arrived a;
+        a.id = {id};
+        a.class_name = "talk";
+        a.session = "7f3a9c21e0b4d" + std::to_string(id);
+        a.prefix = "5c0f6e1a2b3d4c" + std::to_string(id % 20);
+        a.time_left = 1h;
+        a.prompt_tokens = 3000;
+        a.shared_tokens = 1000;
+        a.max_output = 800;
+        (void)brain.step(now += 1ms, std::vector<Event>{a});
+    }
+    for (auto _ : state) benchmark::DoNotOptimize(brain.step(now += 4ms, {}));
+    state.counters["tracked"] = static_cast<double>(brain.tracked_requests());
+}
+
+void held(benchmark::State& state) { step(state, false); }
+void out(benchmark::State& state) { step(state, true); }
+
+}  // namespace
+
+BENCHMARK(held)->Arg(50)->Arg(200)->Arg(400)->Unit(benchmark::kMicrosecond);
+BENCHMARK(out)->Arg(50)->Arg(200)->Arg(400)->Unit(benchmark::kMicrosecond);
+BENCHMARK_MAIN();
