--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -126,15 +126,13 @@
     g.list({server("r", "reader"), server("u", "writer"), server("v", "writer"), server("w", "writer")});
     g.arrive(1);
     g.end(1, 0, "r", Outcome::read);
-    const Time ended = g.now;
-    for (int attempt = 1; attempt < 4; ++attempt) {
+    for (int attempt = 1; attempt <= 2; ++attempt) {  // a third would be allowed
+        EXPECT_EQ(g.all<Release>().size(), 0U);
         const auto at = g.sent_to();
-        g.pass(150ms);
+        g.pass(250ms);
         g.end(1, attempt, at, Outcome::connect_failed);
-        if (!g.all<Release>().empty()) break;
     }
     EXPECT_EQ(g.all<Release>().size(), 1U);
-    EXPECT_LE(g.now - ended, plain_settings().release_within + 150ms);
 }
 
 TEST(Rules, HeldRequestIsAnsweredBeforeItsDeadline) {
