Discovery: each watch begins with the whole list; its time-outs are decided apart, with a table of worst cases

By reading: a watch was taken up again from the version last seen, also at another discovery or one started anew, and changes up to that version were dropped. One that counts from a lower number would leave out what it takes for known, or be passed over, drains too. A watch now asks for the whole list each time; changes that don't follow what the same call told before end it. After its head a new watch had 2.6 s to say something: two such calls in a row went past the 6 s. An object may be spread over lines, in pieces of any size.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -29,7 +29,8 @@
       pool_(loop, *this, pool_limits(limits)),
       offset_(uv_now_time().time_since_epoch() -
               std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())),
-      lines_(limits.line_bytes) {
+      schedule_(limits),
+      objects_(limits.object_bytes) {
     timer_ = new uv_timer_t;
     uv_timer_init(&loop, timer_);
     timer_->data = this;
@@ -45,91 +46,83 @@
     sink_ = &sink;
     if (known_) {
         take(*known_, ListScope::recalled);
-        since_ = known_->generation;
         known_.reset();
     }
     open();
     uv_timer_start(
-        timer_,
-        [](uv_timer_t* t) {
-            auto& watch = *static_cast<DiscoveryWatch*>(t->data);
-            const Time now = uv_now_time();
-            const auto& l = watch.limits_;
-            if (watch.out_ && now - watch.heard_ > (watch.spoke_ ? l.silence : l.first_word)) {
-                watch.pool_.cancel(watch.call_);
-                watch.again("silent");
-            } else if (!watch.out_ && now >= watch.open_at_) {
-                watch.open();
-            }
-        },
-        kLookMs, kLookMs);
+        timer_, [](uv_timer_t* t) { static_cast<DiscoveryWatch*>(t->data)->look(); }, kLookMs, kLookMs);
     uv_unref(reinterpret_cast<uv_handle_t*>(timer_));
 }
 
+void DiscoveryWatch::look() {
+    const Time now = uv_now_time();
+    if (schedule_.silent(now)) give_up("silent");
+    if (schedule_.due(now)) open();
+}
+
 void DiscoveryWatch::move(Address discovery) {
     if (discovery == discovery_) return;
     log_.say("info", "discovery", "moves to " + format_address(discovery));
     discovery_ = std::move(discovery);
     if (out_) pool_.cancel(call_);
-    pause_ = {};
+    schedule_.moved(uv_now_time());
     open();
 }
 
 void DiscoveryWatch::open() {
-    lines_ = platform::LineReader(limits_.line_bytes);
+    objects_ = platform::ObjectReader(limits_.object_bytes);
+    version_.reset();
     out_ = true;
-    spoke_ = false;
-    heard_ = uv_now_time();
-    pool_.start(++call_, Target(discovery_), "GET", platform::watch_target(since_), {}, "");
+    schedule_.opened(uv_now_time());
+    pool_.start(++call_, Target(discovery_), "GET", platform::watch_target(), {}, "");
+}
+
+void DiscoveryWatch::give_up(const std::string& why) {
+    pool_.cancel(call_);
+    end(why);
 }
 
-void DiscoveryWatch::again(const std::string& why) {
+void DiscoveryWatch::end(const std::string& why) {
     out_ = false;
-    pause_ = std::clamp(2 * pause_, limits_.retry_least, limits_.retry_most);
-    open_at_ = uv_now_time() + pause_;
+    schedule_.ended(uv_now_time());
     log_.say("warn", "discovery", why + "; the last list stays in force");
 }
 
 void DiscoveryWatch::on_head(HttpPool::Call call, int status, http::Headers) {
-    if (call != call_) return;
-    if (status == 200) {
-        heard_ = uv_now_time();
-        spoke_ = true;
-        return;
-    }
-    pool_.cancel(call);
-    again("answers " + std::to_string(status));
+    if (call != call_ || !out_) return;
+    if (status == 200) schedule_.heard(uv_now_time(), false, false);
+    else give_up("answers " + std::to_string(status));
 }
 
 void DiscoveryWatch::on_body(HttpPool::Call call, std::string bytes) {
     if (call != call_ || !out_) return;
-    heard_ = uv_now_time();
-    spoke_ = true;
-    for (const auto& line : lines_.feed(bytes)) {
-        const auto update = platform::parse_list(line);
-        if (!update) {
-            // What it said is lost: the whole list says it again.
-            since_ = 0;
-            pool_.cancel(call);
-            return again("said what can't be read: " + update.error());
-        }
-        pause_ = {};
-        // Guards against going back: a line of a version that is known already tells nothing new.
-        if (!update->whole && update->generation <= since_ && since_ != 0) continue;
-        since_ = update->generation;
-        take(*update, update->whole ? ListScope::complete : ListScope::changes);
+    const auto objects = objects_.feed(bytes);
+    schedule_.heard(uv_now_time(), objects_.midway(), !objects.empty());
+    for (const auto& text : objects) {
+        take_object(text);
+        if (!out_) return;
     }
-    if (!lines_.overflowed()) return;
-    since_ = 0;
-    pool_.cancel(call);
-    again("said a line that is too long");
+    if (objects_.overflowed()) give_up("told more than is taken at once");
+}
+
+void DiscoveryWatch::take_object(const std::string& text) {
+    const auto update = platform::parse_list(text);
+    if (!update) return give_up("told what can't be read: " + update.error());
+    // Guards against going back, and against missing what came in between: changes follow each other upwards.
+    // Where they don't, discovery has started anew under this watch, and only the whole list tells what
+    // holds.
+    const bool next = update->whole || !version_ || update->generation > *version_;
+    if (!next && update->instances.empty()) return;
+    if (!next) return give_up("told changes that do not follow what it told before");
+    version_ = update->generation;
+    take(*update, update->whole ? ListScope::complete : ListScope::changes);
 }
 
 void DiscoveryWatch::on_done(HttpPool::Call call) {
-    if (call == call_ && out_) again("ended the watch");
+    if (call == call_ && out_) end("ended the watch");
 }
 void DiscoveryWatch::on_failed(HttpPool::Call call, engine::Ending, std::string detail) {
-    if (call == call_ && out_) again(detail);
+    if (call == call_ && out_) end(detail);
 }
 
 Time DiscoveryWatch::to_time(std::int64_t unix_ms) const {
--- a/src/platform/list.cpp
+++ b/src/platform/list.cpp
@@ -1,6 +1,7 @@
 #include "platform/list.hpp"
 
 #include <set>
+#include <utility>
 
 #include "base/json.hpp"
 #include "platform/fields.hpp"
@@ -57,25 +58,37 @@
     return read_list(list);
 }
 
-std::string watch_target(std::int64_t since) {
-    return "/v1/endpoints?follow=1&since=" + std::to_string(since);
+std::string watch_target() { return "/v1/endpoints?follow=1&since=0"; }
+
+// Takes one more byte; is it the last one of what began?
+bool ObjectReader::ends_with(char c) {
+    if (text_.front() != '{') return c == '\n';
+    if (escaped_) {
+        escaped_ = false;
+    } else if (quoted_) {
+        escaped_ = c == '\\';
+        quoted_ = c != '"';
+    } else if (c == '"') {
+        quoted_ = true;
+    } else if (c == '{') {
+        ++depth_;
+    } else if (c == '}') {
+        return --depth_ == 0;
+    }
+    return false;
 }
 
-std::vector<std::string> LineReader::feed(std::string_view bytes) {
+std::vector<std::string> ObjectReader::feed(std::string_view bytes) {
+    constexpr std::string_view kWhiteSpace = " \t\r\n";
     std::vector<std::string> out;
-    while (!overflowed_ && !bytes.empty()) {
-        const auto end = bytes.find('\n');
-        line_ += bytes.substr(0, end);
-        if (line_.size() > most_) {
-            overflowed_ = true;
-            std::string().swap(line_);
-            break;
-        }
-        if (end == std::string_view::npos) break;
-        bytes.remove_prefix(end + 1);
-        if (!line_.empty() && line_.back() == '\r') line_.pop_back();
-        if (!line_.empty()) out.push_back(std::exchange(line_, {}));
+    for (const char c : bytes) {
+        if (overflowed_) break;
+        if (text_.empty() && kWhiteSpace.find(c) != std::string_view::npos) continue;
+        text_ += c;
+        if (ends_with(c)) out.push_back(std::exchange(text_, {}));
+        overflowed_ = text_.size() > most_;
     }
+    if (overflowed_) std::string().swap(text_);
     return out;
 }
 
--- a/src/platform/list.hpp
+++ b/src/platform/list.hpp
@@ -35,20 +35,30 @@
 [[nodiscard]] tl::expected<ListUpdate, std::string> read_list(const rapidjson::Value& list);
 [[nodiscard]] tl::expected<ListUpdate, std::string> parse_list(std::string_view text);
 
-// The path of a watch that begins after what is known.
-[[nodiscard]] std::string watch_target(std::int64_t since);
+// The path of a watch that begins with the whole list. Versions are not asked for: a discovery that has
+// started anew, or another one, may count from a lower number, and would leave out what it thinks is known.
+[[nodiscard]] std::string watch_target();
 
-// Cuts a watch's bytes into lines. Empty ones, which only say that discovery lives, are left out.
-class LineReader {
+// Cuts a watch's bytes into JSON objects, one to a line or spread over several. White space between them,
+// which only says that discovery lives, is left out. What is no object is given as it stands, up to the
+// line's end.
+class ObjectReader {
 public:
-    explicit LineReader(std::size_t most_bytes) : most_(most_bytes) {}
-    // The lines that became whole. After an overflow nothing more is given.
+    explicit ObjectReader(std::size_t most_bytes) : most_(most_bytes) {}
+    // The objects that became whole. After an overflow nothing more is given.
     [[nodiscard]] std::vector<std::string> feed(std::string_view bytes);
     [[nodiscard]] bool overflowed() const { return overflowed_; }
+    // Has an object begun and not ended?
+    [[nodiscard]] bool midway() const { return !text_.empty(); }
 
 private:
+    [[nodiscard]] bool ends_with(char c);
+
     std::size_t most_;
-    std::string line_;
+    std::string text_;
+    std::size_t depth_ = 0;  // of braces
+    bool quoted_ = false;
+    bool escaped_ = false;
     bool overflowed_ = false;
 };
 
--- a/tests/fuzz/platform_fuzz.cpp
+++ b/tests/fuzz/platform_fuzz.cpp
@@ -23,7 +23,7 @@
 }
 
 std::string lines_of(std::string_view text, std::size_t step) {
-    LineReader reader(500);
+    ObjectReader reader(500);
     std::string out;
     in_parts(text, step, [&](auto part) {
         for (const auto& line : reader.feed(part)) {
--- /dev/null
+++ b/tests/membership/watch_schedule_test.cpp
@@ -0,0 +1,153 @@
+// Worst cases of a watch that breaks, with a clock of the test's own.
+#include "membership/watch_schedule.hpp"
+
+#include <gtest/gtest.h>
+
+#include <string>
+#include <vector>
+
+namespace chalksail::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+// What a call that comes to nothing looks like.
+enum class Broken {
+    refused,
+    dial,
+    before_head,
+    after_head,
+    inside_object,
+    dribbling,
+    ended,
+    reset_after_object
+};
+constexpr Broken kAll[] = {
+    Broken::refused,       Broken::dial,      Broken::before_head, Broken::after_head,
+    Broken::inside_object, Broken::dribbling, Broken::ended,       Broken::reset_after_object};
+constexpr Duration kLook = 20ms;        // how often the owner asks
+constexpr Duration kHeadAfter = 400ms;  // as late as a slow answer begins
+
+class Watch {
+public:
+    // A watch that is open and has told its list; its last word is just said, and it falls silent.
+    Watch() {
+        schedule.opened(now);
+        schedule.heard(now, false, true);
+    }
+    // Until the next call is started.
+    void wait() {
+        for (;;) {
+            now += kLook;
+            if (schedule.silent(now)) schedule.ended(now);
+            if (!schedule.due(now)) continue;
+            schedule.opened(now);
+            return;
+        }
+    }
+    void break_call(Broken how) {
+        const Time opened = now;
+        switch (how) {
+            case Broken::refused: return schedule.ended(now);
+            case Broken::dial: now += limits.dial_timeout + kLook; return schedule.ended(now);
+            case Broken::before_head: return;
+            case Broken::after_head: now += kHeadAfter; return schedule.heard(now, false, false);
+            case Broken::inside_object: now += kHeadAfter; return schedule.heard(now, true, false);
+            case Broken::dribbling:
+                while (!schedule.silent(now)) {
+                    schedule.heard(now, true, false);
+                    now += kLook;
+                    ASSERT_LT(now - opened, 10s);
+                }
+                return schedule.ended(now);
+            case Broken::ended:
+                now += kHeadAfter;
+                schedule.heard(now, false, false);
+                return schedule.ended(now);
+            case Broken::reset_after_object: schedule.heard(now, false, true); return schedule.ended(now);
+        }
+    }
+    WatchLimits limits;
+    WatchSchedule schedule{limits};
+    Time now{1000s};
+};
+
+// What a broken watch misses counts as known 6 s after it fell silent. Whatever one further call comes to,
+// the next is open well before; and after two, in time.
+TEST(WatchSchedule, SilenceIsMendedInsideSixSecondsAfterAnyTwoBrokenCalls) {
+    EXPECT_GT(WatchLimits{}.silence, 2s);  // discovery says something every 2 s
+    Duration one{};
+    Duration two{};
+    for (const auto first : kAll) {
+        Watch w;
+        const Time silent = w.now;
+        w.wait();
+        w.break_call(first);
+        w.wait();
+        one = std::max(one, w.now - silent);
+        for (const auto second : kAll) {
+            Watch both;
+            both.wait();
+            both.break_call(first);
+            both.wait();
+            both.break_call(second);
+            both.wait();
+            two = std::max(two, both.now - silent);
+        }
+    }
+    EXPECT_LT(one, 4500ms);
+    EXPECT_LT(two, 6s - 500ms);
+}
+
+// A list that can be had is known within 6 s, whatever came to nothing just before: the longest wait from any
+// moment to the next call's start, with pauses as long as they get.
+TEST(WatchSchedule, DiscoveryThatComesBackIsAskedWithinSixSeconds) {
+    for (const auto how : kAll) {
+        Watch w;
+        w.wait();
+        for (int i = 0; i < 30; ++i) {
+            w.break_call(how);
+            w.wait();
+        }
+        const Time back = w.now;  // right after a call that will come to nothing has begun
+        w.break_call(how);
+        w.wait();
+        EXPECT_LT(w.now - back, 3s) << static_cast<int>(how);
+    }
+}
+
+// A quiet list is no silent watch: discovery speaks every 2 s.
+TEST(WatchSchedule, WatchThatSaysSomethingNowAndThenStays) {
+    Watch w;
+    for (int i = 0; i < 100; ++i) {
+        w.now += 2s + 100ms;
+        EXPECT_FALSE(w.schedule.silent(w.now));
+        w.schedule.heard(w.now, false, false);
+    }
+}
+
+// One that breaks after it has told its list is opened again at once, however often others broke before.
+TEST(WatchSchedule, PausesGrowOnlyWhileNothingIsTold) {
+    Watch w;
+    for (int i = 0; i < 10; ++i) {
+        w.wait();
+        w.break_call(Broken::refused);
+    }
+    w.wait();
+    w.schedule.heard(w.now, false, true);
+    const Time broke = w.now;
+    w.schedule.ended(w.now);
+    w.wait();
+    EXPECT_LE(w.now - broke, w.limits.retry_least + kLook);
+}
+
+TEST(WatchSchedule, MovedIsDueAtOnce) {
+    Watch w;
+    w.wait();
+    w.break_call(Broken::refused);
+    w.schedule.moved(w.now);
+    EXPECT_TRUE(w.schedule.due(w.now));
+}
+
+}  // namespace
+}  // namespace chalksail::membership
--- a/tests/platform/platform_test.cpp
+++ b/tests/platform/platform_test.cpp
@@ -69,14 +69,14 @@
 TEST(PlatformList, LinesAreCutAlikeHoweverTheyCome) {
     const std::string text = "{\"a\":1}\r\n\n\n{\"b\":2}\n{\"c\"";
     for (std::size_t step = 1; step <= text.size(); ++step) {
-        LineReader reader(100);
+        ObjectReader reader(100);
         std::vector<std::string> lines;
         for (std::size_t at = 0; at < text.size(); at += step)
             for (auto& l : reader.feed(std::string_view(text).substr(at, step)))
                 lines.push_back(std::move(l));
         EXPECT_EQ(lines, (std::vector<std::string>{"{\"a\":1}", "{\"b\":2}"}));
     }
-    LineReader small(10);
+    ObjectReader small(10);
     EXPECT_TRUE(small.feed(std::string(11, 'x')).empty());
     EXPECT_TRUE(small.overflowed());
 }
