--- a/src/core/convention.hpp
+++ b/src/core/convention.hpp
@@ -74,6 +74,8 @@
     // `state`: as the read told; empty: the writer reads by itself.
     [[nodiscard]] virtual ServerRequest write(std::int64_t attempt, const std::string& state,
                                               Duration left) const = 0;
+    // Brings the headers of a read or write that waited for its connection up to date.
+    virtual void update_time_left(http::Headers&, Duration) const {}
     [[nodiscard]] virtual std::unique_ptr<WriterAnswer> writer_answer() = 0;
     // Nothing more is sent for it: what only sending needs can go.
     virtual void drop_request() = 0;
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -43,6 +43,8 @@
     std::optional<CallId> call;  // the attempt that is out
     std::int64_t attempts = 0;
     bool may_have_run = false;  // some writer attempt is not proved not to have run
+    Time first_run_begun{};     // when the first such attempt was sent, and where
+    ServerEntry first_run_at;
     struct Held {
         ListedServer server;  // kept here: once off the list, nothing else tells how it is spoken to
         std::string state;    // as the read told it
@@ -55,6 +57,7 @@
     // once no attempt is out.
     std::optional<Held> loose;
     std::optional<CallId> letting;  // the last such call, if it may still be under way
+    std::optional<Send> deferred;   // an attempt put off until that call is out
 
     bool started = false;   // the client gets, or will get, this attempt's answer
     bool answered = false;  // final answer given, or the client is gone
@@ -307,7 +310,10 @@
 }
 
 void Edge::on(const CallWritten& in) {
-    if (const auto it = calls_.find(in.call); it != calls_.end()) it->second.sent = it->second.written = true;
+    const auto it = calls_.find(in.call);
+    if (it == calls_.end()) return;
+    it->second.sent = it->second.written = true;
+    if (it->second.kind == CallKind::release) resume_deferred(it->second.request);
 }
 
 void Edge::on(CallHead& in) {
@@ -422,7 +428,11 @@
     facts.status = call.status;
     facts.not_run = call.head.not_run;
     const auto judged = convention_->judge(facts, call.server_kind);
-    if (!call.read && !engine::proves_not_run(judged.outcome)) r.may_have_run = true;
+    if (!call.read && !engine::proves_not_run(judged.outcome) && !std::exchange(r.may_have_run, true)) {
+        r.first_run_begun = call.begun;
+        if (const auto s = servers_.find({call.server}); s != servers_.end())
+            r.first_run_at = s->second.entry;
+    }
 
     AttemptEnded ended{r.id,  call.attempt,  {call.server},   judged.outcome, now_ - call.begun,
                        false, judged.remark, call.head.report};
@@ -545,19 +555,27 @@
     const bool done = ending == Ending::answered && call.status < 300;
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
     // Where any server takes it another is asked, at once: the time to let go runs on while one does not
-    // answer.
-    if (done || convention_->let_go_covers() == Convention::LetGo::attempt) return;
+    // answer. Not once an attempt has begun behind a call that was out: that attempt's state would go, too.
+    if (done || convention_->let_go_covers() == Convention::LetGo::attempt)
+        return resume_deferred(call.request);
+    Open* r = find(call.request);
     Letting letting = *call.letting;
+    if (r != nullptr && r->call) {
+        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->loose)
+            r->loose = Open::Held{s->second, std::move(letting.state), letting.attempt};
+        loose_.push_back(r->id);
+        return;
+    }
     letting.tried.insert(call.server);
-    if (letting.tries >= settings_.limits.release_tries) return;
-    const ListedServer* next = server_for_release(letting.tried);
-    if (next == nullptr) {
+    const ListedServer* next =
+        letting.tries < settings_.limits.release_tries ? server_for_release(letting.tried) : nullptr;
+    if (next == nullptr && letting.tries < settings_.limits.release_tries) {
         letting.tried = {call.server};
         next = server_for_release(letting.tried);
     }
-    if (next == nullptr) return;
+    if (next == nullptr) return resume_deferred(call.request);
     const auto again = release_call(std::move(letting), *next);
-    if (Open* r = find(call.request)) r->letting = again;
+    if (r != nullptr) r->letting = again;
     calls_.at(again).request = call.request;
 }
 
@@ -801,14 +819,45 @@
     if (s == servers_.end()) return "unknown server";
     if (s->second.entry.state != ServerState::up || verification_.out(action.server.value))
         return "server not in service";
-    if (r.may_have_run && settings_.module.classes[r.in.cls].effect == Effect::once)
-        return "once may have run";
+    if (!repeat_allowed(r, action.server.value, now_)) return "an earlier attempt may have run";
     return {};
 }
 
+bool Edge::repeat_allowed(const Open& r, const std::string& server, Time now) const {
+    const auto& cls = settings_.module.classes[r.in.cls];
+    if (!r.may_have_run || cls.effect == Effect::repeatable) return true;
+    if (cls.effect == Effect::once || now >= r.first_run_begun + cls.window) return false;
+    const auto s = servers_.find({server});
+    if (s == servers_.end()) return false;
+    switch (cls.group) {
+        case Group::all: return true;
+        case Group::zone: return s->second.entry.zone == r.first_run_at.zone;
+        case Group::cell: return s->second.entry.cell == r.first_run_at.cell;
+    }
+    return false;
+}
+
+bool Edge::may_begin(Time now, CallId id, http::Headers& headers) const {
+    const auto call = calls_.find(id);
+    if (call == calls_.end()) return false;
+    if (call->second.kind != CallKind::attempt) return true;
+    const Open& r = *open_.at(call->second.request.value);
+    const Duration left = r.deadline - now;
+    const bool in_time = !r.answered && left > Duration::zero();
+    if (!in_time || !repeat_allowed(r, call->second.server, now)) return false;
+    r.in.exchange->update_time_left(headers, left);
+    return true;
+}
+
 void Edge::act(const Send& action) {
     Open* r = find(action.id);
     if (r == nullptr) return;
+    // Guards against a release that is given up for the sake of the next attempt, and never made: what was
+    // held stayed where it was.
+    if (!r->answered && release_under_way(*r)) {
+        r->deferred = action;
+        return arm(*r, r->deadline);
+    }
     const auto against = guard(*r, action);
     const auto attempt = r->attempts++;
     if (!against.empty()) {
@@ -830,7 +879,6 @@
     const Duration left = r->deadline - now_;
     put(call, read ? r->in.exchange->read(attempt, left)
                    : r->in.exchange->write(attempt, r->held ? r->held->state : std::string(), left));
-    stop_letting(*r);
 
     Outgoing out;
     out.id = call.call;
@@ -879,7 +927,9 @@
 
 void Edge::act(const CancelAttempt& action) {
     Open* r = find(action.id);
-    if (r == nullptr || !r->call || r->started) return;
+    if (r == nullptr || r->started) return;
+    if (r->deferred) return drop_deferred(*r, r->answered);
+    if (!r->call) return;
     const CallId id = *r->call;
     if (calls_.at(id).attempt != action.attempt) return;
     emit(CallAbort{id});
@@ -1008,6 +1058,9 @@
             else arm(r, now_ + 2 * settings_.module.tick);
             r.overdue = !own;
             end_attempt(call, Ending::timed_out, own ? "time-out" : "deadline");
+        } else if (now_ >= r.deadline && r.deferred) {
+            arm(r, now_ + 2 * settings_.module.tick);
+            drop_deferred(r, false);
         } else if (now_ < r.deadline) {
             arm(r, r.deadline);  // the attempt that this was for has ended
         } else if (!r.overdue) {
@@ -1078,6 +1131,7 @@
 void Edge::drop_if_over(RequestId id) {
     Open* r = find(id);
     if (r == nullptr || !r->answered || r->call) return;
+    if (r->deferred) drop_deferred(*r, true);
     let_go(*r);
     open_.erase(id.value);
 }
@@ -1107,12 +1161,25 @@
     loose_ = std::move(wait);
 }
 
-void Edge::stop_letting(Open& r) {
-    if (!r.letting || convention_->let_go_covers() == Convention::LetGo::attempt) return;
-    const CallId id = *std::exchange(r.letting, std::nullopt);
-    if (calls_.erase(id) == 0) return;
-    std::erase_if(call_due_, [&](const auto& d) { return d.second == id; });
-    emit(CallAbort{id});
+bool Edge::release_under_way(const Open& r) const {
+    if (!r.letting || convention_->let_go_covers() == Convention::LetGo::attempt) return false;
+    const auto call = calls_.find(*r.letting);
+    return call != calls_.end() && !call->second.written;
+}
+
+// The release is out, or given up: the attempt that waited for it goes, if it still may.
+void Edge::resume_deferred(RequestId id) {
+    Open* r = find(id);
+    if (r == nullptr || !r->deferred || release_under_way(*r)) return;
+    const Send action = *std::exchange(r->deferred, std::nullopt);
+    act(action);
+}
+
+// It never began, and that tells nothing of its server.
+void Edge::drop_deferred(Open& r, bool finished) {
+    const Send action = *std::exchange(r.deferred, std::nullopt);
+    const AttemptId attempt{r.attempts++};
+    events_.emplace_back(AttemptEnded{r.id, attempt, action.server, Outcome::moot, {}, finished, 0, {}});
 }
 
 Edge::Outgoing& Edge::call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -211,6 +211,10 @@
     [[nodiscard]] std::vector<Output> step(Time now, std::vector<Input> inputs);
     // No later than this step() must be called again, with or without inputs.
     [[nodiscard]] std::optional<Time> next_wake() const;
+    // Asked when a call's connection is ready, before its first byte is handed over: may it still go? A dial
+    // or a queue may have outlasted the client, the deadline or the window for repeats. Updates the headers
+    // that tell how much time is left. A call kept back is to be reported as CallFailed with Ending::expired.
+    [[nodiscard]] bool may_begin(Time now, CallId call, http::Headers& headers) const;
     [[nodiscard]] Gauges gauges() const;
     // Names and states of the servers listed, for operators.
     [[nodiscard]] std::vector<ListedServer> listed() const;
@@ -271,6 +275,9 @@
     void act(const FollowList&) {}  // the list is pushed
     // May this be sent? Says what speaks against it.
     [[nodiscard]] std::string guard(const Open& open, const Send& action) const;
+    // By the effect of its class: may another attempt begin at this time, at a server that can be told apart
+    // by its zone and cell?
+    [[nodiscard]] bool repeat_allowed(const Open& open, const std::string& server, Time now) const;
     // time
     void fire_due();
     [[nodiscard]] static Time ends_at(const Open& open, const Outgoing& attempt);
@@ -297,8 +304,11 @@
     };
     CallId release_call(Letting letting, const ListedServer& to);
     void let_go_loose();
-    // Places and states that a let-go call under way would take from a new attempt.
-    void stop_letting(Open& open);
+    // A release call that covers the whole request would take what a new attempt gets: while one is on its
+    // way out, the attempt is put off.
+    [[nodiscard]] bool release_under_way(const Open& open) const;
+    void resume_deferred(RequestId id);
+    void drop_deferred(Open& open, bool finished);
     [[nodiscard]] const ListedServer* server_for_release(const std::set<std::string>& tried) const;
 
     Open* find(RequestId id);
--- a/src/core/platform_convention.cpp
+++ b/src/core/platform_convention.cpp
@@ -43,9 +43,10 @@
 
 class PlatformConvention::Request : public Exchange {
 public:
-    Request(PlatformConvention& owner, std::string id, http::Request request)
+    Request(PlatformConvention& owner, std::string id, std::string idempotency_key, http::Request request)
         : owner_(owner),
           id_(std::move(id)),
+          idempotency_key_(std::move(idempotency_key)),
           method_(std::move(request.method)),
           target_(std::move(request.target)),
           body_(std::move(request.body)) {
@@ -65,6 +66,9 @@
         reader_ = reader;
         return std::make_unique<Events>(std::move(reader));
     }
+    void update_time_left(http::Headers& headers, Duration left) const override {
+        headers.set(platform::kTimeLeftHeader, platform::format_time_left(left));
+    }
     void drop_request() override { std::string().swap(body_); }
 
     [[nodiscard]] double told_prompt_tokens() const override {
@@ -102,11 +106,15 @@
         out.headers.add("Content-Type", "application/json");
         out.headers.add(std::string(platform::kIdHeader), id_);
         out.headers.add(std::string(platform::kTimeLeftHeader), platform::format_time_left(left));
+        // Guards against repeats that servers can't tell for such: by this key they drop them.
+        if (!idempotency_key_.empty())
+            out.headers.add(std::string(platform::kIdempotencyHeader), idempotency_key_);
         return out;
     }
 
     PlatformConvention& owner_;
     std::string id_;
+    std::string idempotency_key_;  // as its client gave it; empty: none
     std::string method_;
     std::string target_;
     std::string body_;
@@ -160,7 +168,8 @@
     out.max_output = told->max_output;
     out.retry = told->retry;
     out.again = told->again;
-    out.exchange = std::make_unique<Request>(*this, std::move(told->id), std::move(request));
+    out.exchange = std::make_unique<Request>(*this, std::move(told->id), std::move(told->idempotency_key),
+                                             std::move(request));
     return out;
 }
 
@@ -183,6 +192,7 @@
     switch (f.ending) {
         case engine::Ending::answered: facts.ended = platform::Ended::answered; break;
         case engine::Ending::no_resources:
+        case engine::Ending::expired:
             // Our own trouble tells nothing of the server: it is as if the attempt had never been made.
             if (!f.sent) return {Outcome::moot, 0, false};
             facts.ended = platform::Ended::broke;
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -55,7 +55,7 @@
     l.event_bytes = 64 * kKiB;
     l.chunk_bytes = l.body_bytes;
     l.stream_buffer = 64 * kKiB;
-    l.pipelined_bytes = l.head_bytes + l.body_bytes;  // a whole further request; in sum as those unfinished
+    l.pipelined_bytes = l.unfinished_bytes / 2;  // in sum as those unfinished
     // Times: whoever asks nothing, or half a request, is let go before the platform calls it kept waiting.
     l.request_idle = milliseconds(2300);
     l.head_timeout = seconds(8);
--- a/src/engine/outcome.cpp
+++ b/src/engine/outcome.cpp
@@ -18,6 +18,7 @@
             // Guards against a shell that says "no connection" of bytes that have gone out.
             return {f.sent ? Outcome::reset : Outcome::connect_failed, 0, false};
         case Ending::no_resources:
+        case Ending::expired:
             // Our own trouble tells nothing of the server: it is as if the attempt had never been made.
             return {f.sent ? Outcome::reset : Outcome::moot, 0, false};
         case Ending::closed: return {f.sent ? Outcome::reset : Outcome::connect_failed, 0, false};
--- a/src/engine/outcome.hpp
+++ b/src/engine/outcome.hpp
@@ -22,6 +22,7 @@
     not_verified,  // reached, but it did not prove its name; no byte of a request went out
     no_resources,  // this machine could make no connection (file descriptors, memory)
     withdrawn,     // taken back before any byte was handed to a connection
+    expired,       // the same, because its time was over when its connection was ready
     closed,        // the connection broke
     bad_answer,    // bytes that are no answer, or over a limit
     timed_out,     // the time given to it is over
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -55,6 +55,14 @@
         if (same_name(h.name, name)) return h.value;
     return {};
 }
+void Headers::set(std::string_view name, std::string value) {
+    for (auto& header : all_) {
+        if (!same_name(header.name, name)) continue;
+        header.value = std::move(value);
+        return;
+    }
+    add(std::string(name), std::move(value));
+}
 bool Headers::has(std::string_view name) const {
     return std::any_of(all_.begin(), all_.end(), [&](const auto& h) { return same_name(h.name, name); });
 }
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -20,6 +20,8 @@
 class Headers {
 public:
     void add(std::string name, std::string value) { all_.push_back({std::move(name), std::move(value)}); }
+    // Replaces the first of that name, or adds it.
+    void set(std::string_view name, std::string value);
     // The first of that name, in any case of letters; empty if there is none.
     [[nodiscard]] std::string_view get(std::string_view name) const;
     [[nodiscard]] bool has(std::string_view name) const;
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -145,6 +145,9 @@
                                 listener_tls_ ? HttpServer::Speaks::tls : HttpServer::Speaks::clear);
     if (admin_) admin_address_ = admin_->listen(*settings_.admin);
 
+    turn_ = new uv_idle_t;
+    uv_idle_init(&loop_, turn_);
+    uv_unref(reinterpret_cast<uv_handle_t*>(turn_));
     check_ = new uv_check_t;
     uv_check_init(&loop_, check_);
     check_->data = this;
@@ -164,7 +167,7 @@
             [](uv_timer_t* t) {
                 auto& shell = *static_cast<EdgeShell*>(t->data);
                 shell.reload_tls();
-                shell.pump();
+                shell.pump_soon();
             },
             look, look);
         uv_unref(reinterpret_cast<uv_handle_t*>(reload_timer_));
@@ -180,38 +183,48 @@
 
 EdgeShell::~EdgeShell() { finish(); }
 
+// Timers run before the sockets are read: what has come counts before what a time-out decides.
+void EdgeShell::pump_soon() {
+    if (!finished_) uv_idle_start(turn_, [](uv_idle_t*) {});
+}
+
+void EdgeShell::add(core::Input input) {
+    inputs_.emplace_back(std::move(input));
+    pump_soon();
+}
+
 void EdgeShell::on_request(HttpServer::Peer peer, http::Request request) {
-    inputs_.emplace_back(core::ClientRequest{{peer}, std::move(request)});
+    add(core::ClientRequest{{peer}, std::move(request)});
 }
-void EdgeShell::on_closed(HttpServer::Peer peer) { inputs_.emplace_back(core::ClientClosed{{peer}}); }
-void EdgeShell::on_backlog(HttpServer::Peer peer, bool full) {
-    inputs_.emplace_back(core::ClientBacklog{{peer}, full});
+void EdgeShell::on_closed(HttpServer::Peer peer) { add(core::ClientClosed{{peer}}); }
+void EdgeShell::on_backlog(HttpServer::Peer peer, bool full) { add(core::ClientBacklog{{peer}, full}); }
+bool EdgeShell::on_ready(HttpPool::Call call, http::Headers& headers) {
+    return edge_.may_begin(uv_now_time(), {call}, headers);
 }
-void EdgeShell::on_sent(HttpPool::Call call) { inputs_.emplace_back(core::CallSent{{call}}); }
-void EdgeShell::on_written(HttpPool::Call call) { inputs_.emplace_back(core::CallWritten{{call}}); }
+void EdgeShell::on_sent(HttpPool::Call call) { add(core::CallSent{{call}}); }
+void EdgeShell::on_written(HttpPool::Call call) { add(core::CallWritten{{call}}); }
 void EdgeShell::on_head(HttpPool::Call call, int status, http::Headers headers) {
-    inputs_.emplace_back(core::CallHead{{call}, status, std::move(headers)});
+    add(core::CallHead{{call}, status, std::move(headers)});
 }
 void EdgeShell::on_body(HttpPool::Call call, std::string bytes) {
-    inputs_.emplace_back(core::CallBody{{call}, std::move(bytes)});
+    add(core::CallBody{{call}, std::move(bytes)});
 }
-void EdgeShell::on_done(HttpPool::Call call) { inputs_.emplace_back(core::CallDone{{call}}); }
+void EdgeShell::on_done(HttpPool::Call call) { add(core::CallDone{{call}}); }
 void EdgeShell::on_failed(HttpPool::Call call, engine::Ending ending, std::string detail) {
-    inputs_.emplace_back(core::CallFailed{{call}, ending, std::move(detail)});
+    add(core::CallFailed{{call}, ending, std::move(detail)});
 }
 
 void EdgeShell::on_cache_message(const std::string& server, std::uint64_t sequence, std::string payload,
                                  bool replayed) {
-    inputs_.emplace_back(core::CacheMessage{server, sequence, std::move(payload), replayed});
-}
-void EdgeShell::on_cache_replay_ended(const std::string& server) {
-    inputs_.emplace_back(core::CacheReplayEnded{server});
+    add(core::CacheMessage{server, sequence, std::move(payload), replayed});
 }
+void EdgeShell::on_cache_replay_ended(const std::string& server) { add(core::CacheReplayEnded{server}); }
 
 void EdgeShell::pump() {
     if (pumping_ || finished_) return;
     pumping_ = true;
     for (;;) {
+        servers_->report_written();
         const Time now = uv_now_time();
         const auto wake = edge_.next_wake();
         if (inputs_.empty() && (!wake || *wake > now)) break;
@@ -219,13 +232,14 @@
         clients_->flush();
     }
     if (admin_) admin_->flush();
+    uv_idle_stop(turn_);
     if (const auto wake = edge_.next_wake()) {
         const auto left =
             std::chrono::duration_cast<std::chrono::microseconds>(*wake - uv_now_time()).count();
         const auto ms = static_cast<std::uint64_t>(std::max<std::int64_t>(0, (left + 999) / 1000));
         uv_update_time(&loop_);
         uv_timer_start(
-            wake_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->pump(); }, ms, 0);
+            wake_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->pump_soon(); }, ms, 0);
     } else {
         uv_timer_stop(wake_);
     }
@@ -312,10 +326,7 @@
     }
 }
 
-void EdgeShell::take(core::ServerList list) {
-    inputs_.emplace_back(std::move(list));
-    pump();
-}
+void EdgeShell::take(core::ServerList list) { add(std::move(list)); }
 
 void EdgeShell::admin_request(HttpServer::Peer peer, const http::Request& request) {
     http::Headers headers;
@@ -410,38 +421,41 @@
     } else {
         // Clients go on with the connections that they have: each that is closed early may cost the request
         // that is on its way there.
-        inputs_.emplace_back(core::EndNears{uv_now_time() + settings_.limits.drain_answers});
+        add(core::EndNears{uv_now_time() + settings_.limits.drain_answers});
     }
     drain_timer_ = new uv_timer_t;
     uv_timer_init(&loop_, drain_timer_);
     drain_timer_->data = this;
     drain_until_ = uv_now_time() + settings_.limits.drain;
     uv_timer_start(
-        drain_timer_,
-        [](uv_timer_t* t) {
-            auto& shell = *static_cast<EdgeShell*>(t->data);
-            if (shell.take_until_ != Time::max()) {
-                if (uv_now_time() < shell.take_until_) return shell.pump();
-                shell.stop_taking();
-            }
-            shell.pump();
-            const auto g = shell.edge_.gauges();
-            const bool done =
-                g.open_requests == 0 && g.calls == 0 && shell.clients_->counts().connections == 0;
-            const bool late = uv_now_time() >= shell.drain_until_;
-            if (late && !done)
-                shell.log_.say("warn", "drain",
-                               "time is over; " + std::to_string(g.open_requests) + " requests are cut");
-            if (done || late) shell.finish();
-        },
-        kDrainLookMs, kDrainLookMs);
+        drain_timer_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->look_at_drain(); }, kDrainLookMs,
+        kDrainLookMs);
+}
+
+void EdgeShell::look_at_drain() {
+    const Time now = uv_now_time();
+    if (take_until_ != Time::max()) {
+        if (now < take_until_) return;
+        stop_taking();
+    }
+    const auto g = edge_.gauges();
+    const bool done = g.open_requests == 0 && g.calls == 0 && clients_->counts().connections == 0;
+    if (done) return finish();
+    if (now < drain_until_) return;
+    if (!cutting_) {
+        cutting_ = true;
+        log_.say("warn", "drain", "time is over; " + std::to_string(g.open_requests) + " requests are cut");
+        clients_->end_all();
+    }
+    // The connections' other ends get as long as after any last answer to close theirs.
+    if (clients_->counts().connections == 0 || now >= drain_until_ + settings_.limits.linger) finish();
 }
 
 void EdgeShell::stop_taking() {
     take_until_ = Time::max();
     clients_->stop_listening();
     clients_->drain();
-    inputs_.emplace_back(core::DrainBegins{});
+    add(core::DrainBegins{});
 }
 
 // Without a snapshot the index only has to be filled anew: never a reason to stop.
@@ -456,6 +470,10 @@
 void EdgeShell::finish() {
     if (finished_) return;
     finished_ = true;
+    uv_idle_stop(turn_);
+    uv_close(reinterpret_cast<uv_handle_t*>(turn_),
+             [](uv_handle_t* h) { delete reinterpret_cast<uv_idle_t*>(h); });
+    turn_ = nullptr;
     close_timer(wake_);
     close_timer(drain_timer_);
     close_timer(reload_timer_);
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -50,6 +50,7 @@
     void on_request(HttpServer::Peer peer, http::Request request) override;
     void on_closed(HttpServer::Peer peer) override;
     void on_backlog(HttpServer::Peer peer, bool full) override;
+    bool on_ready(HttpPool::Call call, http::Headers& headers) override;
     void on_sent(HttpPool::Call call) override;
     void on_written(HttpPool::Call call) override;
     void on_head(HttpPool::Call call, int status, http::Headers headers) override;
@@ -64,6 +65,10 @@
 
     [[nodiscard]] Target target_of(const core::Call& call);
     void pump();  // gives the core what has come, and does what it says, until nothing is left
+    // pump() in this turn of the loop, once its sockets were read.
+    void pump_soon();
+    void add(core::Input input);
+    void look_at_drain();
     void carry_out(core::Output& output);
     void stop_taking();
     void finish();
@@ -90,6 +95,7 @@
     Address address_;
     Address admin_address_;
     uv_check_t* check_ = nullptr;
+    uv_idle_t* turn_ = nullptr;  // while it is active the loop does not wait for its sockets
     uv_timer_t* wake_ = nullptr;
     uv_timer_t* drain_timer_ = nullptr;
     uv_timer_t* reload_timer_ = nullptr;
@@ -98,6 +104,7 @@
     std::uint64_t tls_refused_ = 0;
     std::uint64_t tls_replaced_ = 0;
     bool draining_ = false;
+    bool cutting_ = false;  // the drain time is over: all connections have been ended
     bool finished_ = false;
     bool pumping_ = false;
 };
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -44,6 +44,8 @@
     tls::HandshakeGate::Id shake = 0;  // 0: not at the gate
     Duration rested{};                 // before this call; of a new connection: zero
     bool heard = false;                // something of this call's answer has come
+    bool written = false;              // the last byte of this call's request was handed to the kernel
+    bool write_failed = false;         // some bytes will never be
     bool settled = false;              // nobody listens to the rest of this answer
     bool paused = false;
     Waiting first;  // to send once connected
@@ -57,7 +59,6 @@
     uv_write_t request{};
     std::string bytes;
     Connection* connection = nullptr;  // its handle outlives its writes
-    Call whole = 0;                    // the call whose last byte this brings; 0: none
 };
 
 HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
@@ -83,15 +84,14 @@
     all.add("Host", to.tls ? to.tls_name : format_address(to.address));
     for (auto& h : headers.all()) all.add(std::move(h.name), std::move(h.value));
     if (method != "GET") all.add("Content-Length", std::to_string(body.size()));
-    std::string bytes = http::format_request_head(method, target, all);
-    bytes += body;
+    Message message{std::string(method), std::string(target), std::move(all), std::string(body)};
 
     if (Connection* c = take_idle(to.key())) {
         counts_.reused += 1;
-        return send(*c, call, std::move(bytes));
+        return send(*c, call, std::move(message));
     }
     Host& host = hosts_[to.key()];
-    Waiting waiting{call, uv_now_time(), std::move(bytes), std::make_shared<Target>(to), worth};
+    Waiting waiting{call, uv_now_time(), std::move(message), std::make_shared<Target>(to), worth};
     if (host.connections < limits_.per_server) {
         if (may_dial() || beyond_limit) return dial(to, host, std::move(waiting));
         if (host.connections == 0) hosts_.erase(to.key());
@@ -147,7 +147,7 @@
     // Its connections are all in use: that many are verified already, or will tell.
     if (host.connections >= limits_.per_server || !may_dial())
         return handler_.on_failed(call, Ending::no_resources, "connections are at their limit");
-    dial(to, host, {call, uv_now_time(), "", std::make_shared<Target>(to), 0});
+    dial(to, host, {call, uv_now_time(), std::nullopt, std::make_shared<Target>(to), 0});
 }
 
 void HttpPool::dial(const Target& target, Host& host, Waiting first) {
@@ -213,12 +213,12 @@
     dialling_.erase(&c);
     const Call call = c.call;
     busy_.erase(call);
-    if (c.first.bytes.empty()) {
+    if (!c.first.message) {
         c.call = 0;
         rest(c);
         return handler_.on_done(call);
     }
-    send(c, call, std::move(c.first.bytes));
+    send(c, call, *std::exchange(c.first.message, std::nullopt));
 }
 
 void HttpPool::start_reading(Connection& c) {
@@ -235,46 +235,63 @@
         });
 }
 
-void HttpPool::send(Connection& c, Call call, std::string bytes) {
+void HttpPool::send(Connection& c, Call call, Message message) {
+    // Guards against a request that is late for its own purpose: the dial or the queue took its time.
+    if (!handler_.on_ready(call, message.headers)) {
+        c.call = 0;
+        handler_.on_failed(call, Ending::expired, "its time was over before its connection was ready");
+        return rest(c);
+    }
     c.rested = c.state == Connection::State::idle ? uv_now_time() - c.since : Duration{};
     c.state = Connection::State::busy;
     c.call = call;
-    c.settled = c.paused = c.heard = false;
+    c.settled = c.paused = c.heard = c.written = false;
     c.since = uv_now_time();
     c.reader.reset();
     busy_[call] = &c;
+    writing_.insert(&c);
     handler_.on_sent(call);  // from here on it may run, whatever the write says
-    if (!write(c, c.filter ? c.filter->send(bytes).to_peer : std::move(bytes), call))
-        broke(c, Ending::closed, "write failed");
+    std::string bytes = http::format_request_head(message.method, message.target, message.headers);
+    bytes += message.body;
+    if (!write(c, c.filter ? c.filter->send(bytes).to_peer : std::move(bytes)))
+        return broke(c, Ending::closed, "write failed");
+    report_if_written(c);
+}
+
+void HttpPool::report_if_written(Connection& c) {
+    if (c.state != Connection::State::busy || c.written || c.write_failed) return;
+    if (uv_stream_get_write_queue_size(c.stream()) != 0) return;
+    c.written = true;
+    writing_.erase(&c);
+    if (!c.settled) handler_.on_written(c.call);
 }
 
-void HttpPool::wrote(Connection& c, Call call) {
-    if (c.state == Connection::State::busy && c.call == call) handler_.on_written(call);
+void HttpPool::report_written() {
+    for (auto* c : std::vector<Connection*>(writing_.begin(), writing_.end())) report_if_written(*c);
 }
 
-bool HttpPool::write(Connection& c, std::string bytes, Call whole) {
+bool HttpPool::write(Connection& c, std::string bytes) {
     if (bytes.empty()) return true;
     // Most requests fit into the socket's buffer: they are out when this returns, without a job of their own.
     if (uv_stream_get_write_queue_size(c.stream()) == 0) {
         uv_buf_t all = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
         const int done = uv_try_write(c.stream(), &all, 1);
         if (done < 0 && done != UV_EAGAIN) return false;
-        if (done == static_cast<int>(bytes.size())) {
-            if (whole != 0) c.pool->wrote(c, whole);
-            return true;
-        }
+        if (done == static_cast<int>(bytes.size())) return true;
         if (done > 0) bytes.erase(0, static_cast<std::size_t>(done));
     }
     auto* job = new WriteJob;
     job->bytes = std::move(bytes);
     job->request.data = job;
     job->connection = &c;
-    job->whole = whole;
     uv_buf_t buffer = uv_buf_init(job->bytes.data(), static_cast<unsigned>(job->bytes.size()));
     const int error = uv_write(&job->request, c.stream(), &buffer, 1, [](uv_write_t* w, int status) {
         const std::unique_ptr<WriteJob> over(static_cast<WriteJob*>(w->data));
-        // A failed write is seen by the reader too, as the end of the connection.
-        if (status == 0 && over->whole != 0) over->connection->pool->wrote(*over->connection, over->whole);
+        Connection& owner = *over->connection;
+        // Guards against the queue's size after an error: libuv takes off what will never be written. The
+        // failure itself is seen by the reader too, as the end of the connection.
+        if (status < 0) owner.write_failed = true;
+        else owner.pool->report_if_written(owner);
     });
     if (error != 0) delete job;
     return error == 0;
@@ -358,9 +375,13 @@
 
 // The answer is whole: the connection waits for the next call, or goes.
 void HttpPool::finish(Connection& c, bool keep) {
+    // Guards against an answer before its request's last byte: the rest would go out ahead of the next
+    // request, and be answered in its place.
+    const bool in_order = uv_stream_get_write_queue_size(c.stream()) == 0 && !c.write_failed;
     busy_.erase(c.call);
+    writing_.erase(&c);
     c.call = 0;
-    if (!keep || c.paused) return close(c);
+    if (!keep || c.paused || !in_order) return close(c);
     rest(c);
 }
 
@@ -376,6 +397,7 @@
 void HttpPool::broke(Connection& c, Ending ending, const std::string& detail) {
     const Call call = c.call;
     const bool told = !c.settled;
+    report_if_written(c);
     // Tells a kept connection that was no longer good from a server that died.
     std::string why = detail;
     if (c.state == Connection::State::busy && !c.heard && c.rested > Duration::zero()) {
@@ -395,6 +417,7 @@
     c.state = Connection::State::closing;
     all_.erase(&c);
     dialling_.erase(&c);
+    writing_.erase(&c);
     const bool at_gate = c.shake != 0;
     if (at_gate) {
         gate_.leave(c.shake);
@@ -421,20 +444,25 @@
 // Gives what waits for this server to a connection, if one is there or may be made.
 void HttpPool::next(const Key& key) {
     // What waits for a handshake takes a connection that has become free: one handshake less for the server.
-    for (;;) {
-        const auto it = hosts_.find(key);
-        if (it == hosts_.end() || it->second.idle.empty()) break;
+    const auto waits_at_gate = [&]() -> Connection* {
         const auto id = gate_.waiting_for(gate_key(key));
-        if (!id || at_gate_.at(*id)->first.bytes.empty()) break;
-        Connection& late = *at_gate_.at(*id);
-        Connection& c = *it->second.idle.back();
-        it->second.idle.pop_back();
+        return id && at_gate_.at(*id)->first.message ? at_gate_.at(*id) : nullptr;
+    };
+    while (waits_at_gate() != nullptr) {
+        Connection* const free = take_idle(key);
+        if (free == nullptr) break;
+        Connection* const still = waits_at_gate();
+        if (still == nullptr) {  // given to another while a stale one was closed
+            hosts_[key].idle.push_back(free);
+            break;
+        }
+        Connection& late = *still;
         const Call call = std::exchange(late.call, 0);
-        std::string bytes = std::move(late.first.bytes);
+        Message message = *std::exchange(late.first.message, std::nullopt);
         busy_.erase(call);
         close(late);
         counts_.reused += 1;
-        send(c, call, std::move(bytes));
+        send(*free, call, std::move(message));
     }
     if (const auto it = hosts_.find(key); it == hosts_.end() || it->second.waiting.empty()) return;
     Connection* const c = take_idle(key);
@@ -454,7 +482,7 @@
         return dial(*target, host, std::move(w));
     }
     counts_.reused += 1;
-    send(*c, w.call, std::move(w.bytes));
+    send(*c, w.call, std::move(*w.message));
 }
 
 void HttpPool::cancel(Call call) {
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -4,6 +4,11 @@
 // and whether again is the owner's; nothing is sent twice here. A call on a kept connection that the server
 // has closed meanwhile ends as "closed" like any other break: it may have run.
 //
+// Whether a request's last byte is out is asked of the socket's write queue, never of libuv's write
+// callbacks: these may run a turn after the bytes were handed to the kernel, or not at all once the handle is
+// closed. report_written() brings the owner up to date and is to be called before anything is decided about a
+// call.
+//
 // Owns its sockets; one loop, one thread. The handler's calls may come from within start() and cancel() too:
 // it only takes note, and acts later.
 #pragma once
@@ -15,6 +20,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <string_view>
@@ -61,6 +67,9 @@
     using Call = std::uint64_t;
     struct Handler {
         virtual ~Handler() = default;
+        // Its connection is ready, nothing of it has been handed over. False: it is kept back, and fails as
+        // Ending::expired; its connection serves others. May change headers that depend on the time.
+        virtual bool on_ready(Call, http::Headers&) { return true; }
         virtual void on_sent(Call) {}     // its first byte was handed to a connection
         virtual void on_written(Call) {}  // its last one was
         virtual void on_head(Call call, int status, http::Headers headers) = 0;
@@ -86,6 +95,8 @@
     // Nothing more of its answer is wanted: its connection is kept once the answer has ended.
     void settle(Call call);
     void flow(Call call, bool paused);
+    // Calls on_written() for each call whose last byte the kernel has taken since it was last told.
+    void report_written();
     void close_all();
 
     struct Counts {
@@ -107,10 +118,17 @@
 private:
     struct Connection;
     struct WriteJob;
+    // A request as it will be written: formatted when its connection is ready.
+    struct Message {
+        std::string method;
+        std::string target;
+        http::Headers headers;
+        std::string body;
+    };
     struct Waiting {
         Call call = 0;
         Time since{};
-        std::string bytes;  // empty: only the connection is wanted
+        std::optional<Message> message;  // nothing: only the connection is wanted
         std::shared_ptr<Target> target;
         double worth = 0;
     };
@@ -132,9 +150,10 @@
     void rest(Connection& c);
     static void start_reading(Connection& c);
     void ready(Connection& c);
-    void send(Connection& c, Call call, std::string bytes);
-    static bool write(Connection& c, std::string bytes, Call whole = 0);
-    void wrote(Connection& c, Call call);
+    void send(Connection& c, Call call, Message message);
+    static bool write(Connection& c, std::string bytes);
+    // Tells the handler if the kernel has taken all of the connection's request.
+    void report_if_written(Connection& c);
     void took(Connection& c, std::string_view bytes);
     void plain(Connection& c, std::string_view bytes);
     void tls_fault(Connection& c, const tls::Fault& fault);
@@ -157,6 +176,7 @@
     std::unordered_map<Call, Key> queued_;
     std::set<Connection*> all_;
     std::set<Connection*> dialling_;
+    std::set<Connection*> writing_;  // of those with a call: its last byte is not known to be out
     RestLimit rest_limit_;
     tls::HandshakeGate gate_;
     std::unordered_map<tls::HandshakeGate::Id, Connection*> at_gate_;  // waiting or in their handshake
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -4,6 +4,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <ctime>
 #include <stdexcept>
 #include <utility>
@@ -46,7 +47,9 @@
     bool head_only = false;
     bool http_1_0 = false;
     bool streaming = false;
-    bool close_after = false;  // once all is written
+    bool ending = false;        // this side ends it: what was read before that is answered
+    bool close_after = false;   // nothing more of it is taken; it is shut down once all is written
+    std::size_t discarded = 0;  // bytes sent ahead that were thrown away: it is refused what came after them
     bool closing = false;
     bool dirty = false;
     bool backlog_told = false;
@@ -151,13 +154,18 @@
     places_.rest(c.id, c.asked ? Places::Kind::kept : Places::Kind::silent, c.begun);
 }
 
-bool HttpServer::unread(std::uint64_t id) const {
+HttpServer::Unread HttpServer::look(const Connection& c) {
     uv_os_fd_t fd = -1;
     char byte = 0;
-    const auto* handle = reinterpret_cast<const uv_handle_t*>(&connections_.at(id)->socket);
-    return uv_fileno(handle, &fd) == 0 && recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&c.socket), &fd) != 0) return Unread::end;
+    const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    if (n > 0) return Unread::bytes;
+    const bool open = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+    return open ? Unread::nothing : Unread::end;
 }
 
+bool HttpServer::unread(std::uint64_t id) const { return look(*connections_.at(id)) == Unread::bytes; }
+
 void HttpServer::start_reading(Connection& connection) {
     connection.reading = true;
     uv_read_start(
@@ -195,17 +203,24 @@
     if (c.close_after) return;  // it is on its way out: nothing more of it is taken
     places_.stir(c.id);
     c.heard = uv_now_time();
+    // Guards against a close that nobody hears: a peer that sends on ahead of its answers is read on, but
+    // what is over the limit is thrown away. What it had sent before is answered; with too much it is given
+    // up.
+    const bool too_far = c.ahead.size() > limits_.pipelined_bytes || unfinished_ > limits_.unfinished_bytes;
+    if (c.discarded > 0 || (c.peer != 0 && too_far)) {
+        c.discarded += bytes.size();
+        if (c.discarded > limits_.discarded_bytes) close(c);
+        return;
+    }
     c.ahead += bytes;
     feed(c);
-    // A peer that sends on ahead of its answers is not read further than this. Its close is not heard from
-    // then on, so the limit is far above what clients send ahead.
-    if (c.closing || c.peer == 0) return;
-    count_unfinished(c, c.ahead.size());
-    const bool over = c.ahead.size() > limits_.pipelined_bytes || unfinished_ > limits_.unfinished_bytes;
-    if (over && c.reading) {
-        c.reading = false;
-        uv_read_stop(c.stream());
-    }
+    if (!c.closing && c.peer != 0) count_unfinished(c, c.ahead.size());
+}
+
+// Guards against an attempt for a client whose close came right behind its request: libuv reports that in the
+// next turn, and a loop that is behind would send the request on before.
+void HttpServer::give_up_if_gone(Connection& c) {
+    if (look(c) == Unread::end) close(c);
 }
 
 // Takes the next request out of what has come, unless one is in hand.
@@ -228,14 +243,14 @@
             count_unfinished(c, c.reader.body_bytes());
             // Guards against many that send half of a large request and stay: each is within its own limit.
             if (unfinished_ > limits_.unfinished_bytes)
-                refuse(c, {503, "too many requests are still coming"});
-            return;
+                return refuse(c, {503, "too many requests are still coming"});
+            break;
         }
         auto& request = std::get<http::Request>(progress);
         c.midway = false;
         c.asked = true;
         count_unfinished(c, c.ahead.size());
-        c.keep_alive = request.keep_alive && !draining_;
+        c.keep_alive = request.keep_alive;
         c.head_only = request.method == "HEAD";
         c.http_1_0 = request.http_1_0;
         c.peer = ++last_peer_;
@@ -243,6 +258,9 @@
         if (c.ahead.empty()) std::string().swap(c.ahead);
         handler_.on_request(c.peer, std::move(request));
     }
+    if (c.closing || c.close_after) return;
+    if (c.peer != 0) give_up_if_gone(c);
+    else if (c.discarded > 0) refuse(c, {503, "too much was sent ahead of the answers"});
 }
 
 void HttpServer::count_unfinished(Connection& c, std::size_t bytes) {
@@ -276,8 +294,8 @@
     Connection* c = find(peer);
     if (c == nullptr) return;
     headers.add("Content-Length", std::to_string(body.size()));
-    if (http::same_name(headers.get("connection"), "close")) c->keep_alive = false;
-    else headers.add("Connection", c->keep_alive ? "keep-alive" : "close");
+    if (http::same_name(headers.get("connection"), "close")) c->ending = true;
+    else headers.add("Connection", c->keep_alive && !draining_ ? "keep-alive" : "close");
     put(*c, http::format_response_head(status, headers));
     if (!c->head_only) put(*c, body);
     finish_answer(*c);
@@ -289,7 +307,7 @@
     c->streaming = true;
     if (c->http_1_0) c->keep_alive = false;  // its end is the close
     else headers.add("Transfer-Encoding", "chunked");
-    headers.add("Connection", c->keep_alive ? "keep-alive" : "close");
+    headers.add("Connection", c->keep_alive && !draining_ ? "keep-alive" : "close");
     put(*c, http::format_response_head(status, headers));
 }
 
@@ -313,7 +331,8 @@
     c.streaming = false;
     c.backlog_told = false;
     c.begun = uv_now_time();
-    if (!c.keep_alive || draining_) c.close_after = true;
+    if (!c.keep_alive) c.close_after = true;
+    if (draining_) c.ending = true;
     if (!c.dirty) {
         c.dirty = true;
         dirty_.push_back(c.id);
@@ -404,27 +423,41 @@
         c.backlog_told = false;
         handler_.on_backlog(c.peer, false);
     }
-    if (c.peer != 0) return;
-    if (c.close_after) {
-        if (queued == 0) say_last(c);
-        return;
+    if (c.peer == 0 && !c.close_after) {
+        if (!c.reading) start_reading(c);
+        feed(c);
+        if (c.closing || c.peer != 0) return;
+        if (!c.close_after && !c.midway && c.out.empty()) {
+            rest(c);
+            if (c.ending) end_when_idle(c);
+        }
     }
-    if (!c.reading) start_reading(c);
-    feed(c);
-    if (!c.closing && !c.close_after && c.peer == 0 && !c.midway && c.out.empty()) rest(c);
+    if (c.peer == 0 && c.close_after && c.out.empty() && uv_stream_get_write_queue_size(c.stream()) == 0)
+        shut_down(c);
+}
+
+// Ends a connection with no request in hand, unless one is on its way in: what comes before the shutdown is
+// answered, what comes after it is not taken, and its client sends it elsewhere.
+void HttpServer::end_when_idle(Connection& c) {
+    c.ending = true;
+    const bool answering = c.peer != 0 || !c.out.empty() || uv_stream_get_write_queue_size(c.stream()) != 0;
+    if (c.close_after || answering || c.midway || look(c) == Unread::bytes) return;
+    c.close_after = true;
+    shut_down(c);
 }
 
-// The last answer is out. Closing while the client still sends would be a reset, which eats that answer: it
-// is told the end, and what it sends is thrown away until it closes too, for a while.
-void HttpServer::say_last(Connection& c) {
+// All that is to be said is out. Closing while the client still sends would be a reset, which eats the last
+// answer: it is told the end, and what it sends is thrown away until it closes too, for a while. The one way
+// in which this side ends a connection in good order.
+void HttpServer::shut_down(Connection& c) {
     if (places_.is_leaving(c.id)) return;
     places_.rest(c.id, Places::Kind::leaving, uv_now_time());
     if (c.filter) return close(c);
-    auto* end = new uv_shutdown_t;
-    if (uv_shutdown(end, c.stream(), [](uv_shutdown_t* r, int) { delete r; }) != 0) {
-        delete end;
+    // At once, not by uv_shutdown(), which waits for the loop's next turn: a request read in between would be
+    // neither answered nor left to be sent again.
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&c.socket), &fd) != 0 || shutdown(fd, SHUT_WR) != 0)
         return close(c);
-    }
     if (!c.reading) start_reading(c);
 }
 
@@ -449,19 +482,33 @@
              [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
 }
 
+std::vector<HttpServer::Connection*> HttpServer::all() const {
+    std::vector<Connection*> out;
+    out.reserve(connections_.size());
+    for (const auto& [id, c] : connections_) out.push_back(c);
+    return out;
+}
+
 void HttpServer::drain() {
     draining_ = true;
-    std::vector<Connection*> idle;
-    for (auto& [id, c] : connections_)
-        if (c->peer == 0 && !c->midway && c->out.empty() && c->waiting == 0 && !c->close_after && !unread(id))
-            idle.push_back(c);
-    for (auto* c : idle) close(*c);
+    for (auto* c : all()) end_when_idle(*c);
+}
+
+void HttpServer::end_all() {
+    draining_ = true;
+    for (auto* c : all()) {
+        if (c->peer != 0) {
+            const Peer peer = std::exchange(c->peer, 0);
+            in_hand_.erase(peer);
+            handler_.on_closed(peer);
+        }
+        c->close_after = true;
+        write_out(*c);
+    }
 }
 
 void HttpServer::close_all() {
-    std::vector<Connection*> all;
-    for (auto& [id, c] : connections_) all.push_back(c);
-    for (auto* c : all) close(*c);
+    for (auto* c : all()) close(*c);
 }
 
 // Time-outs are seconds long: looking a few times a second is exact enough, and costs no timer for each
@@ -486,8 +533,11 @@
         }
     }
     for (const auto id :
-         places_.overdue(now, connections_.size(), draining_, [this](auto i) { return unread(i); }))
-        close(*connections_.at(id));
+         places_.overdue(now, connections_.size(), draining_, [this](auto i) { return unread(i); })) {
+        Connection& c = *connections_.at(id);
+        if (places_.is_leaving(id)) close(c);
+        else end_when_idle(c);
+    }
     for (auto* c : slow) {
         counts_.timed_out += 1;
         if (c->filter && !c->filter->connected()) {  // nothing can be said to it yet
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -28,7 +28,8 @@
     http::Limits message;
     PlaceLimits places;
     std::size_t stream_buffer = 64 * 1024;
-    std::size_t pipelined_bytes = 64 * 1024;
+    std::size_t pipelined_bytes = 64 * 1024;    // sent ahead of an answer, and kept
+    std::size_t discarded_bytes = 1024 * 1024;  // more than that, and thrown away before the connection goes
     std::size_t unfinished_bytes = std::size_t{1} << 30U;  // of all requests that are still coming
     Duration head_timeout = std::chrono::seconds(10);  // from a request's first byte to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
@@ -63,8 +64,10 @@
     // that speaks TLS nothing is accepted before set_tls().
     Address listen(const Address& address, Speaks speaks = Speaks::clear);
     void stop_listening();
-    // Closes connections that have no request in hand, and from now on each other one after its answer.
+    // From now on each connection is shut down once it has no request in hand and nothing of one is unread.
     void drain();
+    // Shuts down each connection, with or without an answer: the end of the drain time.
+    void end_all();
     // Closes all at once.
     void close_all();
 
@@ -104,9 +107,13 @@
     };
     void accept(Listener& listener);
     void rest(Connection& c);
-    // Has something of it come that was not read yet? It is not closed under a request.
+    // What a look at its socket finds that was not read yet.
+    enum class Unread { nothing, bytes, end };
+    [[nodiscard]] static Unread look(const Connection& c);
     [[nodiscard]] bool unread(std::uint64_t id) const;
-    void say_last(Connection& c);
+    void end_when_idle(Connection& c);
+    void shut_down(Connection& c);
+    void give_up_if_gone(Connection& c);
     void count_unfinished(Connection& c, std::size_t bytes);
     static void start_reading(Connection& connection);
     void feed(Connection& c);
@@ -119,6 +126,7 @@
     void close(Connection& c);
     void sweep();
     Connection* find(Peer peer);
+    [[nodiscard]] std::vector<Connection*> all() const;
 
     uv_loop_t& loop_;
     Handler& handler_;
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -87,7 +87,7 @@
     };
     // One that stands there twice may be read in two ways, here and at the servers.
     for (const auto header : {kIdHeader, kClassHeader, kTenantHeader, kSessionHeader, kTimeLeftHeader,
-                              kFactsHeader, kRepeatHeader})
+                              kFactsHeader, kRepeatHeader, kIdempotencyHeader})
         if (count(headers, header) > 1) return bad(header, "given twice");
     ClientRequest out;
     out.id = headers.get(kIdHeader);
@@ -95,6 +95,7 @@
     out.class_name = headers.get(kClassHeader);
     if (!is_name(out.class_name)) return bad(kClassHeader, "missing, or no class");
     out.tenant = headers.get(kTenantHeader);
+    out.idempotency_key = headers.get(kIdempotencyHeader);
     out.session = headers.get(kSessionHeader);
     if (!out.session.empty() && !is_name(out.session)) return bad(kSessionHeader, "no key");
     const auto left = parse_time_left(headers.get(kTimeLeftHeader));
@@ -131,7 +132,7 @@
 
 std::string format_retry_after(Duration after) {
     std::array<char, 32> text{};
-    std::snprintf(text.data(), text.size(), "%.3f", std::chrono::duration<double>(after).count());
+    std::snprintf(text.data(), text.size(), "%.3f", seconds(after));
     return text.data();
 }
 
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -21,12 +21,15 @@
 inline constexpr std::string_view kTimeLeftHeader = "X-Time-Left";
 inline constexpr std::string_view kFactsHeader = "X-Facts";
 inline constexpr std::string_view kRepeatHeader = "X-Repeat";
+// Of classes whose effect is told apart by a key: servers drop repeats by it. Passed on as it is.
+inline constexpr std::string_view kIdempotencyHeader = "Idempotency-Key";
 
 struct ClientRequest {
     std::string id;
     std::string class_name;
     std::string tenant;
-    std::string session;  // empty: none named
+    std::string session;          // empty: none named
+    std::string idempotency_key;  // empty: none
     std::string prefix;
     Duration time_left{};
     double prompt_tokens = 0;
--- /dev/null
+++ b/tests/net/crossing_test.cpp
@@ -0,0 +1,326 @@
+// Events that cross on the way between a client, the edge and a server, on loopback sockets. What has to come
+// at one moment is done between two turns of the loop by peers that don't need it; nothing waits for time to
+// pass.
+#include "net/platform_rig.hpp"
+
+namespace chalksail::net::testing {
+namespace {
+
+// ---- clients' closes ----
+
+enum class Leaves { close, reset, half_close };
+void leave(DirectClient& client, Leaves how) {
+    switch (how) {
+        case Leaves::close: return client.close();
+        case Leaves::reset: return client.reset();
+        case Leaves::half_close: return client.half_close();
+    }
+}
+
+class ClientLeaves : public PlatformRig, public ::testing::WithParamInterface<Leaves> {};
+INSTANTIATE_TEST_SUITE_P(Kinds, ClientLeaves,
+                         ::testing::Values(Leaves::close, Leaves::reset, Leaves::half_close));
+
+// Guards against an attempt for a client whose close came with its request: the loop reads the request in one
+// turn and hears of the close in the next.
+TEST_P(ClientLeaves, RightBehindTheRequestOnANewConnection) {
+    begin([](auto& p) { p.send(kStream); });
+    ASSERT_TRUE(served("a0"));
+    DirectClient gone(edge->address());
+    gone.send(told::post("a1"));
+    leave(gone, GetParam());
+    ASSERT_TRUE(served("a2"));  // came later, and is answered: the other was seen
+    EXPECT_EQ(reader->requests, 2);
+    EXPECT_EQ(edge->gauges().open_requests, 0U);
+}
+
+TEST_P(ClientLeaves, RightBehindTheRequestOnAKeptConnection) {
+    begin([](auto& p) { p.send(kStream); });
+    DirectClient gone(edge->address());
+    gone.send(told::post("a0"));
+    ASSERT_TRUE(until([&] { return gone.read() && gone.got.find("0\r\n\r\n") != std::string::npos; }));
+    gone.send(told::post("a1"));
+    leave(gone, GetParam());
+    ASSERT_TRUE(served("a2"));
+    EXPECT_EQ(reader->requests, 2);
+    EXPECT_EQ(edge->gauges().open_requests, 0U);
+}
+
+// Guards against an attempt that begins on what came first in a turn of the loop, while the client's close
+// came in the same turn: all that has come counts before anything is sent.
+TEST_P(ClientLeaves, InTheTurnInWhichItsServersAreListed) {
+    quiet = true;
+    begin([](auto& p) { p.send(kStream); });
+    ASSERT_TRUE(until([&] { return !discovery->peers.empty() && discovery->requests == 1; }));
+    DirectClient gone(edge->address());
+    gone.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return edge->gauges().open_requests == 1; }));
+    discovery->peers[0]->send(kStreamHead + chunked(whole(41) + "\n"));
+    leave(gone, GetParam());
+    ASSERT_TRUE(served("a2"));
+    EXPECT_EQ(reader->requests, 1);
+}
+
+TEST_P(ClientLeaves, WithItsReadOut) {
+    begin([](auto& p) { p.send(kStream); });
+    ASSERT_TRUE(served("a0"));
+    DirectClient gone(edge->address());
+    gone.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return reader->requests == 2; }));  // its answer is on the way
+    leave(gone, GetParam());
+    ASSERT_TRUE(until([&] { return edge->gauges().open_requests == 0 && edge->gauges().states_held == 0; }));
+    ASSERT_TRUE(served("a2"));
+    EXPECT_EQ(writer->requests, 2);
+}
+
+// Guards against reading that stops for back-pressure and hides a close: a client that sends much at once and
+// goes.
+TEST_P(ClientLeaves, WithMoreSentAheadThanIsKept) {
+    begin([](auto&) {},  // the writer says nothing
+          [](auto& s) { s.limits.pipelined_bytes = 2000; });
+    DirectClient gone(edge->address());
+    gone.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return writer->requests == 1; }));
+    std::string ahead;
+    for (int i = 0; i < 100; ++i) ahead += told::post("b" + std::to_string(i));
+    gone.send(ahead);
+    leave(gone, GetParam());
+    EXPECT_TRUE(until([&] { return edge->gauges().open_requests == 0; }));
+    EXPECT_EQ(writer->requests, 1);
+}
+
+// What was kept of a client that sends too far ahead is answered in order; then it is told, and ended.
+TEST_F(PlatformRig, ClientThatSendsTooFarAheadIsAnsweredAndTold) {
+    RawServer::Peer* waits = nullptr;
+    begin(
+        [&](auto& p) {
+            if (waits == nullptr) waits = &p;
+            else p.send(kStream);
+        },
+        [](auto& s) { s.limits.pipelined_bytes = 400; });
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return waits != nullptr; }));
+    c.send(told::post("b0"));
+    ASSERT_TRUE(served("other"));  // by then b0 was read
+    c.send(told::post("b1"));      // reaches over the limit, and is kept
+    ASSERT_TRUE(served("other2"));
+    c.send(told::post("b2"));  // is thrown away
+    ASSERT_TRUE(served("other3"));
+    waits->send(kStream);
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_TRUE(c.in_good_order);
+    std::size_t streams = 0;
+    for (auto at = c.got.find("HTTP/1.1 200"); at != std::string::npos;
+         at = c.got.find("HTTP/1.1 200", at + 1))
+        ++streams;
+    EXPECT_EQ(streams, 3U);
+    EXPECT_NE(c.got.find("HTTP/1.1 503"), std::string::npos);
+}
+
+// A flood on one connection holds up nobody else, and is ended.
+TEST_F(PlatformRig, EndlessSendingAheadIsEndedAndHoldsUpNobody) {
+    int answered_writes = 0;
+    begin(
+        [&](auto& p) {
+            if (++answered_writes > 1) p.send(kStream);
+        },
+        [](auto& s) { s.limits.pipelined_bytes = 4000; });
+    RawClient& flood = client();
+    flood.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return writer->requests == 1; }));
+    flood.send(std::string(16U * 1024 * 1024, 'x'));
+    ASSERT_TRUE(served("a2"));
+    EXPECT_TRUE(until([&] { return flood.closed(); }));
+}
+
+// ---- shutting down ----
+
+// Guards against a close under a request that is on its way: at the signal the idle connection is shut down,
+// what comes later is not taken, and its client learns so by an end in good order and asks elsewhere.
+TEST_F(PlatformRig, RequestThatCrossesTheShutdownIsNotTakenAndItsClientSeesAnEnd) {
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.drain_grace = 0ms; });
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return c.read() && c.got.find("0\r\n\r\n") != std::string::npos; }));
+    edge->drain();
+    c.send(told::post("a2"));
+    c.got.clear();
+    bool open = true;
+    ASSERT_TRUE(until([&] { return !(open = c.read()); }));
+    EXPECT_FALSE(open);
+    EXPECT_TRUE(c.in_good_order);
+    EXPECT_TRUE(c.got.empty());
+    EXPECT_EQ(reader->requests, 1);
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->finished(); }));
+}
+
+// One that came before the signal, read or not, gets its answer.
+TEST_F(PlatformRig, RequestThatCameBeforeTheShutdownIsAnswered) {
+    for (const bool kept : {false, true}) {
+        begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.drain_grace = 0ms; });
+        ASSERT_TRUE(served("a0"));
+        DirectClient c(edge->address());
+        c.send(told::post("a1"));
+        if (kept) {
+            ASSERT_TRUE(until([&] { return c.read() && c.got.find("0\r\n\r\n") != std::string::npos; }));
+            c.got.clear();
+            c.send(told::post("a2"));
+        } else {
+            // Taken by the listener, nothing of it read.
+            ASSERT_TRUE(served("a3"));
+            c.send(told::post("a4"));
+        }
+        edge->drain();
+        ASSERT_TRUE(until([&] { return !c.read(); }));
+        EXPECT_TRUE(c.in_good_order);
+        EXPECT_NE(c.got.find("HTTP/1.1 "), std::string::npos);
+        c.close();
+        EXPECT_TRUE(until([&] { return edge->finished(); }));
+        stop();
+    }
+}
+
+// Guards against requests that were read behind the one in hand and thrown away at the shutdown.
+TEST_F(PlatformRig, RequestsReadBehindAnotherBeforeTheShutdownAreAnswered) {
+    RawServer::Peer* waits = nullptr;
+    begin(
+        [&](auto& p) {
+            if (waits == nullptr) waits = &p;
+            else p.send(kStream);
+        },
+        [](auto& s) { s.limits.drain_grace = 0ms; });
+    DirectClient c(edge->address());
+    c.send(told::post("a1") + told::post("a2") + told::post("a3"));
+    ASSERT_TRUE(until([&] { return waits != nullptr; }));
+    edge->drain();
+    edge->drain();  // a second signal changes nothing
+    waits->send(kStream);
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_TRUE(c.in_good_order);
+    std::size_t answers = 0;
+    for (auto at = c.got.find("HTTP/1.1 "); at != std::string::npos; at = c.got.find("HTTP/1.1 ", at + 1))
+        ++answers;
+    EXPECT_EQ(answers, 3U);
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->finished(); }));
+}
+
+// Half of a request came before the signal, between its head and its body too: the rest is waited for.
+TEST_F(PlatformRig, RequestHalfReadAtTheShutdownIsAnswered) {
+    const std::string whole_request = told::post("a1");
+    for (const std::size_t cut :
+         {std::size_t{10}, whole_request.find("\r\n\r\n") + 4, whole_request.size() - 1}) {
+        begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.drain_grace = 0ms; });
+        ASSERT_TRUE(served("a0"));
+        DirectClient c(edge->address());
+        c.send(whole_request.substr(0, cut));
+        ASSERT_TRUE(served("a2"));  // by then the half was read
+        edge->drain();
+        c.send(whole_request.substr(cut));
+        ASSERT_TRUE(until([&] { return !c.read(); })) << cut;
+        EXPECT_TRUE(c.in_good_order) << cut;
+        EXPECT_NE(c.got.find("HTTP/1.1 "), std::string::npos) << cut;
+        c.close();
+        EXPECT_TRUE(until([&] { return edge->finished(); }));
+        stop();
+    }
+}
+
+// A stream that its server ends after the signal is passed on to its end, to a client that reads late.
+TEST_F(PlatformRig, StreamEndedAfterTheSignalReachesASlowReaderWhole) {
+    RawServer::Peer* stream = nullptr;
+    begin([&](auto& p) { stream = &p; }, [](auto& s) { s.limits.drain_grace = 0ms; });
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return stream != nullptr; }));
+    stream->send(kStreamHead + chunked(kEvent));
+    ASSERT_TRUE(until([&] { return edge->gauges().started_streams == 1; }));
+    edge->drain();
+    const std::string event = "data: {\"x\":\"" + std::string(10'000, 'y') + "\"}\n\n";
+    std::string rest;
+    for (int i = 0; i < 200; ++i) rest += chunked(event);
+    stream->send(rest + chunked("data: [DONE]\n\n") + "0\r\n\r\n");
+    ASSERT_TRUE(until([&] { return edge->gauges().started_streams == 0; }) || c.read());
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_TRUE(c.in_good_order);
+    EXPECT_TRUE(c.got.ends_with("0\r\n\r\n"));
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->finished(); }));
+}
+
+// At the end of the drain time connections are ended by the same path: what was said is read, also by a
+// client that had sent more.
+TEST_F(PlatformRig, EndOfTheDrainTimeEatsNothingThatWasSaid) {
+    RawServer::Peer* stream = nullptr;
+    begin([&](auto& p) { stream = &p; },
+          [](auto& s) {
+              s.limits.drain_grace = 0ms;
+              s.limits.drain = 1ms;
+          });
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return stream != nullptr; }));
+    stream->send(kStreamHead + chunked(kEvent));
+    ASSERT_TRUE(until([&] { return c.read() && c.got.find(kEvent) != std::string::npos; }));
+    edge->drain();
+    ASSERT_TRUE(until([&] { return edge->gauges().open_requests == 0; }));
+    c.send(told::post("a2"));
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_TRUE(c.in_good_order);
+    EXPECT_FALSE(c.got.ends_with("0\r\n\r\n"));
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->finished(); }));
+}
+
+// ---- events ----
+
+// Each event is passed on before the next is written, beside a client that takes nothing.
+TEST_F(PlatformRig, EventsArePassedOnSinglyBesideASlowReader) {
+    std::vector<RawServer::Peer*> streams;
+    begin([&](auto& p) { streams.push_back(&p); });
+    RawClient& slow = client();
+    slow.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return streams.size() == 1; }));
+    slow.stop_reading();
+    streams[0]->send(kStreamHead);
+    for (int i = 0; i < 2000; ++i)
+        streams[0]->send(chunked("data: {\"x\":\"" + std::string(10'000, 'y') + "\"}\n\n"));
+    RawClient& c = client();
+    c.send(told::post("a2"));
+    ASSERT_TRUE(until([&] { return streams.size() == 2; }));
+    streams[1]->send(kStreamHead);
+    for (int i = 0; i < 50; ++i) {
+        const std::string event = "data: {\"n\":" + std::to_string(i) + "}\n\n";
+        streams[1]->send(chunked(event));
+        ASSERT_TRUE(until([&] { return c.got().find(event) != std::string::npos; })) << i;
+    }
+}
+
+// ---- kept connections to servers ----
+
+// A second answer, a time-out's answer or half a line behind an answer, in the turn in which the connection
+// is kept or later: it answers nobody.
+TEST_F(PlatformRig, WhatFollowsAnAnswerAnswersNobody) {
+    for (const auto& more :
+         {kStream, std::string("HTTP/1.1 408 X\r\nContent-Length: 0\r\n\r\n"), std::string("HTTP/1.1 20")}) {
+        for (const bool together : {true, false}) {
+            std::vector<RawServer::Peer*> writes;
+            begin([&](auto& p) {
+                writes.push_back(&p);
+                if (writes.size() > 1) return p.send(kStream);
+                p.send(together ? kStream + more : kStream);
+            });
+            ASSERT_TRUE(served("a1"));
+            if (!together) writes[0]->send(more);
+            ASSERT_TRUE(served("a2"));
+            EXPECT_EQ(writes.size(), 2U);
+            EXPECT_EQ(writer->peers.size(), 2U);
+            stop();
+        }
+    }
+}
+
+}  // namespace
+}  // namespace chalksail::net::testing
--- /dev/null
+++ b/tests/net/platform_rig.hpp
@@ -0,0 +1,123 @@
+// The edge on the users' platform, on real sockets, with scripted discovery and servers.
+#pragma once
+
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include "core/platform_settings.hpp"
+#include "net/discovery_watch.hpp"
+#include "net/rig.hpp"
+#include "platform/told.hpp"
+
+namespace chalksail::net::testing {
+
+namespace told = platform::testing;
+
+inline const std::string kEvent = "data: {\"choices\":[]}\n\n";
+inline const std::string kStream = kStreamHead + chunked(kEvent) + chunked("data: [DONE]\n\n") + "0\r\n\r\n";
+inline const std::string kRead = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+inline const std::string kLetGo = "HTTP/1.1 204 No Content\r\n\r\n";
+
+class PlatformRig : public Rig {
+protected:
+    ~PlatformRig() override { stop(); }
+    void stop() {
+        clients.clear();
+        edge.reset();
+        discovery.reset();
+    }
+    // Discovery, a good reader, and a writer that does as it is told.
+    void begin(
+        std::function<void(RawServer::Peer&)> write,
+        const std::function<void(config::EdgeSettings&)>& change = [](auto&) {}) {
+        reader = std::make_unique<RawServer>(
+            loop, [](RawServer::Peer& p) { p.send(p.server->last.starts_with("DELETE") ? kLetGo : kRead); });
+        writer = std::make_unique<RawServer>(loop, std::move(write));
+        discovery = std::make_unique<RawServer>(loop, [this](RawServer::Peer& p) {
+            if (quiet) return;
+            p.send(kStreamHead + chunked(whole(41) + "\n"));
+        });
+        open(std::nullopt, change);
+    }
+    void open(std::optional<platform::ListUpdate> known,
+              const std::function<void(config::EdgeSettings&)>& change) {
+        const auto told =
+            platform::parse_configuration(told::configuration_text(format_address(discovery->address)), {});
+        auto settings = core::platform_settings(told.value());
+        settings.module.dial_timeout =
+            5s;  // a busy machine must not look like a server that can't be dialled
+        change(settings);
+        log = std::make_unique<observe::Log>("t", "off");
+        auto list =
+            std::make_unique<DiscoveryWatch>(loop, *log, told->discovery, std::move(known), watch_limits);
+        watch = list.get();
+        edge = std::make_unique<EdgeShell>(loop, settings, *log, std::move(list));
+    }
+    WatchLimits watch_limits;
+    [[nodiscard]] std::string whole(int generation) const {
+        return told::list_text(told::instance("r1", "reader", format_address(reader->address)) + "," +
+                                   told::instance("w1", "writer", format_address(writer->address)),
+                               generation);
+    }
+    bool answered(RawClient& c, const std::string& what) {
+        return until([&] { return c.got().find(what) != std::string::npos || c.closed(); }) &&
+               c.got().find(what) != std::string::npos;
+    }
+    bool served(const std::string& id) {
+        RawClient& c = client();
+        c.send(told::post(id));
+        return answered(c, "0\r\n\r\n") && c.got().find("[DONE]") != std::string::npos;
+    }
+    // Until the list is in force, requests are held: the first one served says that it is.
+    std::unique_ptr<RawServer> discovery;
+    DiscoveryWatch* watch = nullptr;
+    bool quiet = false;
+};
+
+// A client that acts between two turns of the loop: what it does is there before the loop looks again.
+class DirectClient {
+public:
+    explicit DirectClient(const Address& address) : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in where{};
+        uv_ip4_addr(address.host.c_str(), address.port, &where);
+        EXPECT_EQ(connect(socket_, reinterpret_cast<const sockaddr*>(&where), sizeof where), 0);
+    }
+    ~DirectClient() { close(); }
+    DirectClient(const DirectClient&) = delete;
+    DirectClient& operator=(const DirectClient&) = delete;
+
+    void send(const std::string& bytes) const {
+        EXPECT_EQ(::send(socket_, bytes.data(), bytes.size(), MSG_NOSIGNAL),
+                  static_cast<ssize_t>(bytes.size()));
+    }
+    void half_close() const { shutdown(socket_, SHUT_WR); }
+    void close() {
+        if (socket_ >= 0) ::close(std::exchange(socket_, -1));
+    }
+    void reset() {
+        const linger hard{1, 0};
+        setsockopt(socket_, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        close();
+    }
+    // Takes what has come. False once the other side has ended the connection.
+    bool read() {
+        std::string bytes(65536, '\0');
+        for (;;) {
+            const auto n = recv(socket_, bytes.data(), bytes.size(), MSG_DONTWAIT);
+            if (n > 0) {
+                got.append(bytes, 0, static_cast<std::size_t>(n));
+                continue;
+            }
+            if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
+            in_good_order = n == 0;
+            return false;
+        }
+    }
+    std::string got;
+    bool in_good_order = false;  // the connection ended by a shutdown, not by a reset
+
+private:
+    int socket_ = -1;
+};
+
+}  // namespace chalksail::net::testing
--- /dev/null
+++ b/tests/net/pool_rig.hpp
@@ -0,0 +1,117 @@
+// The pool of server connections in a loop of the test's own, and a peer that is driven by hand: nothing of
+// it is seen by the loop in between.
+#pragma once
+
+#include <arpa/inet.h>
+#include <gtest/gtest.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <utility>
+
+#include "net/http_pool.hpp"
+
+namespace chalksail::net::testing {
+
+inline const std::string kAnswer = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+
+struct Peer {
+    Peer() {
+        listener = socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        socklen_t n = sizeof at;
+        bind(listener, reinterpret_cast<sockaddr*>(&at), n);
+        listen(listener, 16);
+        getsockname(listener, reinterpret_cast<sockaddr*>(&at), &n);
+        address = {"127.0.0.1", ntohs(at.sin_port)};
+    }
+    ~Peer() {
+        for (const int fd : {one, listener})
+            if (fd >= 0) close(fd);
+    }
+    void take() { one = accept(listener, nullptr, nullptr); }
+    void say(const std::string& bytes) const {
+        EXPECT_EQ(send(one, bytes.data(), bytes.size(), MSG_NOSIGNAL), static_cast<ssize_t>(bytes.size()));
+    }
+    void hang_up(bool reset) {
+        const linger hard{1, 0};
+        if (reset) setsockopt(one, SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+        close(std::exchange(one, -1));
+    }
+    int listener = -1;
+    int one = -1;
+    Address address;
+};
+
+class Pool : public ::testing::Test, protected HttpPool::Handler {
+protected:
+    Pool() { uv_loop_init(&loop); }
+    ~Pool() override {
+        pool.reset();
+        uv_run(&loop, UV_RUN_DEFAULT);
+        EXPECT_EQ(uv_loop_close(&loop), 0);
+    }
+    void open(std::size_t connections = 0) {
+        PoolLimits limits;
+        limits.connections = connections;
+        limits.dial_timeout = std::chrono::seconds(20);
+        pool = std::make_unique<HttpPool>(loop, static_cast<HttpPool::Handler&>(*this), limits);
+    }
+    void call(const Peer& peer, std::string_view body = "", bool beyond_limit = false) {
+        over = written = false;
+        pool->start(++last, Target(peer.address), "POST", "/", {}, body, 0, beyond_limit);
+    }
+    void until(const std::function<bool()>& so) {
+        // Only keeps a broken build from standing still: a timer, as a loop with nothing to hear of would
+        // wait.
+        uv_timer_t limit;
+        bool over_limit = false;
+        uv_timer_init(&loop, &limit);
+        limit.data = &over_limit;
+        uv_timer_start(
+            &limit, [](uv_timer_t* t) { *static_cast<bool*>(t->data) = true; }, 20'000, 0);
+        while (!so() && !over_limit) uv_run(&loop, UV_RUN_ONCE);
+        bool closed = false;
+        limit.data = &closed;
+        uv_close(reinterpret_cast<uv_handle_t*>(&limit),
+                 [](uv_handle_t* h) { *static_cast<bool*>(h->data) = true; });
+        while (!closed) uv_run(&loop, UV_RUN_NOWAIT);
+        ASSERT_TRUE(so());
+    }
+    void answer(Peer& peer) {
+        until([&] { return written; });
+        if (peer.one < 0) peer.take();
+        peer.say(kAnswer);
+        until([&] { return over; });
+    }
+    bool on_ready(HttpPool::Call call, http::Headers& headers) override {
+        if (update) headers.set("X-Time-Left", *update);
+        return goes && (call == 1 || call > late_until);
+    }
+    void on_written(HttpPool::Call) override { written = true; }
+    void on_head(HttpPool::Call, int, http::Headers) override {}
+    void on_body(HttpPool::Call, std::string) override {}
+    void on_done(HttpPool::Call) override { over = true; }
+    void on_failed(HttpPool::Call, engine::Ending why, std::string) override {
+        over = true;
+        ending = why;
+        expired += why == engine::Ending::expired ? 1 : 0;
+    }
+    uv_loop_t loop{};
+    std::unique_ptr<HttpPool> pool;
+    HttpPool::Call last = 0;
+    bool over = false, written = false;
+    bool goes = true;               // what on_ready() says
+    HttpPool::Call late_until = 1;  // calls behind the first, up to this one, are kept back
+    int expired = 0;
+    std::optional<std::string> update;  // of a header, in on_ready()
+    engine::Ending ending = engine::Ending::answered;
+};
+
+}  // namespace chalksail::net::testing
