--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -151,7 +151,11 @@
     check_ = new uv_check_t;
     uv_check_init(&loop_, check_);
     check_->data = this;
-    uv_check_start(check_, [](uv_check_t* c) { static_cast<EdgeShell*>(c->data)->pump(); });
+    uv_check_start(check_, [](uv_check_t* c) {
+        auto& shell = *static_cast<EdgeShell*>(c->data);
+        shell.pump();
+        if (std::exchange(shell.drain_look_due_, false)) shell.look_at_drain();
+    });
     uv_unref(reinterpret_cast<uv_handle_t*>(check_));
     wake_ = new uv_timer_t;
     uv_timer_init(&loop_, wake_);
@@ -428,10 +432,17 @@
     drain_timer_->data = this;
     drain_until_ = uv_now_time() + settings_.limits.drain;
     uv_timer_start(
-        drain_timer_, [](uv_timer_t* t) { static_cast<EdgeShell*>(t->data)->look_at_drain(); }, kDrainLookMs,
-        kDrainLookMs);
+        drain_timer_,
+        [](uv_timer_t* t) {
+            auto& shell = *static_cast<EdgeShell*>(t->data);
+            shell.drain_look_due_ = true;
+            shell.pump_soon();
+        },
+        kDrainLookMs, kDrainLookMs);
 }
 
+// Called behind a turn's reads. Guards against a listener that is closed over connections that nobody has
+// accepted: with what was written to them they would be reset.
 void EdgeShell::look_at_drain() {
     const Time now = uv_now_time();
     if (take_until_ != Time::max()) {
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -104,6 +104,7 @@
     std::uint64_t tls_refused_ = 0;
     std::uint64_t tls_replaced_ = 0;
     bool draining_ = false;
+    bool drain_look_due_ = false;
     bool cutting_ = false;  // the drain time is over: all connections have been ended
     bool finished_ = false;
     bool pumping_ = false;
--- a/tests/net/crossing_test.cpp
+++ b/tests/net/crossing_test.cpp
@@ -274,6 +274,46 @@
     EXPECT_TRUE(until([&] { return edge->finished(); }));
 }
 
+// Guards against a listener that is closed over a connection, and a request, that came while the loop was
+// busy.
+TEST_F(PlatformRig, RequestInTheBacklogWhenTheListenerClosesIsAnswered) {
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.drain_grace = 1ms; });
+    ASSERT_TRUE(served("a0"));
+    edge->drain();
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    // The loop is busy past the grace: its timer is due in the turn in which it hears of the connection.
+    const auto begun = uv_hrtime();
+    while (uv_hrtime() < begun + 100'000'000) {
+    }
+    ASSERT_TRUE(until([&] { return !c.read(); }));
+    EXPECT_TRUE(c.in_good_order);
+    EXPECT_NE(c.got.find("HTTP/1.1 "), std::string::npos);
+    c.close();
+    EXPECT_TRUE(until([&] { return edge->finished(); }));
+}
+
+// ---- readiness ----
+
+// Ready, and taking requests, with discovery silent and a crowd that says nothing at the limit of
+// connections; served once the list can be had, which idle clients don't keep out.
+TEST_F(PlatformRig, ReadyBesideASilentCrowdWhileDiscoveryIsDown) {
+    watch_limits.silence_midway = 50ms;
+    quiet = true;
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.connections = 8; });
+    for (int i = 0; i < 30; ++i) client();
+    DirectClient probe(edge->address());
+    probe.send("GET /ready HTTP/1.1\r\nHost: x\r\n\r\n");
+    ASSERT_TRUE(until([&] { return !probe.read() || probe.got.find("\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(probe.got.starts_with("HTTP/1.1 200"));
+    DirectClient c(edge->address());
+    c.send(told::post("a1"));
+    ASSERT_TRUE(until([&] { return edge->gauges().open_requests == 1 && discovery->requests >= 2; }));
+    quiet = false;
+    ASSERT_TRUE(until([&] { return !c.read() || c.got.find("0\r\n\r\n") != std::string::npos; }));
+    EXPECT_TRUE(c.got.starts_with("HTTP/1.1 200"));
+}
+
 // ---- events ----
 
 // Each event is passed on before the next is written, beside a client that takes nothing.
