--- a/adapter/wire.cpp
+++ b/adapter/wire.cpp
@@ -116,7 +116,7 @@
                                        optional<Duration>(line, "time_taken_ns")}};
     if (verb == "reply") return Seen{who, attempt_ended(line)};
     if (verb == "note")
-        return Seen{who, SeatAnswer{ticket(line), server(line), required<std::int64_t>(line, "kind") == 1}};
+        return Seen{who, LeaseAnswer{ticket(line), server(line), required<std::int64_t>(line, "kind") == 1}};
     if (verb == "hangup") return Seen{who, ClientGone{ticket(line)}};
     if (verb == "due") return Seen{who, TimerFired{{required<std::uint64_t>(line, "name")}}};
     if (verb == "probe_done")
@@ -179,7 +179,7 @@
             begin_("relocate");
             id_(a.id);
         }
-        void operator()(const BookSeat& a) const {
+        void operator()(const RequestLease& a) const {
             begin_("book_seat");
             id_(a.id);
             text_("server", a.server.value);
--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -183,21 +183,20 @@
     const auto settings = chalksail::core::platform_settings(*told);
     return serve(settings, [&](uv_loop_t& loop, chalksail::observe::Log& log) {
         const auto& l = told->limits;
-        log.say("info", "configuration",
-                "gateway " + std::to_string(settings.module.gateway) + " of " +
-                    std::to_string(settings.module.gateways) + "; " + std::to_string(l.memory_mb) + " MB, " +
-                    std::to_string(l.sockets) +
-                    " descriptors: " + std::to_string(settings.limits.connections) + " for clients, " +
-                    std::to_string(settings.limits.server_connections) + " for servers; streams " +
-                    (settings.module.resume ? "can" : "can't") + " be resumed");
+        log.info("configuration", "gateway " + std::to_string(settings.module.gateway) + " of " +
+                                      std::to_string(settings.module.gateways) + "; " +
+                                      std::to_string(l.memory_mb) + " MB, " + std::to_string(l.sockets) +
+                                      " descriptors: " + std::to_string(settings.limits.connections) +
+                                      " for clients, " + std::to_string(settings.limits.server_connections) +
+                                      " for servers; streams " + (settings.module.resume ? "can" : "can't") +
+                                      " be resumed");
         auto watch = std::make_unique<chalksail::net::DiscoveryWatch>(loop, log, told->discovery,
                                                                       std::move(told->known));
         auto* const list = watch.get();
         return Origin{std::move(watch), [list, &log, file] {
                           const auto now = read_configuration(file, {});
                           if (now) return list->move(now->discovery);
-                          log.say("error", "configuration",
-                                  file + ": " + now.error() + "; the old one stays");
+                          log.error("configuration", file + ": " + now.error() + "; the old one stays");
                       }};
     });
 }
--- a/bench/edge_bench.cpp
+++ b/bench/edge_bench.cpp
@@ -212,8 +212,8 @@
         usage = chat::format_event(
             R"({"id":"chatcmpl-1","object":"chat.completion.chunk","created":1700000000,"model":"m","choices":[],"usage":{"prompt_tokens":400,"completion_tokens":20}})");
         net::ServerLimits limits;
-        limits.places.connections = 40'000;
-        limits.places.idle = 600s;
+        limits.idle_connections.connections = 40'000;
+        limits.idle_connections.idle = 600s;
         for (int i = 0; i < count; ++i) {
             handlers.push_back(std::make_unique<One>());
             servers.push_back(std::make_unique<net::HttpServer>(
--- a/include/chalksail/chalksail.hpp
+++ b/include/chalksail/chalksail.hpp
@@ -157,7 +157,7 @@
     double remark = 0;      // full: 1 if there was no state; ok and read: prompt tokens found kept
     std::vector<double> report;
 };
-struct SeatAnswer {
+struct LeaseAnswer {
     RequestId id;
     ServerId server;
     bool held = false;
@@ -183,7 +183,7 @@
     std::int64_t from = 0;
     std::string hex;
 };
-using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, SeatAnswer, ClientGone,
+using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, LeaseAnswer, ClientGone,
                            TimerFired, ProbeEnded, PrefixesTold, PeerMessage>;
 
 // ---- actions: what the gateway does ----
@@ -210,7 +210,7 @@
 struct MoveStream {
     RequestId id;
 };
-struct BookSeat {
+struct RequestLease {
     RequestId id;
     ServerId server;
 };
@@ -224,8 +224,8 @@
 struct FollowList {
     bool on = true;
 };
-using Action =
-    std::variant<Send, Refuse, Fail, CancelAttempt, Release, MoveStream, BookSeat, Probe, Wake, FollowList>;
+using Action = std::variant<Send, Refuse, Fail, CancelAttempt, Release, MoveStream, RequestLease, Probe, Wake,
+                            FollowList>;
 
 class Brain {
 public:
--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -15,8 +15,8 @@
 net::ServerLimits engine_limits() {
     net::ServerLimits out;
     out.message = {64 * 1024, 32 * 1024 * 1024};
-    out.places.connections = 8192;
-    out.places.idle = std::chrono::seconds(300);
+    out.idle_connections.connections = 8192;
+    out.idle_connections.idle = std::chrono::seconds(300);
     return out;
 }
 
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -153,6 +153,7 @@
         b.size("event", l.event_bytes);
         b.size("answer", l.answer_bytes);
         b.size("pipelined", l.pipelined_bytes);
+        b.size("discarded", l.discarded_bytes);
         b.duration("head-timeout", l.head_timeout);
         b.duration("body-timeout", l.body_timeout);
         b.duration("idle-timeout", l.idle_timeout);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -112,7 +112,9 @@
     std::size_t event_bytes = 1024 * 1024;  // one event of an engine
     std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;  // one chunk of an engine's answer
     std::size_t answer_bytes = 16 * 1024 * 1024;  // of an answer that is put together, and of a read's answer
-    std::size_t pipelined_bytes = 64 * 1024;      // taken from a client ahead of the request in hand
+    // Taken from a client ahead of the request in hand; and more than that, thrown away before it is closed.
+    std::size_t pipelined_bytes = 16 * 1024 * 1024;
+    std::size_t discarded_bytes = 4 * 1024 * 1024;
     Duration head_timeout =
         std::chrono::seconds(10);  // from the first byte of a request to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
--- a/src/core/convention.hpp
+++ b/src/core/convention.hpp
@@ -146,20 +146,20 @@
     [[nodiscard]] virtual engine::Judgement judge(const engine::Facts& facts,
                                                   const std::string& kind) const = 0;
 
-    // What a let-go call covers. `attempt`: the state that this one left, at its own server. `request`: all
+    // What a release call covers. `attempt`: the state that this one left, at its own server. `request`: all
     // that is held for the request, and any server passes it on: so never while an attempt of it is out.
-    enum class LetGo { attempt, request };
-    [[nodiscard]] virtual LetGo let_go_covers() const = 0;
-    // Lets go of what is held for the request of that name; nothing: servers of this kind can't.
+    enum class ReleaseScope { attempt, request };
+    [[nodiscard]] virtual ReleaseScope release_covers() const = 0;
+    // Releases what is held for the request of that name; nothing: servers of this kind can't.
     [[nodiscard]] virtual std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
                                                                const std::string& state,
                                                                const std::string& kind) const = 0;
     // Does this answer to it say that the server has no such call?
     [[nodiscard]] virtual bool no_release(int status) const = 0;
     // Asks a writer to hold a place for the request of that name; nothing: there is no such call.
-    [[nodiscard]] virtual std::optional<ServerRequest> seat(const std::string& name) const = 0;
-    enum class Seat { held, not_held, not_known };
-    [[nodiscard]] virtual Seat seat_answer(int status) const = 0;
+    [[nodiscard]] virtual std::optional<ServerRequest> lease(const std::string& name) const = 0;
+    enum class Lease { held, not_held, not_known };
+    [[nodiscard]] virtual Lease lease_answer(int status) const = 0;
     [[nodiscard]] virtual ServerRequest probe() const = 0;
     [[nodiscard]] virtual std::vector<double> probe_report(const HeadFacts& head,
                                                            std::string_view body) const = 0;
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -15,8 +15,8 @@
 
 namespace {
 
-// A let-go gives back memory that others wait for: before anything that would take some.
-constexpr double kLetGoWorth = std::numeric_limits<double>::max();
+// A release gives back memory that others wait for: before anything that would take some.
+constexpr double kReleaseWorth = std::numeric_limits<double>::max();
 constexpr int kModuleRounds = 64;  // steps of the module within one of ours; it settles in two or three
 
 void put(Call& call, ServerRequest request) {
@@ -53,10 +53,10 @@
     };
     std::optional<Held> held;  // the state that waits at a reader
     // A read that was called off or broke may have ended well at that moment, and a place may be held:
-    // something of this request may be at some server. A call that is one for the whole request lets go of it
+    // something of this request may be at some server. A call that is one for the whole request releases it
     // once no attempt is out.
-    std::optional<Held> loose;
-    std::optional<CallId> letting;  // the last such call, if it may still be under way
+    std::optional<Held> pending_release;
+    std::optional<CallId> release;  // the last such call, if it may still be under way
     std::optional<Send> deferred;   // an attempt put off until that call is out
 
     bool started = false;   // the client gets, or will get, this attempt's answer
@@ -95,7 +95,7 @@
     HeadFacts head;
     std::string body;  // of a read, a probe or an error; bounded
     std::unique_ptr<WriterAnswer> answer;
-    std::optional<Letting> letting;
+    std::optional<ReleaseAttempt> release;
 };
 
 namespace {
@@ -153,7 +153,7 @@
     for (auto& input : inputs) std::visit([this](auto& in) { on(in); }, input);
     fire_due();
     run_module();
-    let_go_loose();
+    release_pending();
     try_verification();
     return std::exchange(effects_, {});
 }
@@ -377,7 +377,7 @@
         r.held.reset();
         held_ -= 1;
     }
-    r.loose.reset();
+    r.pending_release.reset();
     const bool streams = r.in.exchange->streams();
     Time look = now_ + settings_.limits.stream_idle;
     if (r.moves_at != Time{}) look = std::min(look, r.moves_at);
@@ -461,15 +461,15 @@
         ended.remark = r.in.exchange->kept_tokens();
         if (const double told = r.told_prompt_tokens(); told > 0) r.in.exchange->prompt_counted(told);
     }
-    const bool by_request = convention_->let_go_covers() == Convention::LetGo::request;
+    const bool by_request = convention_->release_covers() == Convention::ReleaseScope::request;
     // The writer could not fetch the state; its reader may have it all the same, and must not keep it.
     if (judged.outcome == Outcome::full && judged.remark == 1 && r.held) {
         if (by_request) {
-            r.loose = std::exchange(r.held, std::nullopt);
+            r.pending_release = std::exchange(r.held, std::nullopt);
             held_ -= 1;
-            loose_.push_back(request);
+            pending_releases_.push_back(request);
         } else {
-            let_go(r);
+            release_state(r);
         }
     }
     if (r.held && judged.outcome != Outcome::connect_failed) r.held->since = now_;
@@ -481,14 +481,14 @@
                                      engine::name(judged.outcome), call.status, call.sent,
                                      r.started && !call.read, now_ - call.begun, detail}});
     // A read called off may have been done all the same, its answer on the way, and so may one whose answer
-    // can't be read: the state is let go by its number.
+    // can't be read: the state is released by its number.
     if (call.read && call.sent && judged.outcome != Outcome::read &&
         (ending == Ending::bad_answer || judged.outcome == Outcome::cancelled ||
          judged.outcome == Outcome::timeout || judged.outcome == Outcome::reset)) {
         if (const auto s = servers_.find({call.server}); s != servers_.end()) {
             if (by_request) {
-                r.loose = Open::Held{s->second, "", call.attempt.value};
-                loose_.push_back(request);
+                r.pending_release = Open::Held{s->second, "", call.attempt.value};
+                pending_releases_.push_back(request);
             } else {
                 release_call({r.in.name, call.attempt.value, "", {}, 0}, s->second);
             }
@@ -524,7 +524,7 @@
         case CallKind::attempt: break;
         case CallKind::probe: return end_probe(call, ending);
         case CallKind::release: return end_release(call, ending);
-        case CallKind::seat: return end_seat(call, ending);
+        case CallKind::lease: return end_lease(call, ending);
         case CallKind::verify:
             std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
             if (ending == Ending::answered) verified(call.server);
@@ -556,26 +556,26 @@
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
     // Where any server takes it another is asked, at once: the time to let go runs on while one does not
     // answer. Not once an attempt has begun behind a call that was out: that attempt's state would go, too.
-    if (done || convention_->let_go_covers() == Convention::LetGo::attempt)
+    if (done || convention_->release_covers() == Convention::ReleaseScope::attempt)
         return resume_deferred(call.request);
     Open* r = find(call.request);
-    Letting letting = *call.letting;
+    ReleaseAttempt release = *call.release;
     if (r != nullptr && r->call) {
-        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->loose)
-            r->loose = Open::Held{s->second, std::move(letting.state), letting.attempt};
-        loose_.push_back(r->id);
+        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
+            r->pending_release = Open::Held{s->second, std::move(release.state), release.attempt};
+        pending_releases_.push_back(r->id);
         return;
     }
-    letting.tried.insert(call.server);
+    release.tried.insert(call.server);
     const ListedServer* next =
-        letting.tries < settings_.limits.release_tries ? server_for_release(letting.tried) : nullptr;
-    if (next == nullptr && letting.tries < settings_.limits.release_tries) {
-        letting.tried = {call.server};
-        next = server_for_release(letting.tried);
+        release.tries < settings_.limits.release_tries ? server_for_release(release.tried) : nullptr;
+    if (next == nullptr && release.tries < settings_.limits.release_tries) {
+        release.tried = {call.server};
+        next = server_for_release(release.tried);
     }
     if (next == nullptr) return resume_deferred(call.request);
-    const auto again = release_call(std::move(letting), *next);
-    if (r != nullptr) r->letting = again;
+    const auto again = release_call(std::move(release), *next);
+    if (r != nullptr) r->release = again;
     calls_.at(again).request = call.request;
 }
 
@@ -594,18 +594,20 @@
     return out;
 }
 
-void Edge::end_seat(const Outgoing& call, Ending ending) {
+void Edge::end_lease(const Outgoing& call, Ending ending) {
     std::erase_if(call_due_, [&](const auto& d) { return d.second == call.id; });
-    using Seat = Convention::Seat;
-    const Seat seat = ending == Ending::answered ? convention_->seat_answer(call.status) : Seat::not_known;
+    using Lease = Convention::Lease;
+    const Lease lease =
+        ending == Ending::answered ? convention_->lease_answer(call.status) : Lease::not_known;
     Open* r = find(call.request);
     if (r == nullptr) return;
-    if (seat != Seat::not_known) events_.emplace_back(SeatAnswer{r->id, {call.server}, seat == Seat::held});
+    if (lease != Lease::not_known)
+        events_.emplace_back(LeaseAnswer{r->id, {call.server}, lease == Lease::held});
     // A place that may be held is let go of like a state, unless an attempt takes it.
-    if (seat != Seat::not_held && call.sent && !r->started) {
-        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->loose)
-            r->loose = Open::Held{s->second, "", call.attempt.value};
-        loose_.push_back(r->id);
+    if (lease != Lease::not_held && call.sent && !r->started) {
+        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
+            r->pending_release = Open::Held{s->second, "", call.attempt.value};
+        pending_releases_.push_back(r->id);
     }
 }
 
@@ -937,7 +939,7 @@
 }
 
 void Edge::act(const Release& action) {
-    if (Open* r = find(action.id)) let_go(*r);
+    if (Open* r = find(action.id)) release_state(*r);
 }
 
 // The client comes again for the rest, which is read and written elsewhere.
@@ -951,15 +953,15 @@
     end_attempt(id, Ending::cancelled, "moved");
 }
 
-void Edge::act(const BookSeat& action) {
+void Edge::act(const RequestLease& action) {
     Open* r = find(action.id);
     const auto s = servers_.find(action.server);
     if (r == nullptr || r->answered || s == servers_.end() || s->second.entry.state != ServerState::up)
         return;
-    auto request = convention_->seat(r->in.name);
+    auto request = convention_->lease(r->in.name);
     if (!request || !settings_.module.early_pairing) return;
     const Time due = std::max(r->deadline, now_ + settings_.limits.release_timeout);
-    call_out(CallKind::seat, s->second, std::move(*request), due).request = r->id;
+    call_out(CallKind::lease, s->second, std::move(*request), due).request = r->id;
 }
 
 void Edge::act(const Probe& action) {
@@ -1132,38 +1134,39 @@
     Open* r = find(id);
     if (r == nullptr || !r->answered || r->call) return;
     if (r->deferred) drop_deferred(*r, true);
-    let_go(*r);
+    release_state(*r);
     open_.erase(id.value);
 }
 
-void Edge::let_go(Open& r) {
-    if (r.call || (!r.held && !r.loose)) return;  // with an attempt out the state is that attempt's to take
-    const auto held = r.held ? std::move(*r.held) : std::move(*r.loose);
+void Edge::release_state(Open& r) {
+    if (r.call || (!r.held && !r.pending_release))
+        return;  // with an attempt out the state is that attempt's to take
+    const auto held = r.held ? std::move(*r.held) : std::move(*r.pending_release);
     if (r.held) held_ -= 1;
     r.held.reset();
-    r.loose.reset();
+    r.pending_release.reset();
     const auto call = release_call({r.in.name, held.attempt, held.state, {}, 0}, held.server);
     if (call == CallId{}) return;
-    r.letting = call;
+    r.release = call;
     calls_.at(call).request = r.id;
 }
 
-void Edge::let_go_loose() {
-    if (loose_.empty()) return;
+void Edge::release_pending() {
+    if (pending_releases_.empty()) return;
     std::vector<RequestId> wait;
-    for (const auto id : std::exchange(loose_, {})) {
+    for (const auto id : std::exchange(pending_releases_, {})) {
         Open* r = find(id);
-        if (r == nullptr || !r->loose) continue;
+        if (r == nullptr || !r->pending_release) continue;
         if (r->call) wait.push_back(id);
-        else if (!r->held) let_go(*r);  // with a state that waits, both go together
+        else if (!r->held) release_state(*r);  // with a state that waits, both go together
         else wait.push_back(id);
     }
-    loose_ = std::move(wait);
+    pending_releases_ = std::move(wait);
 }
 
 bool Edge::release_under_way(const Open& r) const {
-    if (!r.letting || convention_->let_go_covers() == Convention::LetGo::attempt) return false;
-    const auto call = calls_.find(*r.letting);
+    if (!r.release || convention_->release_covers() == Convention::ReleaseScope::attempt) return false;
+    const auto call = calls_.find(*r.release);
     return call != calls_.end() && !call->second.written;
 }
 
@@ -1203,18 +1206,18 @@
     return calls_.emplace(out.id, std::move(out)).first->second;
 }
 
-CallId Edge::release_call(Letting letting, const ListedServer& to) {
+CallId Edge::release_call(ReleaseAttempt release, const ListedServer& to) {
     const auto& server = to.entry.id.value;
-    auto request = convention_->release(letting.name, letting.attempt, letting.state, to.entry.kind);
+    auto request = convention_->release(release.name, release.attempt, release.state, to.entry.kind);
     if (!request || no_release_.contains(server)) {
         // Counted and noted: the state stays until the engine drops it by its own time.
         emit(Note{observe::ServerRecord{server, "release", "none"}});
         return {};
     }
-    letting.tries += 1;
+    release.tries += 1;
     const Time due = now_ + settings_.limits.release_timeout;
-    Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kLetGoWorth);
-    out.letting = std::move(letting);
+    Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kReleaseWorth);
+    out.release = std::move(release);
     return out.id;
 }
 
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -8,7 +8,7 @@
 // settings.
 //
 // Names: a *client* is one connection with one request in hand; a *call* is one HTTP exchange with a server
-// (an attempt, a let-go, a probe). The shell knows both by number only.
+// (an attempt, a release, a probe). The shell knows both by number only.
 //
 // The module decides where and when. What is decided here is what the rules leave to whoever owns the
 // sockets: the end at the deadline, what proves that an attempt did not run (engine/outcome.hpp), that bytes
@@ -102,13 +102,13 @@
 };
 struct TrustChanged {};  // what servers are verified against is not what it was
 // This gateway ends soon: requests taken from now on are answered by then.
-struct EndNears {
+struct ShutdownAnnounced {
     Time answered_by;
 };
 struct DrainBegins {};  // no new request is taken from now on
 using Input = std::variant<ClientRequest, ClientClosed, ClientBacklog, CallSent, CallWritten, CallHead,
                            CallBody, CallDone, CallFailed, ServerList, CacheMessage, CacheReplayEnded,
-                           CacheSnapshots, TrustChanged, EndNears, DrainBegins>;
+                           CacheSnapshots, TrustChanged, ShutdownAnnounced, DrainBegins>;
 
 // ---- effects: what the shell is to do ----
 
@@ -133,7 +133,7 @@
     ClientId client;
 };
 // `verify`: only a connection whose server has proved its name; nothing is asked on it. Done, or failed.
-enum class CallKind { attempt, release, seat, probe, verify };
+enum class CallKind { attempt, release, lease, probe, verify };
 struct Call {
     CallId call;
     CallKind kind = CallKind::attempt;
@@ -242,10 +242,10 @@
     void end_other(const Outgoing& call, engine::Ending ending, const std::string& detail);
     void end_probe(const Outgoing& call, engine::Ending ending);
     void end_release(const Outgoing& call, engine::Ending ending);
-    void end_seat(const Outgoing& call, engine::Ending ending);
+    void end_lease(const Outgoing& call, engine::Ending ending);
     // list
     void on(const ServerList& in);
-    void on(const EndNears& in) { answered_by_ = in.answered_by; }
+    void on(const ShutdownAnnounced& in) { answered_by_ = in.answered_by; }
     void on(const DrainBegins&) { draining_ = true; }
     void on(const TrustChanged&) { verification_.all_changed(now_); }
     // What servers keep, by their cache events.
@@ -269,7 +269,7 @@
     void act(const CancelAttempt& action);
     void act(const Release& action);
     void act(const MoveStream& action);
-    void act(const BookSeat& action);
+    void act(const RequestLease& action);
     void act(const Probe& action);
     void act(const Wake& action);
     void act(const FollowList&) {}  // the list is pushed
@@ -290,20 +290,20 @@
     void finish(Open& open, observe::Fate fate, int status, std::string reason);
     void drop_body(Open& open);
     void drop_if_over(RequestId id);
-    void let_go(Open& open);
+    void release_state(Open& open);
     // Sends what is no attempt; it is given up at `due`.
     Outgoing& call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
                        double worth = 0);
-    // One let-go call, and what it takes to ask again.
-    struct Letting {
+    // One release call, and what it takes to ask again.
+    struct ReleaseAttempt {
         std::string name;
         std::int64_t attempt = 0;
         std::string state;
         std::set<std::string> tried;
         std::int64_t tries = 0;
     };
-    CallId release_call(Letting letting, const ListedServer& to);
-    void let_go_loose();
+    CallId release_call(ReleaseAttempt release, const ListedServer& to);
+    void release_pending();
     // A release call that covers the whole request would take what a new attempt gets: while one is on its
     // way out, the attempt is put off.
     [[nodiscard]] bool release_under_way(const Open& open) const;
@@ -339,7 +339,7 @@
     Time next_keep_ = Time::max();
     std::map<std::string, Time> replays_;  // under way, and when they have taken too long
     std::set<std::pair<Time, RequestId>> due_;
-    std::set<std::pair<Time, CallId>> call_due_;  // let-go calls and probes
+    std::set<std::pair<Time, CallId>> call_due_;  // release calls and probes
     std::multimap<Time, TimerId> wakes_;
     std::uint64_t last_request_ = 0;
     std::uint64_t last_call_ = 0;
@@ -347,9 +347,10 @@
     std::size_t unanswered_ = 0;
     std::size_t request_bytes_ = 0;  // of the bodies of open requests
     std::size_t held_ = 0;
-    std::set<std::string> no_release_;             // servers that have no let-go call
+    std::set<std::string> no_release_;             // servers that have no release call
     std::unordered_map<std::string, Time> heard_;  // by server: when it last spoke; looked up, never walked
-    std::vector<RequestId> loose_;  // requests for which something may be held that no attempt may want
+    std::vector<RequestId>
+        pending_releases_;  // requests for which something may be held that no attempt may want
 };
 
 }  // namespace chalksail::core
--- a/src/core/platform_convention.cpp
+++ b/src/core/platform_convention.cpp
@@ -219,12 +219,12 @@
                                                          const std::string&, const std::string&) const {
     return ServerRequest{"DELETE", platform::lease_target(name), {}, ""};
 }
-std::optional<ServerRequest> PlatformConvention::seat(const std::string& name) const {
+std::optional<ServerRequest> PlatformConvention::lease(const std::string& name) const {
     return ServerRequest{"POST", platform::lease_target(name), {}, ""};
 }
-Convention::Seat PlatformConvention::seat_answer(int status) const {
-    if (status == 200) return Seat::held;
-    return status == 204 ? Seat::not_known : Seat::not_held;
+Convention::Lease PlatformConvention::lease_answer(int status) const {
+    if (status == 200) return Lease::held;
+    return status == 204 ? Lease::not_known : Lease::not_held;
 }
 
 ServerRequest PlatformConvention::probe() const {
--- a/src/core/platform_convention.hpp
+++ b/src/core/platform_convention.hpp
@@ -19,13 +19,13 @@
     [[nodiscard]] HeadFacts read_head(int status, const http::Headers& headers) const override;
     [[nodiscard]] std::optional<ReadResult> read_result(int status, std::string_view body) const override;
     [[nodiscard]] engine::Judgement judge(const engine::Facts& facts, const std::string& kind) const override;
-    [[nodiscard]] LetGo let_go_covers() const override { return LetGo::request; }
+    [[nodiscard]] ReleaseScope release_covers() const override { return ReleaseScope::request; }
     [[nodiscard]] std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
                                                        const std::string& state,
                                                        const std::string& kind) const override;
     [[nodiscard]] bool no_release(int) const override { return false; }
-    [[nodiscard]] std::optional<ServerRequest> seat(const std::string& name) const override;
-    [[nodiscard]] Seat seat_answer(int status) const override;
+    [[nodiscard]] std::optional<ServerRequest> lease(const std::string& name) const override;
+    [[nodiscard]] Lease lease_answer(int status) const override;
     [[nodiscard]] ServerRequest probe() const override;
     [[nodiscard]] std::vector<double> probe_report(const HeadFacts& head,
                                                    std::string_view body) const override;
--- a/src/core/vllm_convention.hpp
+++ b/src/core/vllm_convention.hpp
@@ -23,16 +23,16 @@
     [[nodiscard]] HeadFacts read_head(int status, const http::Headers& headers) const override;
     [[nodiscard]] std::optional<ReadResult> read_result(int status, std::string_view body) const override;
     [[nodiscard]] engine::Judgement judge(const engine::Facts& facts, const std::string& kind) const override;
-    [[nodiscard]] LetGo let_go_covers() const override { return LetGo::attempt; }
+    [[nodiscard]] ReleaseScope release_covers() const override { return ReleaseScope::attempt; }
     [[nodiscard]] std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
                                                        const std::string& state,
                                                        const std::string& kind) const override;
     [[nodiscard]] bool no_release(int status) const override;
     // Engines of this convention hold no places ahead.
-    [[nodiscard]] std::optional<ServerRequest> seat(const std::string&) const override {
+    [[nodiscard]] std::optional<ServerRequest> lease(const std::string&) const override {
         return std::nullopt;
     }
-    [[nodiscard]] Seat seat_answer(int) const override { return Seat::not_held; }
+    [[nodiscard]] Lease lease_answer(int) const override { return Lease::not_held; }
     [[nodiscard]] ServerRequest probe() const override;
     [[nodiscard]] std::vector<double> probe_report(const HeadFacts& head,
                                                    std::string_view body) const override;
--- a/src/engine/protocol.hpp
+++ b/src/engine/protocol.hpp
@@ -1,5 +1,5 @@
 // The engines' side: the public convention of vLLM's disaggregated prefill over its OpenAI-style server, and
-// our one extension (letting go of a state). Bytes <-> typed values; no I/O.
+// our one extension (release go of a state). Bytes <-> typed values; no I/O.
 //
 //   read     POST /v1/chat/completions  the client's request with max_tokens 1, not streamed, and
 //   kv_transfer_params
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -62,7 +62,7 @@
 
 void DiscoveryWatch::move(Address discovery) {
     if (discovery == discovery_) return;
-    log_.say("info", "discovery", "moves to " + format_address(discovery));
+    log_.info("discovery", "moves to " + format_address(discovery));
     discovery_ = std::move(discovery);
     if (out_) pool_.cancel(call_);
     schedule_.moved(uv_now_time());
@@ -85,7 +85,7 @@
 void DiscoveryWatch::end(const std::string& why) {
     out_ = false;
     schedule_.ended(uv_now_time());
-    log_.say("warn", "discovery", why + "; the last list stays in force");
+    log_.warn("discovery", why + "; the last list stays in force");
 }
 
 void DiscoveryWatch::on_head(HttpPool::Call call, int status, http::Headers) {
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -20,13 +20,14 @@
     ServerLimits out;
     out.message = {l.head_bytes, l.body_bytes};
     out.unfinished_bytes = l.unfinished_bytes;
-    out.places.connections = static_cast<std::size_t>(l.connections);
-    out.places.first = l.first_timeout;
-    out.places.idle = l.idle_timeout;
-    out.places.pressed = l.idle_pressed;
-    out.places.linger = l.linger;
+    out.idle_connections.connections = static_cast<std::size_t>(l.connections);
+    out.idle_connections.first = l.first_timeout;
+    out.idle_connections.idle = l.idle_timeout;
+    out.idle_connections.pressed = l.idle_pressed;
+    out.idle_connections.linger = l.linger;
     out.stream_buffer = l.stream_buffer;
     out.pipelined_bytes = l.pipelined_bytes;
+    out.discarded_bytes = l.discarded_bytes;
     out.head_timeout = l.head_timeout;
     out.body_timeout = l.body_timeout;
     out.request_idle = l.request_idle;
@@ -35,7 +36,7 @@
 }
 ServerLimits admin_limits(const config::EdgeLimits& l) {
     ServerLimits out = client_limits(l);
-    out.places.connections = static_cast<std::size_t>(l.admin_connections);
+    out.idle_connections.connections = static_cast<std::size_t>(l.admin_connections);
     return out;
 }
 PoolLimits pool_limits(const config::EdgeSettings& s) {
@@ -137,7 +138,7 @@
             snapshots_ =
                 std::make_unique<store::Store>(c.snapshots + "/" + settings_.name, c.snapshots_bytes);
             if (snapshots_->set_aside())
-                log_.say("warn", "cache_snapshots", "the file was not usable, and is set aside");
+                log_.warn("cache_snapshots", "the file was not usable, and is set aside");
             inputs_.emplace_back(core::CacheSnapshots{snapshots_->all()});
         }
     }
@@ -255,12 +256,11 @@
         const auto looked = rotation.look(std::time(nullptr));
         if (looked == tls::Rotation::Look::replaced) {
             ++tls_replaced_;
-            log_.say("info", "tls_replaced", whose + ": new files are in use");
+            log_.info("tls_replaced", whose + ": new files are in use");
         }
         if (looked == tls::Rotation::Look::refused) {
             ++tls_refused_;
-            log_.say("error", "tls_refused",
-                     whose + ": " + rotation.error() + "; the last good files stay in use");
+            log_.error("tls_refused", whose + ": " + rotation.error() + "; the last good files stay in use");
         }
         return looked == tls::Rotation::Look::replaced;
     };
@@ -309,7 +309,7 @@
             caches_->follow(follow->server, follow->events, follow->replay);
         } catch (const std::runtime_error& error) {
             // Its text is guessed, as if it published nothing.
-            log_.say("error", "cache_events", error.what());
+            log_.error("cache_events", error.what());
         }
     } else if (const auto* leave = std::get_if<core::CacheLeave>(&output)) {
         caches_->leave(leave->server);
@@ -342,7 +342,7 @@
                                                  "invalid_request_error", "", "not_found"}));
     if (path == "/servers" && request.method == "POST") {
         if (const auto wrong = admin_source_->post(request.body)) {
-            log_.say("warn", "list_refused", *wrong);
+            log_.warn("list_refused", *wrong);
             return admin_->reply(peer, 400, headers,
                                  chat::format_error({400, *wrong, "invalid_request_error", "servers", ""}));
         }
@@ -417,15 +417,15 @@
 void EdgeShell::drain() {
     if (draining_) return;
     draining_ = true;
-    log_.say("info", "drain",
-             "stops accepting; " + std::to_string(edge_.gauges().open_requests) + " requests are open");
+    log_.info("drain",
+              "stops accepting; " + std::to_string(edge_.gauges().open_requests) + " requests are open");
     take_until_ = uv_now_time() + settings_.limits.drain_grace;
     if (settings_.limits.drain_grace == Duration::zero()) {
         stop_taking();
     } else {
         // Clients go on with the connections that they have: each that is closed early may cost the request
         // that is on its way there.
-        add(core::EndNears{uv_now_time() + settings_.limits.drain_answers});
+        add(core::ShutdownAnnounced{uv_now_time() + settings_.limits.drain_answers});
     }
     drain_timer_ = new uv_timer_t;
     uv_timer_init(&loop_, drain_timer_);
@@ -455,7 +455,7 @@
     if (now < drain_until_) return;
     if (!cutting_) {
         cutting_ = true;
-        log_.say("warn", "drain", "time is over; " + std::to_string(g.open_requests) + " requests are cut");
+        log_.warn("drain", "time is over; " + std::to_string(g.open_requests) + " requests are cut");
         clients_->end_all();
     }
     // The connections' other ends get as long as after any last answer to close theirs.
@@ -474,7 +474,7 @@
     try {
         write();
     } catch (const std::runtime_error& error) {
-        log_.say("error", "cache_snapshots", error.what());
+        log_.error("cache_snapshots", error.what());
     }
 }
 
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -108,7 +108,7 @@
 // or more than was asked for, is of no use: what is written to it would be lost, or answered by what came
 // before.
 HttpPool::Connection* HttpPool::take_idle(const Key& key) {
-    const Duration longest = rest_limit_.longest(uv_now_time());
+    const Duration longest = idle_limit_.longest(uv_now_time());
     for (;;) {
         const auto host = hosts_.find(key);
         if (host == hosts_.end() || host->second.idle.empty()) return nullptr;
@@ -340,7 +340,7 @@
 void HttpPool::plain(Connection& c, std::string_view bytes) {
     if (c.state != Connection::State::busy) return close(c);  // nothing was asked for
     if (!std::exchange(c.heard, true) && c.rested > Duration::zero())
-        rest_limit_.used(uv_now_time(), c.rested, {}, false);
+        idle_limit_.used(uv_now_time(), c.rested, {}, false);
     pieces(c, c.reader.feed(bytes));
 }
 
@@ -402,7 +402,7 @@
     std::string why = detail;
     if (c.state == Connection::State::busy && !c.heard && c.rested > Duration::zero()) {
         const Time now = uv_now_time();
-        rest_limit_.used(now, c.rested, now - c.since, true);
+        idle_limit_.used(now, c.rested, now - c.since, true);
         why += "; kept, unused for " +
                format_duration(std::chrono::duration_cast<std::chrono::milliseconds>(c.rested));
     }
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -30,7 +30,7 @@
 #include "base/units.hpp"
 #include "engine/outcome.hpp"
 #include "http/message.hpp"
-#include "net/rest_limit.hpp"
+#include "net/idle_limit.hpp"
 #include "net/tls/filter.hpp"
 #include "net/tls/gate.hpp"
 
@@ -177,7 +177,7 @@
     std::set<Connection*> all_;
     std::set<Connection*> dialling_;
     std::set<Connection*> writing_;  // of those with a call: its last byte is not known to be out
-    RestLimit rest_limit_;
+    IdleLimit idle_limit_;
     tls::HandshakeGate gate_;
     std::unordered_map<tls::HandshakeGate::Id, Connection*> at_gate_;  // waiting or in their handshake
     tls::HandshakeGate::Id last_shake_ = 0;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -67,7 +67,11 @@
 };
 
 HttpServer::HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits)
-    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), places_(limits.places) {
+    : loop_(loop),
+      handler_(handler),
+      limits_(limits),
+      read_buffer_(kReadBuffer),
+      idle_connections_(limits.idle_connections) {
     sweeper_ = new uv_timer_t;
     uv_timer_init(&loop_, sweeper_);
     sweeper_->data = this;
@@ -140,8 +144,9 @@
         c->midway = true;  // a handshake has a request's time
     }
     rest(*c);
-    if (connections_.size() > limits_.places.connections) {
-        const auto room = places_.make_room(uv_now_time(), [this](auto id) { return unread(id); });
+    if (connections_.size() > limits_.idle_connections.connections) {
+        const auto room =
+            idle_connections_.choose_evicted(uv_now_time(), [this](auto id) { return unread(id); });
         (room && *room != c->id ? counts_.evicted : counts_.over_limit) += 1;
         close(room ? *connections_.at(*room) : *c);
         if (c->closing) return;
@@ -151,7 +156,8 @@
 
 void HttpServer::rest(Connection& c) {
     c.begun = uv_now_time();
-    places_.rest(c.id, c.asked ? Places::Kind::kept : Places::Kind::silent, c.begun);
+    idle_connections_.add(c.id, c.asked ? IdleConnections::Kind::kept : IdleConnections::Kind::silent,
+                          c.begun);
 }
 
 HttpServer::Unread HttpServer::look(const Connection& c) {
@@ -201,7 +207,7 @@
 
 void HttpServer::plain(Connection& c, std::string_view bytes) {
     if (c.close_after) return;  // it is on its way out: nothing more of it is taken
-    places_.stir(c.id);
+    idle_connections_.remove(c.id);
     c.heard = uv_now_time();
     // Guards against a close that nobody hears: a peer that sends on ahead of its answers is read on, but
     // what is over the limit is thrown away. What it had sent before is answered; with too much it is given
@@ -354,7 +360,7 @@
     if (reset && !c->closing) {
         connections_.erase(c->id);
         c->closing = true;
-        places_.stir(c->id);
+        idle_connections_.remove(c->id);
         count_unfinished(*c, 0);
         uv_tcp_close_reset(&c->socket, [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
@@ -450,8 +456,8 @@
 // answer: it is told the end, and what it sends is thrown away until it closes too, for a while. The one way
 // in which this side ends a connection in good order.
 void HttpServer::shut_down(Connection& c) {
-    if (places_.is_leaving(c.id)) return;
-    places_.rest(c.id, Places::Kind::leaving, uv_now_time());
+    if (idle_connections_.is_closing(c.id)) return;
+    idle_connections_.add(c.id, IdleConnections::Kind::closing, uv_now_time());
     if (c.filter) return close(c);
     // At once, not by uv_shutdown(), which waits for the loop's next turn: a request read in between would be
     // neither answered nor left to be sent again.
@@ -464,7 +470,7 @@
 void HttpServer::close(Connection& c) {
     if (c.closing) return;
     c.closing = true;
-    places_.stir(c.id);
+    idle_connections_.remove(c.id);
     count_unfinished(c, 0);
     if (c.filter && c.filter->connected()) {
         std::string bye = c.filter->close().to_peer;
@@ -532,10 +538,10 @@
                 slow.push_back(c);
         }
     }
-    for (const auto id :
-         places_.overdue(now, connections_.size(), draining_, [this](auto i) { return unread(i); })) {
+    for (const auto id : idle_connections_.overdue(now, connections_.size(), draining_,
+                                                   [this](auto i) { return unread(i); })) {
         Connection& c = *connections_.at(id);
-        if (places_.is_leaving(id)) close(c);
+        if (idle_connections_.is_closing(id)) close(c);
         else end_when_idle(c);
     }
     for (auto* c : slow) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -19,17 +19,18 @@
 
 #include "base/units.hpp"
 #include "http/message.hpp"
-#include "net/places.hpp"
+#include "net/idle_connections.hpp"
 #include "net/tls/filter.hpp"
 
 namespace chalksail::net {
 
 struct ServerLimits {
     http::Limits message;
-    PlaceLimits places;
+    IdleConnectionLimits idle_connections;
     std::size_t stream_buffer = 64 * 1024;
-    std::size_t pipelined_bytes = 64 * 1024;    // sent ahead of an answer, and kept
-    std::size_t discarded_bytes = 1024 * 1024;  // more than that, and thrown away before the connection goes
+    std::size_t pipelined_bytes = 16 * 1024 * 1024;  // sent ahead of an answer, and kept
+    std::size_t discarded_bytes =
+        4 * 1024 * 1024;  // more than that, thrown away before the connection is closed
     std::size_t unfinished_bytes = std::size_t{1} << 30U;  // of all requests that are still coming
     Duration head_timeout = std::chrono::seconds(10);  // from a request's first byte to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
@@ -139,7 +140,7 @@
     std::unordered_map<Peer, Connection*> in_hand_;
     std::vector<std::uint64_t> dirty_;
     std::size_t unfinished_ = 0;  // bytes of requests that are still coming
-    Places places_;
+    IdleConnections idle_connections_;
     std::uint64_t last_connection_ = 0;
     Peer last_peer_ = 0;
     bool draining_ = false;
--- a/src/net/places.cpp
+++ b/src/net/idle_connections.cpp
@@ -1,41 +1,41 @@
-#include "net/places.hpp"
+#include "net/idle_connections.hpp"
 
 namespace chalksail::net {
 
-void Places::rest(Id id, Kind kind, Time now) {
-    stir(id);
+void IdleConnections::add(Id id, Kind kind, Time now) {
+    remove(id);
     where_.emplace(id, std::pair(kind, row(kind).insert(row(kind).end(), {id, now})));
 }
 
-void Places::stir(Id id) {
+void IdleConnections::remove(Id id) {
     const auto at = where_.find(id);
     if (at == where_.end()) return;
     row(at->second.first).erase(at->second.second);
     where_.erase(at);
 }
 
-bool Places::is_leaving(Id id) const {
+bool IdleConnections::is_closing(Id id) const {
     const auto at = where_.find(id);
-    return at != where_.end() && at->second.first == Kind::leaving;
+    return at != where_.end() && at->second.first == Kind::closing;
 }
 
-std::optional<Places::Id> Places::make_room(Time now, const Unread& unread) const {
+std::optional<IdleConnections::Id> IdleConnections::choose_evicted(Time now, const Unread& unread) const {
     const auto oldest = [&](Kind kind, Time before) -> std::optional<Id> {
         for (const auto& at : row(kind)) {
             if (at.since > before) return std::nullopt;
-            if (kind == Kind::leaving || !unread(at.id))
+            if (kind == Kind::closing || !unread(at.id))
                 return at.id;  // nothing more of one that leaves is read
         }
         return std::nullopt;
     };
-    if (const auto id = oldest(Kind::leaving, now)) return id;
+    if (const auto id = oldest(Kind::closing, now)) return id;
     if (const auto id = oldest(Kind::silent, now - limits_.just_come)) return id;
     if (const auto id = oldest(Kind::kept, now)) return id;
     return oldest(Kind::silent, now);
 }
 
-std::vector<Places::Id> Places::overdue(Time now, std::size_t all, bool draining,
-                                        const Unread& unread) const {
+std::vector<IdleConnections::Id> IdleConnections::overdue(Time now, std::size_t all, bool draining,
+                                                          const Unread& unread) const {
     const double left = static_cast<double>(limits_.connections) - static_cast<double>(all);
     const bool pressed = left < limits_.pressed_share * static_cast<double>(limits_.connections);
     const Duration kept = draining ? Duration{} : pressed ? limits_.pressed : limits_.idle;
@@ -44,12 +44,12 @@
     const auto look = [&](Kind kind, Duration longest) {
         for (const auto& at : row(kind)) {
             if (now - at.since <= longest) break;
-            if (kind == Kind::leaving || !unread(at.id)) out.push_back(at.id);
+            if (kind == Kind::closing || !unread(at.id)) out.push_back(at.id);
         }
     };
     look(Kind::silent, silent);
     look(Kind::kept, kept);
-    look(Kind::leaving, limits_.linger);
+    look(Kind::closing, limits_.linger);
     return out;
 }
 
--- a/src/net/places.hpp
+++ b/src/net/idle_connections.hpp
@@ -1,8 +1,7 @@
-// Which client connections that have nothing in hand are let go of, and when. They stand in order of how long
-// they have rested: those that never asked anything, those that may ask again, and those that have had their
-// last answer. At the limit one of them makes room for who comes: a crowd that connects and says nothing, or
-// clients that keep connections for good, must not keep out a request. Free of I/O and clock; connections are
-// numbers.
+// Which idle client connections are closed, and when. They stand in order of how long they have been idle:
+// those that never sent a request, those that may send another, and those that have had their last answer. At
+// the limit one of them is evicted for a new one: a crowd that connects and says nothing, or clients that
+// keep connections for good, must not keep out a request. Free of I/O and clock; connections are numbers.
 #pragma once
 
 #include <chalksail/chalksail.hpp>
@@ -16,7 +15,7 @@
 
 namespace chalksail::net {
 
-struct PlaceLimits {
+struct IdleConnectionLimits {
     std::size_t connections = 1024;  // in all, at rest or not
     Duration first{};                // of one that never asked; zero: as one that may ask again
     Duration idle = std::chrono::seconds(75);
@@ -26,20 +25,21 @@
     Duration just_come = std::chrono::milliseconds(20);  // a request follows its connection at once
 };
 
-class Places {
+class IdleConnections {
 public:
     using Id = std::uint64_t;
-    enum class Kind { silent, kept, leaving };
+    enum class Kind { silent, kept, closing };
     using Unread = std::function<bool(Id)>;  // something of it has come that nobody has looked at
 
-    explicit Places(PlaceLimits limits) : limits_(limits) {}
+    explicit IdleConnections(IdleConnectionLimits limits) : limits_(limits) {}
 
-    void rest(Id id, Kind kind, Time now);
-    void stir(Id id);  // it has a request in hand, or is gone
-    [[nodiscard]] bool is_leaving(Id id) const;
-    // Who makes room; nothing: all others are in use.
-    [[nodiscard]] std::optional<Id> make_room(Time now, const Unread& unread) const;
-    // Whose time is over. `all`: connections, at rest or not.
+    // It is idle from now on.
+    void add(Id id, Kind kind, Time now);
+    void remove(Id id);  // it has a request in hand, or is gone
+    [[nodiscard]] bool is_closing(Id id) const;
+    // Which one is closed for a new one; nothing: all are in use.
+    [[nodiscard]] std::optional<Id> choose_evicted(Time now, const Unread& unread) const;
+    // Those whose time is over. `all`: connections, idle or not.
     [[nodiscard]] std::vector<Id> overdue(Time now, std::size_t all, bool draining,
                                           const Unread& unread) const;
 
@@ -52,7 +52,7 @@
     [[nodiscard]] Row& row(Kind kind) { return rows_[static_cast<std::size_t>(kind)]; }
     [[nodiscard]] const Row& row(Kind kind) const { return rows_[static_cast<std::size_t>(kind)]; }
 
-    PlaceLimits limits_;
+    IdleConnectionLimits limits_;
     Row rows_[3];
     std::unordered_map<Id, std::pair<Kind, Row::iterator>> where_;
 };
--- a/src/net/rest_limit.cpp
+++ b/src/net/idle_limit.cpp
@@ -1,16 +1,16 @@
-#include "net/rest_limit.hpp"
+#include "net/idle_limit.hpp"
 
 #include <cmath>
 
 namespace chalksail::net {
 
-std::size_t RestLimit::age_of(Duration rested) {
+std::size_t IdleLimit::age_of(Duration rested) {
     std::size_t age = 0;
     for (Duration most = kFirst; age + 1 < kAges && rested > most; most *= 2) ++age;
     return age;
 }
 
-void RestLimit::fade(Time now) {
+void IdleLimit::fade(Time now) {
     const double halves = std::chrono::duration<double>(now - faded_) / limits_.half_life;
     faded_ = now;
     const double left = std::exp2(-std::max(0.0, halves));
@@ -20,14 +20,14 @@
     }
 }
 
-void RestLimit::used(Time now, Duration rested, Duration taken, bool broke) {
+void IdleLimit::used(Time now, Duration rested, Duration taken, bool broke) {
     if (broke && taken >= limits_.at_once) return;
     fade(now);
     Count& c = ages_[age_of(rested)];
     (broke ? c.broken : c.good) += 1;
 }
 
-Duration RestLimit::longest(Time now) {
+Duration IdleLimit::longest(Time now) {
     fade(now);
     // Age by age: what has rested longer is not safer, but an age that is all right stays so whatever older
     // ones do.
--- a/src/net/rest_limit.hpp
+++ b/src/net/idle_limit.hpp
@@ -10,7 +10,7 @@
 
 namespace chalksail::net {
 
-class RestLimit {
+class IdleLimit {
 public:
     struct Limits {
         double broken_share = 0.05;  // of those of an age, and older: more is too many
@@ -19,8 +19,8 @@
         // One that had been dropped breaks within some round trips; later it is the server that died.
         Duration at_once = std::chrono::milliseconds(25);
     };
-    explicit RestLimit(Limits limits) : limits_(limits) {}
-    RestLimit() : RestLimit(Limits{}) {}
+    explicit IdleLimit(Limits limits) : limits_(limits) {}
+    IdleLimit() : IdleLimit(Limits{}) {}
 
     // A request went out on a connection that had rested so long, and was answered, or broke, after `taken`.
     void used(Time now, Duration rested, Duration taken, bool broke);
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -103,8 +103,12 @@
     logger_->log(level, format_json(record));
 }
 
-void Log::say(const std::string& level, const std::string& event, const std::string& text) {
-    const auto at = spdlog::level::from_str(level);
+void Log::info(const std::string& event, const std::string& text) { line(spdlog::level::info, event, text); }
+void Log::warn(const std::string& event, const std::string& text) { line(spdlog::level::warn, event, text); }
+void Log::error(const std::string& event, const std::string& text) { line(spdlog::level::err, event, text); }
+
+void Log::line(int level, const std::string& event, const std::string& text) {
+    const auto at = static_cast<spdlog::level::level_enum>(level);
     if (!logger_->should_log(at)) return;
     logger_->log(at, json::ObjectWriter().text("event", event).text("text", text).done());
 }
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -21,11 +21,14 @@
     Log(const std::string& who, const std::string& level);
     ~Log();
     void write(const Record& record);
-    // A line of the program's own: {"event": event, "text": text}.
-    void say(const std::string& level, const std::string& event, const std::string& text);
+    // Lines of the program's own: {"event": event, "text": text}.
+    void info(const std::string& event, const std::string& text);
+    void warn(const std::string& event, const std::string& text);
+    void error(const std::string& event, const std::string& text);
     void flush();
 
 private:
+    void line(int level, const std::string& event, const std::string& text);
     std::string who_;
     std::shared_ptr<spdlog::logger> logger_;
 };
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -441,11 +441,11 @@
         const bool last = now_ >= state_due(r);
         if (writer == nullptr && last) writer = best_writer(r, false);
         if (writer != nullptr) send(id, r, *writer, false);
-        else if (last) let_go(id, r);  // no writer at all: the state goes, the request is held again
+        else if (last) release_state(id, r);  // no writer at all: the state goes, the request is held again
     }
     Time state_due(const Request& r) const { return r.untaken_since + s_.release_within - 3 * s_.tick; }
 
-    void let_go(RequestId id, Request& r) {
+    void release_state(RequestId id, Request& r) {
         if (!r.state_at) return;
         drop_state(r);
         actions_.emplace_back(Release{id});
@@ -631,7 +631,7 @@
         }
         r.failed_at.insert(e.server);
         if (e.outcome == Outcome::full && e.remark == 1) drop_state(r);  // state gone: read anew
-        if (!came && now_ >= state_due(r)) let_go(e.id, r);              // no connection came up in its time
+        if (!came && now_ >= state_due(r)) release_state(e.id, r);       // no connection came up in its time
         if (e.outcome == Outcome::moot || !may_go_again(r) || now_ >= r.deadline) give_up(e.id);
     }
 
@@ -845,7 +845,7 @@
         auto& r = requests_.at(id);
         if (may_refuse(r) && now_ < r.deadline) actions_.emplace_back(Refuse{id, s_.max_retry_after / 2});
         else actions_.emplace_back(Fail{id});
-        let_go(id, r);
+        release_state(id, r);
         forget(id);
     }
     void on(const ClientGone& e) {
@@ -857,7 +857,7 @@
             actions_.emplace_back(CancelAttempt{e.id, r.out->id});
             r.out->cancelled = true;
         }
-        let_go(e.id, r);
+        release_state(e.id, r);
         if (!r.out) forget(e.id);
     }
     void forget(RequestId id) {
@@ -921,7 +921,7 @@
     void on(const PrefixesTold& e) {
         if (Server* s = find(e.server)) s->prefixes_told = e.told;
     }
-    void on(const SeatAnswer&) {}   // no seat is booked
+    void on(const LeaseAnswer&) {}  // no lease is requested
     void on(const PeerMessage&) {}  // none is sent
 
     // One timer, for the earliest thing that time alone can change.
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -210,7 +210,7 @@
 // What is taken shortly before the end must not be found unanswered by it.
 TEST(PlatformEdge, AnswersBeforeItsEndWhatItStillTakes) {
     Platform d;
-    d.give({EndNears{d.now + 900ms}});
+    d.give({ShutdownAnnounced{d.now + 900ms}});
     d.get(told::post("9b1f"));
     ASSERT_EQ(d.sent().size(), 1U);
     d.written(d.sent()[0].call);
@@ -221,7 +221,7 @@
 // The kill would find its stream unanswered, which loses it: its client asks another gateway for the rest.
 TEST(PlatformEdge, MovesAStreamTakenShortlyBeforeItsEnd) {
     Platform d;
-    d.give({EndNears{d.now + 900ms}});
+    d.give({ShutdownAnnounced{d.now + 900ms}});
     const auto write = d.to_write();
     d.written(write);
     d.give({CallHead{write, 200, {}}});
@@ -403,18 +403,18 @@
     http::RequestReader reader({});
     const auto text = told::post("9b1f");
     std::string_view rest = text;
-    brain.next = {Send{{1}, {"r1"}, {}}, BookSeat{{1}, {"w1"}}};
+    brain.next = {Send{{1}, {"r1"}, {}}, RequestLease{{1}, {"w1"}}};
     const auto out =
         calls_of(edge.step(now, {ClientRequest{{1}, std::get<http::Request>(reader.feed(rest))}}));
     ASSERT_EQ(out.size(), 2U);
-    EXPECT_EQ(out[1].kind, CallKind::seat);
+    EXPECT_EQ(out[1].kind, CallKind::lease);
     EXPECT_EQ(out[1].method, "POST");
     EXPECT_EQ(out[1].target, "/kv/leases/9b1f");
     brain.next = {Fail{{1}}};
     (void)edge.step(now, {CallSent{out[1].call}, CallWritten{out[1].call}, CallHead{out[1].call, 200, {}},
                           CallDone{out[1].call}});
-    ASSERT_TRUE(std::holds_alternative<SeatAnswer>(brain.seen.back()));
-    EXPECT_TRUE(std::get<SeatAnswer>(brain.seen.back()).held);
+    ASSERT_TRUE(std::holds_alternative<LeaseAnswer>(brain.seen.back()));
+    EXPECT_TRUE(std::get<LeaseAnswer>(brain.seen.back()).held);
     // The read ends without a state, the request is over: the place goes.
     const auto last = calls_of(edge.step(now, {CallFailed{out[0].call, engine::Ending::dial_failed, ""}}));
     ASSERT_EQ(last.size(), 1U);
--- a/tests/net/rest_limit_test.cpp
+++ b/tests/net/idle_limit_test.cpp
@@ -1,4 +1,4 @@
-#include "net/rest_limit.hpp"
+#include "net/idle_limit.hpp"
 
 #include <gtest/gtest.h>
 
@@ -7,8 +7,8 @@
 
 using namespace std::chrono_literals;
 
-TEST(RestLimit, AgesAtWhichTooManyBreakAreNotUsedUntilThatIsPast) {
-    RestLimit limit;
+TEST(IdleLimit, AgesAtWhichTooManyBreakAreNotUsedUntilThatIsPast) {
+    IdleLimit limit;
     Time now{1000s};
     EXPECT_EQ(limit.longest(now), Duration::max());
     for (int i = 0; i < 100; ++i) limit.used(now, 20ms, 1ms, i == 0);  // one of a hundred: chance
@@ -19,8 +19,8 @@
     EXPECT_EQ(limit.longest(now), Duration::max());
 }
 
-TEST(RestLimit, AFewAmongManyAreChance) {
-    RestLimit limit;
+TEST(IdleLimit, AFewAmongManyAreChance) {
+    IdleLimit limit;
     const Time now{1000s};
     for (int i = 0; i < 200; ++i) limit.used(now, 1s, 1ms, i % 40 == 0);
     for (int i = 0; i < 20; ++i) limit.used(now, 1s, 300ms, true);  // the server died, later
