A read that is called off is heard out: its connection is closed for sending only, up to 20 ms

A called-off read now ends its sending, which the platform takes for giving up, and what its server still says is heard: an answer that was on its way counts, a close ends it, silence does after 20 ms.

The sanitized build and the fuzzers compile several files as one; some local names were changed for that.

--- a/lab/clients/crowd.cpp
+++ b/lab/clients/crowd.cpp
@@ -9,7 +9,7 @@
 namespace chalksail::lab {
 namespace {
 
-Duration from_seconds(double s) { return Duration(static_cast<std::int64_t>(s * 1e9)); }
+Duration time_of_seconds(double s) { return Duration(static_cast<std::int64_t>(s * 1e9)); }
 double seconds(Duration d) { return std::chrono::duration<double>(d).count(); }
 
 }  // namespace
@@ -72,7 +72,7 @@
     clients_.reserve(all);
     for (std::size_t i = 0; i < all; ++i) {
         clients_.push_back({i, 0, "", i, {}, 0, 0, false, 0, 0, sim::Stream(scenario_.seed, "client", i)});
-        wait_until(i, now + from_seconds(seconds(scenario_.client_ramp) * clients_[i].draws.uniform()));
+        wait_until(i, now + time_of_seconds(seconds(scenario_.client_ramp) * clients_[i].draws.uniform()));
         new_session(clients_[i]);
     }
 }
@@ -140,7 +140,7 @@
     a.gateway = c.gateway;
     // At any point: before the read, in it, while the state waits, in the stream.
     const double early = c.draws.uniform() * c.draws.uniform() * 2;
-    if (c.draws.chance(give_up_)) a.hang_up_at = now + from_seconds(early * seconds(cls.deadline));
+    if (c.draws.chance(give_up_)) a.hang_up_at = now + time_of_seconds(early * seconds(cls.deadline));
     a.headers.add("Content-Type", "application/json");
     a.headers.add("X-Request-Id", a.number);
     a.headers.add("Idempotency-Key", a.number);
@@ -164,7 +164,7 @@
     if (fate == "served")
         c.messages.push_back(json::ObjectWriter().text("role", "assistant").text("content", text).done());
     if (--c.turns_left <= 0 || fate != "served") new_session(c);
-    wait_until(client, now + from_seconds(seconds(think) * (0.5 + c.draws.uniform())));
+    wait_until(client, now + time_of_seconds(seconds(think) * (0.5 + c.draws.uniform())));
     return false;
 }
 
@@ -185,7 +185,7 @@
     r.group = ask.cls->group;
     r.window = ask.cls->window;
     r.deadline = ask.cls->deadline;
-    r.aim = ask.cls->aim + from_seconds(seconds(ask.cls->aim_per_1000_tokens) * ask.prompt_tokens / 1000);
+    r.aim = ask.cls->aim + time_of_seconds(seconds(ask.cls->aim_per_1000_tokens) * ask.prompt_tokens / 1000);
     return r;
 }
 
--- a/lab/record/account.cpp
+++ b/lab/record/account.cpp
@@ -6,7 +6,7 @@
 namespace {
 
 constexpr unsigned kSteps = 1400;  // of a factor of 1.01 each
-double ms(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
+double milliseconds(Duration d) { return std::chrono::duration<double, std::milli>(d).count(); }
 
 }  // namespace
 
@@ -60,8 +60,8 @@
             const auto it = open_.find(r.request);
             if (it == open_.end() || it->second.first) break;
             it->second.first = r.at;
-            first_token_ms_.add(ms(r.at - it->second.at));
-            second(it->second.at).first_token_ms.add(ms(r.at - it->second.at));
+            first_token_ms_.add(milliseconds(r.at - it->second.at));
+            second(it->second.at).first_token_ms.add(milliseconds(r.at - it->second.at));
             break;
         }
         case What::answered:
--- a/lab/swarm/swarm.cpp
+++ b/lab/swarm/swarm.cpp
@@ -12,7 +12,7 @@
 namespace chalksail::lab {
 namespace {
 
-constexpr std::array<std::string_view, kMutations> kNames = {
+constexpr std::array<std::string_view, kMutations> kMutationNames = {
     "lost-release",  "second-attempt", "ignored-drain", "cold-flood",
     "double-answer", "once-again",     "lost-answer"};
 constexpr std::array<const char*, 4> kZones = {"ikeja", "lekki", "apapa", "yaba"};
@@ -26,7 +26,7 @@
 
 }  // namespace
 
-std::string_view name(Mutation mutation) { return kNames[static_cast<std::size_t>(mutation)]; }
+std::string_view name(Mutation mutation) { return kMutationNames[static_cast<std::size_t>(mutation)]; }
 
 Trouble draw_trouble(sim::Stream& s, const std::vector<std::string>& zones, Duration length) {
     const auto part_of = [&](Duration whole, double low, double high) {
--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -171,6 +171,7 @@
         b.duration("server-idle", l.server_idle);
         b.duration("drain", l.drain);
         b.duration("call-timeout", l.release_timeout);
+        b.duration("cancel-wait", l.cancel_wait);
         b.whole("handshakes", l.handshakes, 1, 1'000'000);
         b.whole("handshakes-per-server", l.handshakes_per_server, 1, 100'000);
         b.duration("unverified-pause", l.unverified_pause);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -115,6 +115,8 @@
     // Taken from a client ahead of the request in hand; and more than that, thrown away before it is closed.
     std::size_t pipelined_bytes = 16 * 1024 * 1024;
     std::size_t discarded_bytes = 4 * 1024 * 1024;
+    // For the answer to a read that was called off, where that can be on its way still.
+    Duration cancel_wait = std::chrono::milliseconds(20);
     Duration head_timeout =
         std::chrono::seconds(10);  // from the first byte of a request to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
--- a/src/core/convention.hpp
+++ b/src/core/convention.hpp
@@ -143,6 +143,9 @@
     [[nodiscard]] virtual HeadFacts read_head(int status, const http::Headers& headers) const = 0;
     // Nothing if it is no read's answer.
     [[nodiscard]] virtual std::optional<ReadResult> read_result(int status, std::string_view body) const = 0;
+    // Does a server take the end of this side's sending for the end of the attempt, and close behind it? Then
+    // an attempt can be called off with its answer, if that is on its way, still heard.
+    [[nodiscard]] virtual bool half_close_cancels() const { return false; }
     [[nodiscard]] virtual engine::Judgement judge(const engine::Facts& facts,
                                                   const std::string& kind) const = 0;
 
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -91,6 +91,7 @@
     bool sent = false;
     bool written = false;
     bool paused = false;
+    bool called_off = false;  // its sending has ended; its answer may be on the way
     int status = 0;
     HeadFacts head;
     std::string body;  // of a read, a probe or an error; bounded
@@ -398,7 +399,10 @@
 void Edge::on(const CallFailed& in) {
     const auto it = calls_.find(in.call);
     if (it == calls_.end()) return;
-    if (it->second.kind == CallKind::attempt) return end_attempt(in.call, in.ending, in.detail);
+    if (it->second.kind == CallKind::attempt) {
+        if (it->second.called_off) return end_attempt(in.call, Ending::cancelled, "called off");
+        return end_attempt(in.call, in.ending, in.detail);
+    }
     const Outgoing call = std::move(it->second);
     calls_.erase(it);
     end_other(call, in.ending, in.detail);
@@ -933,9 +937,21 @@
     if (r->deferred) return drop_deferred(*r, r->answered);
     if (!r->call) return;
     const CallId id = *r->call;
-    if (calls_.at(id).attempt != action.attempt) return;
-    emit(CallAbort{id});
-    end_attempt(id, Ending::cancelled, "called off");
+    if (calls_.at(id).attempt == action.attempt) call_off(id);
+}
+
+// Guards against a read that ends well in the moment in which it is called off: closed at once, its answer is
+// lost on the way, and the prompt is read again, or its request refused, beside a read that was done.
+void Edge::call_off(CallId id) {
+    Outgoing& call = calls_.at(id);
+    const bool answer_counts = call.read && call.written && !find(call.request)->answered;
+    if (!answer_counts || !convention_->half_close_cancels()) {
+        emit(CallAbort{id});
+        return end_attempt(id, Ending::cancelled, "called off");
+    }
+    if (std::exchange(call.called_off, true)) return;
+    emit(CallSendingEnds{id});
+    call_due_.emplace(now_ + settings_.limits.cancel_wait, id);
 }
 
 void Edge::act(const Release& action) {
@@ -1010,9 +1026,13 @@
         call_due_.erase(call_due_.begin());
         const auto it = calls_.find(id);
         if (it == calls_.end()) continue;
+        emit(CallAbort{id});
+        if (it->second.kind == CallKind::attempt) {
+            end_attempt(id, Ending::cancelled, "called off");
+            continue;
+        }
         const Outgoing call = std::move(it->second);
         calls_.erase(it);
-        emit(CallAbort{id});
         end_other(call, Ending::timed_out, "");
     }
     keep_snapshot();
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -149,6 +149,9 @@
 struct CallAbort {  // its connection is closed, or it leaves the queue; nothing more is heard of it
     CallId call;
 };
+struct CallSendingEnds {  // its connection is closed for sending; what still comes of its answer is heard
+    CallId call;
+};
 struct CallSettled {  // all that was wanted of it is here; its connection may serve others once the answer
                       // has ended
     CallId call;
@@ -182,9 +185,9 @@
 struct Note {
     observe::Record record;
 };
-using Output =
-    std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, StreamCut, Call, CallAbort, CallSettled,
-                 CallFlow, CacheFollow, CacheLeave, CacheReplay, CacheKeep, CacheDrop, ServerForgotten, Note>;
+using Output = std::variant<Reply, StreamBegin, StreamBytes, StreamEnd, StreamCut, Call, CallAbort,
+                            CallSendingEnds, CallSettled, CallFlow, CacheFollow, CacheLeave, CacheReplay,
+                            CacheKeep, CacheDrop, ServerForgotten, Note>;
 
 struct Gauges {
     std::size_t open_requests = 0;  // without a final answer
@@ -239,6 +242,7 @@
     void take_stream(Outgoing& call, std::string_view bytes);
     void begin_stream(Open& open, const Outgoing& call);
     void end_attempt(CallId id, engine::Ending ending, const std::string& detail);
+    void call_off(CallId id);
     void end_other(const Outgoing& call, engine::Ending ending, const std::string& detail);
     void end_probe(const Outgoing& call, engine::Ending ending);
     void end_release(const Outgoing& call, engine::Ending ending);
--- a/src/core/platform_convention.cpp
+++ b/src/core/platform_convention.cpp
@@ -18,9 +18,9 @@
     return out;
 }
 
-class Events : public WriterAnswer {
+class PlatformEvents : public WriterAnswer {
 public:
-    explicit Events(std::shared_ptr<platform::EventReader> reader) : reader_(std::move(reader)) {}
+    explicit PlatformEvents(std::shared_ptr<platform::EventReader> reader) : reader_(std::move(reader)) {}
     Progress feed(std::string_view bytes) override {
         auto events = reader_->feed(bytes);
         Progress out;
@@ -64,7 +64,7 @@
     [[nodiscard]] std::unique_ptr<WriterAnswer> writer_answer() override {
         auto reader = std::make_shared<platform::EventReader>(owner_.settings_.limits.event_bytes);
         reader_ = reader;
-        return std::make_unique<Events>(std::move(reader));
+        return std::make_unique<PlatformEvents>(std::move(reader));
     }
     void update_time_left(http::Headers& headers, Duration left) const override {
         headers.set(platform::kTimeLeftHeader, platform::format_time_left(left));
--- a/src/core/platform_convention.hpp
+++ b/src/core/platform_convention.hpp
@@ -20,6 +20,7 @@
     [[nodiscard]] std::optional<ReadResult> read_result(int status, std::string_view body) const override;
     [[nodiscard]] engine::Judgement judge(const engine::Facts& facts, const std::string& kind) const override;
     [[nodiscard]] ReleaseScope release_covers() const override { return ReleaseScope::request; }
+    [[nodiscard]] bool half_close_cancels() const override { return true; }
     [[nodiscard]] std::optional<ServerRequest> release(const std::string& name, std::int64_t attempt,
                                                        const std::string& state,
                                                        const std::string& kind) const override;
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -300,6 +300,8 @@
                         call->kind == core::CallKind::release);
     } else if (const auto* abort = std::get_if<core::CallAbort>(&output)) {
         servers_->cancel(abort->call.value);
+    } else if (const auto* ends = std::get_if<core::CallSendingEnds>(&output)) {
+        servers_->end_sending(ends->call.value);
     } else if (const auto* settled = std::get_if<core::CallSettled>(&output)) {
         servers_->settle(settled->call.value);
     } else if (const auto* flow = std::get_if<core::CallFlow>(&output)) {
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-constexpr std::size_t kReadBuffer = 64 * 1024;
-constexpr std::uint64_t kSweepMs = 10;  // dial time-outs are tens of milliseconds and more
+constexpr std::size_t kPoolReadBuffer = 64 * 1024;
+constexpr std::uint64_t kPoolSweepMs = 10;  // dial time-outs are tens of milliseconds and more
 constexpr std::uint64_t kSweepsToIdle = 25;
 
 bool out_of_resources(int error) {
@@ -46,6 +46,7 @@
     bool heard = false;                // something of this call's answer has come
     bool written = false;              // the last byte of this call's request was handed to the kernel
     bool write_failed = false;         // some bytes will never be
+    bool sending_ended = false;        // closed for sending: of no use for another call
     bool settled = false;              // nobody listens to the rest of this answer
     bool paused = false;
     Waiting first;  // to send once connected
@@ -62,12 +63,17 @@
 };
 
 HttpPool::HttpPool(uv_loop_t& loop, Handler& handler, PoolLimits limits)
-    : loop_(loop), handler_(handler), limits_(limits), read_buffer_(kReadBuffer), gate_(limits.handshakes) {
+    : loop_(loop),
+      handler_(handler),
+      limits_(limits),
+      read_buffer_(kPoolReadBuffer),
+      gate_(limits.handshakes) {
     sweeper_ = new uv_timer_t;
     uv_timer_init(&loop_, sweeper_);
     sweeper_->data = this;
     uv_timer_start(
-        sweeper_, [](uv_timer_t* t) { static_cast<HttpPool*>(t->data)->sweep(); }, kSweepMs, kSweepMs);
+        sweeper_, [](uv_timer_t* t) { static_cast<HttpPool*>(t->data)->sweep(); }, kPoolSweepMs,
+        kPoolSweepMs);
     uv_unref(reinterpret_cast<uv_handle_t*>(sweeper_));
 }
 
@@ -381,7 +387,7 @@
     busy_.erase(c.call);
     writing_.erase(&c);
     c.call = 0;
-    if (!keep || c.paused || !in_order) return close(c);
+    if (!keep || c.paused || c.sending_ended || !in_order) return close(c);
     rest(c);
 }
 
@@ -501,6 +507,15 @@
     close(c);
 }
 
+void HttpPool::end_sending(Call call) {
+    const auto it = busy_.find(call);
+    if (it == busy_.end() || it->second->state != Connection::State::busy) return;
+    Connection& c = *it->second;
+    c.sending_ended = true;
+    uv_os_fd_t fd = -1;
+    if (uv_fileno(reinterpret_cast<uv_handle_t*>(&c.socket), &fd) == 0) shutdown(fd, SHUT_WR);
+}
+
 void HttpPool::settle(Call call) {
     const auto it = busy_.find(call);
     if (it == busy_.end()) return;
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -92,6 +92,9 @@
     void connect(Call call, const Target& to);
     // Closes its connection, or takes it out of the queue. Nothing more is heard of it.
     void cancel(Call call);
+    // Closes its connection for sending. What the server still says is heard; the connection serves no other
+    // call.
+    void end_sending(Call call);
     // Nothing more of its answer is wanted: its connection is kept once the answer has ended.
     void settle(Call call);
     void flow(Call call, bool paused);
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -386,6 +386,96 @@
     std::vector<Event> seen;
 };
 
+// A read that is called off, with its last byte out unless told.
+struct CalledOff {
+    explicit CalledOff(bool written = true) {
+        auto scripted = std::make_unique<Scripted>();
+        brain = scripted.get();
+        edge = std::make_unique<Edge>(
+            platform_settings(platform::parse_configuration(told::configuration_text(), {}).value()),
+            std::move(scripted));
+        give({ServerList{ListScope::complete, {listed("r1", "reader"), listed("w1", "writer")}}});
+        http::RequestReader reader({});
+        const auto text = told::post("9b1f", "order");
+        std::string_view rest = text;
+        brain->next = {Send{{1}, {"r1"}, {}}};
+        give({ClientRequest{{1}, std::get<http::Request>(reader.feed(rest))}});
+        if (written) give({CallSent{call}, CallWritten{call}});
+        brain->seen.clear();
+        brain->next = {CancelAttempt{{1}, {0}}};
+        give({ServerList{ListScope::changes, {}}});  // anything: the module acts
+    }
+    void give(std::vector<Input> inputs) {
+        for (const auto& o : edge->step(now, std::move(inputs))) {
+            if (const auto* c = std::get_if<Call>(&o)) call = c->call;
+            sending_ended += std::holds_alternative<CallSendingEnds>(o) ? 1 : 0;
+            aborted += std::holds_alternative<CallAbort>(o) ? 1 : 0;
+        }
+    }
+    [[nodiscard]] std::vector<Outcome> outcomes() const {
+        std::vector<Outcome> out;
+        for (const auto& e : brain->seen)
+            if (const auto* ended = std::get_if<AttemptEnded>(&e)) out.push_back(ended->outcome);
+        return out;
+    }
+    Scripted* brain = nullptr;
+    std::unique_ptr<Edge> edge;
+    Time now{1000s};
+    CallId call;
+    int sending_ended = 0;
+    int aborted = 0;
+};
+
+// Guards against a read that ends well in the moment in which it is called off: its answer was lost with the
+// close, and the prompt read again beside a state that was there (ticket-desk, roll+brink, request
+// 63d7b6d8ef4d08ed).
+TEST(PlatformEdge, AnswerOnItsWayToACalledOffReadIsHeard) {
+    CalledOff d;
+    EXPECT_EQ(d.sending_ended, 1);
+    EXPECT_EQ(d.aborted, 0);
+    EXPECT_TRUE(d.outcomes().empty());  // not over: nothing is sent in its place
+    d.give({CallHead{d.call, 202, {}}, CallBody{d.call, R"({"cached_tokens":4})"}, CallDone{d.call}});
+    EXPECT_EQ(d.outcomes(), std::vector<Outcome>{Outcome::read});
+    EXPECT_EQ(d.edge->gauges().states_held, 1U);
+}
+
+TEST(PlatformEdge, ServersCloseBehindACallOffEndsIt) {
+    CalledOff d;
+    d.give({CallFailed{d.call, engine::Ending::closed, ""}});
+    EXPECT_EQ(d.outcomes(), std::vector<Outcome>{Outcome::cancelled});
+    EXPECT_EQ(d.aborted, 0);
+}
+
+TEST(PlatformEdge, SilenceBehindACallOffEndsItSoon) {
+    CalledOff d;
+    ASSERT_TRUE(d.edge->next_wake());
+    EXPECT_LE(*d.edge->next_wake() - d.now, 20ms);
+    d.now = *d.edge->next_wake();
+    d.give({});
+    EXPECT_EQ(d.outcomes(), std::vector<Outcome>{Outcome::cancelled});
+    EXPECT_EQ(d.aborted, 1);
+    d.now += 10s;
+    d.give({});
+    EXPECT_EQ(d.outcomes().size(), 1U);
+}
+
+TEST(PlatformEdge, ReadThatWasNotOutIsCalledOffAtOnce) {
+    CalledOff d(false);
+    EXPECT_EQ(d.sending_ended, 0);
+    EXPECT_EQ(d.aborted, 1);
+    EXPECT_EQ(d.outcomes(), std::vector<Outcome>{Outcome::connect_failed});
+}
+
+// Its client goes while the answer is waited for: what was read is released.
+TEST(PlatformEdge, ClientThatGoesBehindACallOffLeavesNothing) {
+    CalledOff d;
+    d.give({ClientClosed{{1}}});
+    d.give({CallHead{d.call, 202, {}}, CallDone{d.call}});
+    EXPECT_EQ(d.edge->gauges().open_requests, 0U);
+    EXPECT_EQ(d.edge->gauges().states_held, 0U);
+    EXPECT_EQ(d.edge->gauges().calls, 1U);  // the release
+}
+
 TEST(PlatformEdge, PlaceIsAskedForToldAndLetGo) {
     auto scripted = std::make_unique<Scripted>();
     Scripted& brain = *scripted;
--- a/tests/net/pool_crossing_test.cpp
+++ b/tests/net/pool_crossing_test.cpp
@@ -165,6 +165,22 @@
     answer(peer);
 }
 
+// Closed for sending, a call's answer is still heard; the connection is used for nothing else.
+TEST_F(PoolCrossing, AnswerIsHeardOnAConnectionThatIsClosedForSending) {
+    Peer peer;
+    keep(peer);
+    call(peer, "body");
+    until([&] { return written; });
+    pool->end_sending(last);
+    drain(peer);
+    char byte = 0;
+    EXPECT_EQ(recv(peer.one, &byte, 1, 0), 0);  // the server sees the end
+    peer.say(kAnswer);
+    until([&] { return over; });
+    EXPECT_EQ(ending, engine::Ending::answered);
+    EXPECT_EQ(pool->counts().connections, 0U);
+}
+
 // A connection that comes up after its call was given up serves nobody by mistake.
 TEST_F(PoolCrossing, ConnectionThatComesUpLateCarriesNothing) {
     open();
--- a/tests/prefix/snapshot_test.cpp
+++ b/tests/prefix/snapshot_test.cpp
@@ -9,7 +9,7 @@
 namespace chalksail::prefix::testing {
 namespace {
 
-const std::string kText(kBlock * 4, 't');
+const std::string kSnapshotText(kBlock * 4, 't');
 const std::string kOther(kBlock * 4, 'o');
 
 std::string batch(double ts, std::string_view text, EngineHash first) {
@@ -24,7 +24,7 @@
     Knowledge k(four_bytes);
     k.listed("a", "m", {});
     EXPECT_FALSE(k.snapshot("a"));  // nothing is known
-    (void)k.message("a", 0, batch(10, kText, 1), false);
+    (void)k.message("a", 0, batch(10, kSnapshotText, 1), false);
     (void)k.message("a", 1, batch(11, kOther, 50), false);
     EXPECT_FALSE(k.snapshot("b"));
     return *k.snapshot("a");
@@ -41,7 +41,7 @@
 TEST(Snapshot, IsUsedOnceTheEngineShowsTheSameLastBatch) {
     Restarted r;
     EXPECT_FALSE(r.k.told("a"));
-    (void)r.k.message("a", 3, batch(13, kText.substr(0, kBlock), 90), false);  // published meanwhile
+    (void)r.k.message("a", 3, batch(13, kSnapshotText.substr(0, kBlock), 90), false);  // published meanwhile
     EXPECT_FALSE(r.k.told("a"));
     // What an unproved snapshot claims is not the engine's word, and costs it no trust.
     for (int i = 0; i < 20; ++i) r.k.observed("a", {20, 16, 0, std::chrono::milliseconds(10)});
@@ -49,7 +49,7 @@
     (void)r.k.message("a", 2, encode({12, {BlockRemoved{{stored(kOther, 50).blocks[3]}}}, 0}), true);
     r.k.replay_ended("a");
     EXPECT_TRUE(r.k.told("a"));
-    EXPECT_EQ(claimed(r.k, kText), 4 * kTokens);
+    EXPECT_EQ(claimed(r.k, kSnapshotText), 4 * kTokens);
     EXPECT_EQ(claimed(r.k, kOther), 3 * kTokens);  // what went while this gateway was away
     EXPECT_EQ(r.k.counts().proved, 1U);
     EXPECT_EQ(r.k.counts().gaps, 0U);
@@ -60,16 +60,16 @@
     Restarted r;
     (void)r.k.message("a", 1, batch(20, kOther, 50), true);
     EXPECT_FALSE(r.k.told("a"));
-    EXPECT_EQ(claimed(r.k, kText), 0);
+    EXPECT_EQ(claimed(r.k, kSnapshotText), 0);
     EXPECT_EQ(r.k.counts().blocks, 0U);
     EXPECT_EQ(r.k.counts().restarts, 1U);
     // Its past is asked for from the beginning with the next word that comes.
-    EXPECT_EQ(r.k.message("a", 2, batch(21, kText, 1), false), 0U);
+    EXPECT_EQ(r.k.message("a", 2, batch(21, kSnapshotText, 1), false), 0U);
 }
 
 TEST(Snapshot, PastThatIsGoneProvesNothing) {
     Restarted r;
-    (void)r.k.message("a", 7, batch(17, kText.substr(0, kBlock), 90), true);
+    (void)r.k.message("a", 7, batch(17, kSnapshotText.substr(0, kBlock), 90), true);
     r.k.replay_ended("a");
     EXPECT_FALSE(r.k.told("a"));
     EXPECT_EQ(r.k.counts().blocks, 0U);
@@ -78,8 +78,8 @@
 
 TEST(Snapshot, LowerNumberThatIsNewerIsAnotherProcess) {
     Restarted r;
-    (void)r.k.message("a", 0, batch(30, kText.substr(0, kBlock), 90), false);
-    EXPECT_EQ(claimed(r.k, kText), kTokens);
+    (void)r.k.message("a", 0, batch(30, kSnapshotText.substr(0, kBlock), 90), false);
+    EXPECT_EQ(claimed(r.k, kSnapshotText), kTokens);
     EXPECT_EQ(r.k.counts().restarts, 1U);
 }
 
@@ -88,7 +88,7 @@
     EXPECT_EQ(k.restore("a", snapshot_of_two()).error(), "not listed");
     k.listed("a", "other", {});
     EXPECT_NE(k.restore("a", snapshot_of_two()).error().find("another kind"), std::string::npos);
-    (void)k.message("a", 0, batch(1, kText, 1), false);
+    (void)k.message("a", 0, batch(1, kSnapshotText, 1), false);
     EXPECT_NE(k.restore("a", snapshot_of_two()).error().find("heard already"), std::string::npos);
 }
 
@@ -110,9 +110,9 @@
 TEST(Snapshot, RestoredIndexAnswersAsTheOneThatWasKept) {
     Index before(four_bytes), after(four_bytes);
     const auto a = before.add("m"), b = before.add("m");
-    before.apply(a, stored(kText, 1));
+    before.apply(a, stored(kSnapshotText, 1));
     before.apply(a, stored(kOther, 50));
-    before.apply(b, stored(kText, 7));
+    before.apply(b, stored(kSnapshotText, 7));
     before.apply(a, BlockRemoved{{stored(kOther, 50).blocks[1]}});  // in the middle: its children have no
                                                                     // parent left at the engine
     const auto c = after.add("m");
@@ -122,7 +122,7 @@
             if (h.engine == e) return h.tokens;
         return 0U;
     };
-    for (const auto& text : {kText, kOther, kText + "more"})
+    for (const auto& text : {kSnapshotText, kOther, kSnapshotText + "more"})
         EXPECT_EQ(tokens(after, c, text), tokens(before, a, text));
     EXPECT_EQ(after.blocks(), 5U);
     after.remove(c);
