--- a/tests/net/platform_rig.hpp
+++ b/tests/net/platform_rig.hpp
@@ -109,7 +109,11 @@
                 continue;
             }
             if (n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK)) return true;
-            in_good_order = n == 0;
+            // A reset behind the end leaves an error on the socket, which reading alone does not show.
+            int error = 0;
+            socklen_t size = sizeof error;
+            getsockopt(socket_, SOL_SOCKET, SO_ERROR, &error, &size);
+            in_good_order = n == 0 && error == 0;
             return false;
         }
     }
