Test: refusals in a jam follow neither prompt length nor session; what can't occur, and why

The longest tenth gets over two thirds of the share, and no session less than a third of it. No change to the module was needed.

--- a/tests/policy/fleet_test.cpp
+++ b/tests/policy/fleet_test.cpp
@@ -323,6 +323,52 @@
     EXPECT_GT(taken, 2U);
 }
 
+// In a jam what is refused is drawn, request by request: neither long prompts nor certain sessions are
+// singled out.
+TEST(Fleet, RefusalsInAJamFollowNeitherPromptLengthNorSession) {
+    constexpr int kSessions = 40;
+    constexpr int kRounds = 50;
+    constexpr int kSizes = 10;
+    auto s = one_of_many();
+    for (auto& c : s.classes) c.aim_per_1000_tokens = 60ms;
+    Gateway g(s);
+    g.list(fleet(8, 8));
+    std::uint64_t id = 0;
+    const auto offer = [&](const std::string& session, double prompt) {
+        g.pass(200ms);
+        auto request = Gateway::request(++id, "talk", prompt);
+        request.session = session;
+        g.step({request});
+        const auto reader = g.sent_to();
+        if (reader.empty()) return false;
+        // Half of the aim: the readers are jammed.
+        g.step({AttemptEnded{{id}, {0}, {reader}, Outcome::read, 500ms, false, 0, {}}});
+        const auto writer = g.sent_to();
+        g.begin_stream(id, 1, writer);
+        g.end(id, 1, writer, Outcome::ok, true);
+        return true;
+    };
+    for (int n = 0; n < 40; ++n) offer("warm" + std::to_string(n), 2000);
+    std::map<int, int> taken_by_size;
+    std::map<int, int> taken_by_session;
+    int taken = 0;
+    for (int round = 0; round < kRounds; ++round)
+        for (int session = 0; session < kSessions; ++session) {
+            const int size = (round + session) % kSizes;  // each session has all sizes
+            if (!offer("s" + std::to_string(session), 1000 + 200.0 * size)) continue;
+            ++taken;
+            ++taken_by_size[size];
+            ++taken_by_session[session];
+        }
+    const double all = kSessions * kRounds;
+    const double share = taken / all;
+    EXPECT_LT(share, 0.95) << "no jam, nothing is shown";
+    EXPECT_GT(share, 0.2);
+    EXPECT_GT(taken_by_size[kSizes - 1] / (all / kSizes), share * 2 / 3);  // of the longest tenth
+    for (int session = 0; session < kSessions; ++session)
+        EXPECT_GT(taken_by_session[session], share * kRounds / 3) << session;
+}
+
 // Lfcc8ee: readers full of reads that could be in time no more, so that all others were late as well.
 TEST(Fleet, InAJamAReadPastItsAimIsCalledOffAndRefused) {
     for (const Duration usual : {Duration{1500ms}, Duration{20ms}}) {
