Test: a watch that must end at once is not ended by silence

ChangesThatDoNotFollowAreAnsweredByTheWholeList passed without its mend, 2.6 s later, as the watch then fell silent and was opened anew. Silence is put off there, and where the whole list is asked for after a break.

--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -191,6 +191,7 @@
 // ---- discovery ----
 
 TEST_F(PlatformRig, WatchIsTakenUpAgainWithTheWholeList) {
+    watch_limits.silence = 1h;  // it is not silence that ends a watch here
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
     discovery->peers[0]->close();
@@ -207,6 +208,7 @@
 // Guards against a discovery that starts anew under its watch and counts from a lower number: its changes
 // were passed over as known. They tell that the whole list is needed.
 TEST_F(PlatformRig, ChangesThatDoNotFollowAreAnsweredByTheWholeList) {
+    watch_limits.silence = 1h;  // it is not silence that ends a watch here
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
     const auto gone = told::instance("w1", "writer", format_address(writer->address), "removed");
