Logs: who ended a client's connection, steps of held state, reasons of releases, accept errors

The incident's questions could not be answered from the logs: when a state came to be held and went, why and where a release was asked for, whether an attempt's last byte was out, who closed a client's connection and with which error. Each has its record now (event held; client's end in the trail; accept_failed), typed, with a metric for held state. No behaviour changes.

--- a/bench/edge_bench.cpp
+++ b/bench/edge_bench.cpp
@@ -196,7 +196,9 @@
         void on_request(net::HttpServer::Peer peer, http::Request request) override {
             all->chat(*server, peer, request);
         }
-        void on_closed(net::HttpServer::Peer peer) override { all->streams[server].erase(peer); }
+        void on_closed(net::HttpServer::Peer peer, const net::ConnectionEnd&) override {
+            all->streams[server].erase(peer);
+        }
     };
     std::vector<std::unique_ptr<One>> handlers;
 
@@ -227,7 +229,7 @@
         }
     }
     void on_request(net::HttpServer::Peer, http::Request) override {}
-    void on_closed(net::HttpServer::Peer) override {}
+    void on_closed(net::HttpServer::Peer, const net::ConnectionEnd&) override {}
 
     void chat(net::HttpServer& server, net::HttpServer::Peer peer, const http::Request& request) {
         http::Headers headers;
--- a/bench/flood_bench.cpp
+++ b/bench/flood_bench.cpp
@@ -99,7 +99,9 @@
         }
         server.flush();
     }
-    void on_closed(net::HttpServer::Peer peer) override { std::erase(streams, peer); }
+    void on_closed(net::HttpServer::Peer peer, const net::ConnectionEnd&) override {
+        std::erase(streams, peer);
+    }
 };
 
 class Clients : public net::HttpPool::Handler {
--- a/bench/tls_bench.cpp
+++ b/bench/tls_bench.cpp
@@ -137,7 +137,7 @@
         peer = p;
         server.begin_stream(p, {});
     }
-    void on_closed(net::HttpServer::Peer) override { peer = 0; }
+    void on_closed(net::HttpServer::Peer, const net::ConnectionEnd&) override { peer = 0; }
     void on_backlog(net::HttpServer::Peer, bool is_full) override { full = is_full; }
     void on_head(net::HttpPool::Call, int, http::Headers) override {}
     void on_body(net::HttpPool::Call, std::string bytes) override { got += bytes.size(); }
--- a/lab/shell/engine_host.cpp
+++ b/lab/shell/engine_host.cpp
@@ -204,7 +204,7 @@
     exchanges_[peer] = std::move(e);
 }
 
-void EngineHost::on_closed(net::HttpServer::Peer peer) {
+void EngineHost::on_closed(net::HttpServer::Peer peer, const net::ConnectionEnd&) {
     const auto it = exchanges_.find(peer);
     if (it == exchanges_.end()) return;
     note(What::ended, it->second.asked, "left");
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -12,6 +12,7 @@
 
 using engine::Ending;
 using observe::Fate;
+using observe::ReleaseReason;
 
 namespace {
 
@@ -50,6 +51,7 @@
         std::string state;    // as the read told it
         std::int64_t attempt = 0;
         Time since{};  // from when on no attempt that reached a server has been out
+        ReleaseReason reason = ReleaseReason::read_may_have_ended;  // of a release that is pending
     };
     std::optional<Held> held;  // the state that waits at a reader
     // A read that was called off or broke may have ended well at that moment, and a place may be held:
@@ -278,6 +280,7 @@
     if (r == nullptr || r->answered) return;
     const RequestId id = r->id;
     events_.emplace_back(ClientGone{id});
+    if (!in.detail.empty()) r->trail += (r->trail.empty() ? "client:" : " client:") + in.detail;
     finish(*r, Fate::client_gone, 0,
            r->started ? "hung_up_streaming"
            : r->call  ? "hung_up_attempt"
@@ -375,6 +378,7 @@
     started_ += 1;
     events_.emplace_back(StreamStarted{r.id, call.attempt, {call.server}, now_ - call.begun});
     if (r.held) {  // the writer has fetched it
+        note_held("fetched", r.in.name, call.server, ReleaseReason::none, r.held->since);
         r.held.reset();
         held_ -= 1;
     }
@@ -461,6 +465,7 @@
         r.held = Open::Held{at == servers_.end() ? ListedServer{} : at->second, std::move(read_answer->state),
                             call.attempt.value, now_};
         held_ += 1;
+        note_held("held", r.in.name, call.server, ReleaseReason::none, now_);
     } else if (!call.read && judged.outcome == Outcome::ok && !judged.clients_fault) {
         ended.remark = r.in.exchange->kept_tokens();
         if (const double told = r.told_prompt_tokens(); told > 0) r.in.exchange->prompt_counted(told);
@@ -471,9 +476,10 @@
         if (by_request) {
             r.pending_release = std::exchange(r.held, std::nullopt);
             held_ -= 1;
+            r.pending_release->reason = ReleaseReason::not_fetched;
             pending_releases_.push_back(request);
         } else {
-            release_state(r);
+            release_state(r, ReleaseReason::not_fetched);
         }
     }
     if (r.held && judged.outcome != Outcome::connect_failed) r.held->since = now_;
@@ -483,7 +489,7 @@
                (detail.empty() ? "" : " (" + detail + ")");
     emit(Note{observe::AttemptRecord{r.in.name, call.attempt.value, call.server, call.read,
                                      engine::name(judged.outcome), call.status, call.sent,
-                                     r.started && !call.read, now_ - call.begun, detail}});
+                                     r.started && !call.read, now_ - call.begun, detail, call.written}});
     // A read called off may have been done all the same, its answer on the way, and so may one whose answer
     // can't be read: the state is released by its number.
     if (call.read && call.sent && judged.outcome != Outcome::read &&
@@ -491,10 +497,12 @@
          judged.outcome == Outcome::timeout || judged.outcome == Outcome::reset)) {
         if (const auto s = servers_.find({call.server}); s != servers_.end()) {
             if (by_request) {
-                r.pending_release = Open::Held{s->second, "", call.attempt.value};
+                r.pending_release = Open::Held{s->second, "", call.attempt.value, now_};
                 pending_releases_.push_back(request);
             } else {
-                release_call({r.in.name, call.attempt.value, "", {}, 0}, s->second);
+                release_call(
+                    {r.in.name, call.attempt.value, "", ReleaseReason::read_may_have_ended, now_, {}, 0},
+                    s->second);
             }
         }
     }
@@ -558,6 +566,8 @@
     if (has_none) no_release_.insert(call.server);
     const bool done = ending == Ending::answered && call.status < 300;
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
+    note_held(done ? "release_done" : "release_failed", call.release->name, call.server, call.release->reason,
+              call.release->held_since);
     // Where any server takes it another is asked, at once: the time to let go runs on while one does not
     // answer. Not once an attempt has begun behind a call that was out: that attempt's state would go, too.
     if (done || convention_->release_covers() == Convention::ReleaseScope::attempt)
@@ -566,7 +576,8 @@
     ReleaseAttempt release = *call.release;
     if (r != nullptr && r->call) {
         if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
-            r->pending_release = Open::Held{s->second, std::move(release.state), release.attempt};
+            r->pending_release = Open::Held{s->second, std::move(release.state), release.attempt,
+                                            release.held_since, release.reason};
         pending_releases_.push_back(r->id);
         return;
     }
@@ -610,7 +621,8 @@
     // A place that may be held is let go of like a state, unless an attempt takes it.
     if (lease != Lease::not_held && call.sent && !r->started) {
         if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
-            r->pending_release = Open::Held{s->second, "", call.attempt.value};
+            r->pending_release =
+                Open::Held{s->second, "", call.attempt.value, now_, ReleaseReason::place_may_be_held};
         pending_releases_.push_back(r->id);
     }
 }
@@ -955,7 +967,7 @@
 }
 
 void Edge::act(const Release& action) {
-    if (Open* r = find(action.id)) release_state(*r);
+    if (Open* r = find(action.id)) release_state(*r, ReleaseReason::decided);
 }
 
 // The client comes again for the rest, which is read and written elsewhere.
@@ -1154,18 +1166,25 @@
     Open* r = find(id);
     if (r == nullptr || !r->answered || r->call) return;
     if (r->deferred) drop_deferred(*r, true);
-    release_state(*r);
+    release_state(*r, ReleaseReason::request_over);
     open_.erase(id.value);
 }
 
-void Edge::release_state(Open& r) {
+void Edge::note_held(std::string_view what, const std::string& request, const std::string& server,
+                     ReleaseReason reason, Time since) {
+    emit(Note{observe::HeldRecord{request, what, server, reason, now_ - since}});
+}
+
+void Edge::release_state(Open& r, ReleaseReason reason) {
     if (r.call || (!r.held && !r.pending_release))
         return;  // with an attempt out the state is that attempt's to take
+    if (!r.held) reason = r.pending_release->reason;
     const auto held = r.held ? std::move(*r.held) : std::move(*r.pending_release);
     if (r.held) held_ -= 1;
     r.held.reset();
     r.pending_release.reset();
-    const auto call = release_call({r.in.name, held.attempt, held.state, {}, 0}, held.server);
+    const auto call =
+        release_call({r.in.name, held.attempt, held.state, reason, held.since, {}, 0}, held.server);
     if (call == CallId{}) return;
     r.release = call;
     calls_.at(call).request = r.id;
@@ -1178,7 +1197,8 @@
         Open* r = find(id);
         if (r == nullptr || !r->pending_release) continue;
         if (r->call) wait.push_back(id);
-        else if (!r->held) release_state(*r);  // with a state that waits, both go together
+        else if (!r->held)
+            release_state(*r, r->pending_release->reason);  // with a state that waits, both go together
         else wait.push_back(id);
     }
     pending_releases_ = std::move(wait);
@@ -1235,6 +1255,7 @@
         return {};
     }
     release.tries += 1;
+    note_held("release", release.name, server, release.reason, release.held_since);
     const Time due = now_ + settings_.limits.release_timeout;
     Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kReleaseWorth);
     out.release = std::move(release);
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -50,6 +50,7 @@
 };
 struct ClientClosed {  // it hung up, or the shell gave it up
     ClientId client;
+    std::string detail = {};  // for the log: who ended it, and with what error
 };
 struct ClientBacklog {  // bytes wait for it above the limit, or no longer
     ClientId client;
@@ -294,7 +295,7 @@
     void finish(Open& open, observe::Fate fate, int status, std::string reason);
     void drop_body(Open& open);
     void drop_if_over(RequestId id);
-    void release_state(Open& open);
+    void release_state(Open& open, observe::ReleaseReason reason);
     // Sends what is no attempt; it is given up at `due`.
     Outgoing& call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
                        double worth = 0);
@@ -303,10 +304,14 @@
         std::string name;
         std::int64_t attempt = 0;
         std::string state;
+        observe::ReleaseReason reason = observe::ReleaseReason::none;
+        Time held_since{};
         std::set<std::string> tried;
         std::int64_t tries = 0;
     };
     CallId release_call(ReleaseAttempt release, const ListedServer& to);
+    void note_held(std::string_view what, const std::string& request, const std::string& server,
+                   observe::ReleaseReason reason, Time since);
     void release_pending();
     // A release call that covers the whole request would take what a new attempt gets: while one is on its
     // way out, the attempt is put off.
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -87,7 +87,7 @@
     void on_request(HttpServer::Peer peer, http::Request request) override {
         shell.admin_request(peer, request);
     }
-    void on_closed(HttpServer::Peer) override {}
+    void on_closed(HttpServer::Peer, const ConnectionEnd&) override {}
     EdgeShell& shell;
 };
 
@@ -201,7 +201,11 @@
 void EdgeShell::on_request(HttpServer::Peer peer, http::Request request) {
     add(core::ClientRequest{{peer}, std::move(request)});
 }
-void EdgeShell::on_closed(HttpServer::Peer peer) { add(core::ClientClosed{{peer}}); }
+void EdgeShell::on_closed(HttpServer::Peer peer, const ConnectionEnd& end) {
+    add(core::ClientClosed{{peer}, describe(end)});
+}
+void EdgeShell::on_idle_closed(const ConnectionEnd& end) { log_.debug("client_closed", describe(end)); }
+void EdgeShell::on_accept_failed(int error) { log_.warn("accept_failed", uv_err_name(error)); }
 void EdgeShell::on_backlog(HttpServer::Peer peer, bool full) { add(core::ClientBacklog{{peer}, full}); }
 bool EdgeShell::on_ready(HttpPool::Call call, http::Headers& headers) {
     return edge_.may_begin(uv_now_time(), {call}, headers);
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -48,8 +48,10 @@
 private:
     struct AdminHandler;
     void on_request(HttpServer::Peer peer, http::Request request) override;
-    void on_closed(HttpServer::Peer peer) override;
+    void on_closed(HttpServer::Peer peer, const ConnectionEnd& end) override;
     void on_backlog(HttpServer::Peer peer, bool full) override;
+    void on_idle_closed(const ConnectionEnd& end) override;
+    void on_accept_failed(int error) override;
     bool on_ready(HttpPool::Call call, http::Headers& headers) override;
     void on_sent(HttpPool::Call call) override;
     void on_written(HttpPool::Call call) override;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -25,6 +25,32 @@
     return out;
 }
 
+using Reason = ConnectionEnd::Reason;
+
+std::string_view name(Reason reason) {
+    switch (reason) {
+        case Reason::peer_ended: return "peer_ended";
+        case Reason::read_failed: return "read_failed";
+        case Reason::write_failed: return "write_failed";
+        case Reason::tls: return "tls";
+        case Reason::not_reading: return "not_reading";
+        case Reason::sent_ahead: return "sent_ahead";
+        case Reason::evicted: return "evicted";
+        case Reason::over_limit: return "over_limit";
+        case Reason::overdue: return "overdue";
+        case Reason::drained: return "drained";
+        case Reason::aborted: return "aborted";
+        case Reason::stopped: return "stopped";
+    }
+    return "unknown";
+}
+
+// Of a read that ended the connection.
+ConnectionEnd end_of_read(ssize_t result) {
+    if (result == UV_EOF) return {Reason::peer_ended, 0};
+    return {Reason::read_failed, static_cast<int>(result)};
+}
+
 struct WriteJob {
     uv_write_t request{};
     std::string bytes;
@@ -32,6 +58,12 @@
 
 }  // namespace
 
+std::string describe(const ConnectionEnd& end) {
+    std::string out(name(end.reason));
+    if (end.error != 0) out += " (" + std::string(uv_err_name(end.error)) + ")";
+    return out;
+}
+
 struct HttpServer::Connection {
     uv_tcp_t socket{};
     HttpServer* server = nullptr;
@@ -102,6 +134,7 @@
                           [](uv_stream_t* s, int status) {
                               auto& from = *static_cast<Listener*>(s->data);
                               if (status == 0) from.server->accept(from);
+                              else from.server->handler_.on_accept_failed(status);
                           });
     if (error != 0) {
         stop_listening();
@@ -129,8 +162,9 @@
     uv_tcp_init(&loop_, &c->socket);
     c->socket.data = c;
     const bool wants_tls = listener.speaks == Speaks::tls;
-    if (uv_accept(reinterpret_cast<uv_stream_t*>(&listener.socket), c->stream()) != 0 ||
-        (wants_tls && tls_ == nullptr)) {
+    const int error = uv_accept(reinterpret_cast<uv_stream_t*>(&listener.socket), c->stream());
+    if (error != 0 || (wants_tls && tls_ == nullptr)) {
+        if (error != 0) handler_.on_accept_failed(error);
         uv_close(reinterpret_cast<uv_handle_t*>(&c->socket),
                  [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
@@ -147,8 +181,9 @@
     if (connections_.size() > limits_.idle_connections.connections) {
         const auto room =
             idle_connections_.choose_evicted(uv_now_time(), [this](auto id) { return unread(id); });
-        (room && *room != c->id ? counts_.evicted : counts_.over_limit) += 1;
-        close(room ? *connections_.at(*room) : *c);
+        const bool evicts = room && *room != c->id;
+        (evicts ? counts_.evicted : counts_.over_limit) += 1;
+        close(room ? *connections_.at(*room) : *c, {evicts ? Reason::evicted : Reason::over_limit, 0});
         if (c->closing) return;
     }
     start_reading(*c);
@@ -184,7 +219,7 @@
         [](uv_stream_t* s, ssize_t n, const uv_buf_t* buffer) {
             auto& c = *static_cast<Connection*>(s->data);
             if (n > 0) c.server->took(c, {buffer->base, static_cast<std::size_t>(n)});
-            else if (n < 0) c.server->close(c);
+            else if (n < 0) c.server->close(c, end_of_read(n));
         });
 }
 
@@ -202,7 +237,7 @@
     if (!step.plain.empty()) plain(c, step.plain);
     if (c.closing) return;
     if (!c.raw.empty()) write_out(c);
-    if (!c.closing && (step.fault || step.ended)) close(c);
+    if (!c.closing && (step.fault || step.ended)) close(c, {Reason::tls, 0});
 }
 
 void HttpServer::plain(Connection& c, std::string_view bytes) {
@@ -215,7 +250,7 @@
     const bool too_far = c.ahead.size() > limits_.pipelined_bytes || unfinished_ > limits_.unfinished_bytes;
     if (c.discarded > 0 || (c.peer != 0 && too_far)) {
         c.discarded += bytes.size();
-        if (c.discarded > limits_.discarded_bytes) close(c);
+        if (c.discarded > limits_.discarded_bytes) close(c, {Reason::sent_ahead, 0});
         return;
     }
     c.ahead += bytes;
@@ -226,7 +261,7 @@
 // Guards against an attempt for a client whose close came right behind its request: libuv reports that in the
 // next turn, and a loop that is behind would send the request on before.
 void HttpServer::give_up_if_gone(Connection& c) {
-    if (look(c) == Unread::end) close(c);
+    if (look(c) == Unread::end) close(c, {Reason::peer_ended, 0});
 }
 
 // Takes the next request out of what has come, unless one is in hand.
@@ -365,7 +400,7 @@
         uv_tcp_close_reset(&c->socket, [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
     }
-    close(*c);
+    close(*c, {Reason::aborted, 0});
 }
 
 void HttpServer::put(Connection& c, std::string_view bytes) {
@@ -395,7 +430,7 @@
         if (uv_stream_get_write_queue_size(c.stream()) == 0) {
             uv_buf_t buffer = uv_buf_init(bytes.data(), static_cast<unsigned>(bytes.size()));
             const int n = uv_try_write(c.stream(), &buffer, 1);
-            if (n < 0 && n != UV_EAGAIN) return close(c);
+            if (n < 0 && n != UV_EAGAIN) return close(c, {Reason::write_failed, n});
             if (n > 0) done = static_cast<std::size_t>(n);
         }
         if (done < bytes.size()) {
@@ -411,13 +446,13 @@
                 owner.waiting -= 1;
                 delete done_job;
                 if (owner.closing) return;
-                if (status < 0) return owner.server->close(owner);
+                if (status < 0) return owner.server->close(owner, {Reason::write_failed, status});
                 owner.last_progress = uv_now_time();
                 owner.server->write_out(owner);
             });
             if (error != 0) {
                 delete job;
-                return close(c);
+                return close(c, {Reason::write_failed, error});
             }
         }
     }
@@ -458,16 +493,16 @@
 void HttpServer::shut_down(Connection& c) {
     if (idle_connections_.is_closing(c.id)) return;
     idle_connections_.add(c.id, IdleConnections::Kind::closing, uv_now_time());
-    if (c.filter) return close(c);
+    if (c.filter) return close(c, {Reason::overdue, 0});
     // At once, not by uv_shutdown(), which waits for the loop's next turn: a request read in between would be
     // neither answered nor left to be sent again.
     uv_os_fd_t fd = -1;
     if (uv_fileno(reinterpret_cast<uv_handle_t*>(&c.socket), &fd) != 0 || shutdown(fd, SHUT_WR) != 0)
-        return close(c);
+        return close(c, {Reason::write_failed, -errno});
     if (!c.reading) start_reading(c);
 }
 
-void HttpServer::close(Connection& c) {
+void HttpServer::close(Connection& c, ConnectionEnd end) {
     if (c.closing) return;
     c.closing = true;
     idle_connections_.remove(c.id);
@@ -482,7 +517,9 @@
         const Peer peer = c.peer;
         in_hand_.erase(peer);
         c.peer = 0;
-        handler_.on_closed(peer);
+        handler_.on_closed(peer, end);
+    } else if (end.reason != Reason::peer_ended && end.reason != Reason::stopped) {
+        handler_.on_idle_closed(end);
     }
     uv_close(reinterpret_cast<uv_handle_t*>(&c.socket),
              [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
@@ -506,7 +543,7 @@
         if (c->peer != 0) {
             const Peer peer = std::exchange(c->peer, 0);
             in_hand_.erase(peer);
-            handler_.on_closed(peer);
+            handler_.on_closed(peer, {Reason::drained, 0});
         }
         c->close_after = true;
         write_out(*c);
@@ -514,7 +551,7 @@
 }
 
 void HttpServer::close_all() {
-    for (auto* c : all()) close(*c);
+    for (auto* c : all()) close(*c, {Reason::stopped, 0});
 }
 
 // Time-outs are seconds long: looking a few times a second is exact enough, and costs no timer for each
@@ -541,21 +578,21 @@
     for (const auto id : idle_connections_.overdue(now, connections_.size(), draining_,
                                                    [this](auto i) { return unread(i); })) {
         Connection& c = *connections_.at(id);
-        if (idle_connections_.is_closing(id)) close(c);
+        if (idle_connections_.is_closing(id)) close(c, {Reason::overdue, 0});
         else end_when_idle(c);
     }
     for (auto* c : slow) {
         counts_.timed_out += 1;
         if (c->filter && !c->filter->connected()) {  // nothing can be said to it yet
             counts_.handshakes_failed += 1;
-            close(*c);
+            close(*c, {Reason::overdue, 0});
             continue;
         }
         refuse(*c, {408, "request not sent in time"});
     }
     for (auto* c : stalled) {
         counts_.stalled += 1;
-        close(*c);
+        close(*c, {Reason::not_reading, 0});
     }
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -38,6 +38,28 @@
     Duration stall_timeout = std::chrono::seconds(30);
 };
 
+// Why a connection of a client ended.
+struct ConnectionEnd {
+    enum class Reason {
+        peer_ended,    // the peer closed it, or its sending side
+        read_failed,   // with `error`
+        write_failed,  // with `error`
+        tls,           // the peer broke the protocol, or closed it
+        not_reading,   // it took nothing of what waits for it for the stall time-out
+        sent_ahead,    // it sent too much ahead of its answers
+        evicted,       // one connection too many, and it was idle
+        over_limit,    // one connection too many, and none was idle
+        overdue,       // idle, or ended by this side, for longer than its limit
+        drained,       // the end of the drain time
+        aborted,       // by the owner
+        stopped,       // this listener is being destroyed
+    };
+    Reason reason = Reason::peer_ended;
+    int error = 0;  // libuv's, where the system said one
+};
+// "read_failed (ETIMEDOUT)"
+[[nodiscard]] std::string describe(const ConnectionEnd& end);
+
 // A monotonic clock: the loop's, in nanoseconds.
 [[nodiscard]] inline Time uv_now_time() { return Time(Duration(static_cast<std::int64_t>(uv_hrtime()))); }
 
@@ -49,8 +71,12 @@
         virtual ~Handler() = default;
         virtual void on_request(Peer peer, http::Request request) = 0;
         // The peer went away, or was given up, while its request was in hand.
-        virtual void on_closed(Peer peer) = 0;
+        virtual void on_closed(Peer peer, const ConnectionEnd& end) = 0;
         virtual void on_backlog(Peer, bool) {}
+        // A connection with no request in hand ended otherwise than by its peer.
+        virtual void on_idle_closed(const ConnectionEnd&) {}
+        // accept() failed with this error of libuv's.
+        virtual void on_accept_failed(int) {}
     };
 
     HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits);
@@ -124,7 +150,7 @@
     void put(Connection& c, std::string_view bytes);
     void write_out(Connection& c);
     void finish_answer(Connection& c);
-    void close(Connection& c);
+    void close(Connection& c, ConnectionEnd end);
     void sweep();
     Connection* find(Peer peer);
     [[nodiscard]] std::vector<Connection*> all() const;
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -21,6 +21,7 @@
             .text("outcome", r.outcome)
             .whole("status", r.status)
             .flag("sent", r.sent)
+            .flag("written", r.written)
             .flag("started", r.started)
             .number("ms", ms(r.taken))
             .text("detail", r.detail)
@@ -54,6 +55,16 @@
             .text("detail", r.detail)
             .done();
     }
+    std::string operator()(const HeldRecord& r) const {
+        return json::ObjectWriter()
+            .text("event", "held")
+            .text("request", r.request)
+            .text("what", r.what)
+            .text("server", r.server)
+            .text("reason", name(r.reason))
+            .number("age_ms", ms(r.age))
+            .done();
+    }
     std::string operator()(const GuardRecord& r) const {
         return json::ObjectWriter()
             .text("event", "guard")
@@ -66,6 +77,8 @@
 spdlog::level::level_enum level_of(const Record& record) {
     if (std::holds_alternative<GuardRecord>(record)) return spdlog::level::err;
     if (std::holds_alternative<AttemptRecord>(record)) return spdlog::level::debug;
+    if (const auto* held = std::get_if<HeldRecord>(&record))
+        return held->what.starts_with("release") ? spdlog::level::info : spdlog::level::debug;
     if (const auto* server = std::get_if<ServerRecord>(&record))
         return server->what == "probe" || server->what == "release" ? spdlog::level::debug
                                                                     : spdlog::level::info;
@@ -85,6 +98,18 @@
     return "unknown";
 }
 
+std::string_view name(ReleaseReason reason) {
+    switch (reason) {
+        case ReleaseReason::none: return "";
+        case ReleaseReason::decided: return "decided";
+        case ReleaseReason::request_over: return "request_over";
+        case ReleaseReason::read_may_have_ended: return "read_may_have_ended";
+        case ReleaseReason::place_may_be_held: return "place_may_be_held";
+        case ReleaseReason::not_fetched: return "not_fetched";
+    }
+    return "unknown";
+}
+
 std::string format_json(const Record& record) { return std::visit(Formatter{}, record); }
 
 Log::Log(const std::string& who, const std::string& level)
@@ -103,6 +128,9 @@
     logger_->log(level, format_json(record));
 }
 
+void Log::debug(const std::string& event, const std::string& text) {
+    line(spdlog::level::debug, event, text);
+}
 void Log::info(const std::string& event, const std::string& text) { line(spdlog::level::info, event, text); }
 void Log::warn(const std::string& event, const std::string& text) { line(spdlog::level::warn, event, text); }
 void Log::error(const std::string& event, const std::string& text) { line(spdlog::level::err, event, text); }
--- a/src/observe/log.hpp
+++ b/src/observe/log.hpp
@@ -22,6 +22,7 @@
     ~Log();
     void write(const Record& record);
     // Lines of the program's own: {"event": event, "text": text}.
+    void debug(const std::string& event, const std::string& text);
     void info(const std::string& event, const std::string& text);
     void warn(const std::string& event, const std::string& text);
     void error(const std::string& event, const std::string& text);
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -23,6 +23,7 @@
     prometheus::Family<prometheus::Counter>& requests;
     prometheus::Family<prometheus::Counter>& attempts;
     prometheus::Family<prometheus::Counter>& servers;
+    prometheus::Family<prometheus::Counter>& held;
     prometheus::Family<prometheus::Counter>& guards;
     prometheus::Family<prometheus::Histogram>& first_token;
     prometheus::Family<prometheus::Histogram>& attempt_seconds;
@@ -50,6 +51,11 @@
                             "go of nothing")
                       .Labels({{"gateway", name}})
                       .Register(registry)),
+          held(prometheus::BuildCounter()
+                   .Name("chalksail_held_total")
+                   .Help("Steps in the life of read states and places held at servers, by step and reason")
+                   .Labels({{"gateway", name}})
+                   .Register(registry)),
           guards(prometheus::BuildCounter()
                      .Name("chalksail_guards_total")
                      .Help("Actions that a rule forbids, stopped at the edge. Above 0: report it")
@@ -92,6 +98,8 @@
             f.servers.Add({{"server", s->server}, {"what", s->what}, {"result", call ? s->detail : ""}});
         counter.Increment();
         f.by_server[s->server].emplace(&f.servers, &counter);
+    } else if (const auto* h = std::get_if<HeldRecord>(&record)) {
+        f.held.Add({{"what", std::string(h->what)}, {"reason", std::string(name(h->reason))}}).Increment();
     } else {
         f.guards.Add({{"what", std::get<GuardRecord>(record).what}}).Increment();
     }
--- a/src/observe/record.hpp
+++ b/src/observe/record.hpp
@@ -22,6 +22,7 @@
     bool started = false;
     Duration taken{};
     std::string detail;
+    bool written = false;  // its last byte was handed to the connection
 };
 
 // Who ended a request, and how. `rejected` is the client's own fault (4xx), by our checks or by an engine's.
@@ -54,12 +55,34 @@
     std::string detail;
 };
 
+// What led to a release call.
+enum class ReleaseReason {
+    none,
+    decided,              // by the decision module
+    request_over,         // its request has its final answer, or its client is gone
+    read_may_have_ended,  // a read was called off or broke, and may have left a state
+    place_may_be_held,    // a writer was asked to hold a place, and none is wanted
+    not_fetched,          // a writer could not fetch the state
+};
+[[nodiscard]] std::string_view name(ReleaseReason reason);
+
+// A step in the life of what a server holds for a request: a read state, or a place.
+struct HeldRecord {
+    std::string request;
+    // held (a read ended well), fetched (its writer has begun to answer), release (one is asked for),
+    // release_done, release_failed.
+    std::string_view what;
+    std::string server;  // where it is held, or which one is asked to release it
+    ReleaseReason reason = ReleaseReason::none;
+    Duration age{};  // since an attempt last proved to have reached a server
+};
+
 // Something that must not happen was about to, and was stopped here.
 struct GuardRecord {
     std::string request;
     std::string what;
 };
 
-using Record = std::variant<AttemptRecord, RequestRecord, ServerRecord, GuardRecord>;
+using Record = std::variant<AttemptRecord, RequestRecord, ServerRecord, HeldRecord, GuardRecord>;
 
 }  // namespace chalksail::observe
--- a/tests/net/tls_socket_test.cpp
+++ b/tests/net/tls_socket_test.cpp
@@ -56,7 +56,7 @@
         }
         server.flush();
     }
-    void on_closed(HttpServer::Peer) override {}
+    void on_closed(HttpServer::Peer, const ConnectionEnd&) override {}
 };
 
 class TlsRig : public Rig {
