--- /dev/null
+++ b/tests/faults/process_rig.hpp
@@ -0,0 +1,203 @@
+// `chalksail-edge platform` as a process of its own, between stand-ins in the test's process: discovery,
+// readers, writers and clients, all on loopback. The fault shim is loaded into the gateway alone.
+#pragma once
+
+#include <fcntl.h>
+#include <netinet/in.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <iterator>
+#include <optional>
+
+#include "net/platform_rig.hpp"
+
+namespace chalksail::faults::testing {
+
+using net::testing::chunked;
+using net::testing::DirectClient;
+using net::testing::kLetGo;
+using net::testing::kRead;
+using net::testing::kStream;
+using net::testing::kStreamHead;
+using net::testing::RawServer;
+namespace told = platform::testing;
+
+// A server whose process hangs: the system completes connections to it and takes their bytes, and nobody
+// reads them.
+class HungServer {
+public:
+    HungServer() : socket_(::socket(AF_INET, SOCK_STREAM, 0)) {
+        sockaddr_in where{};
+        uv_ip4_addr("127.0.0.1", 0, &where);
+        EXPECT_EQ(bind(socket_, reinterpret_cast<const sockaddr*>(&where), sizeof where), 0);
+        EXPECT_EQ(listen(socket_, 64), 0);
+        socklen_t size = sizeof where;
+        getsockname(socket_, reinterpret_cast<sockaddr*>(&where), &size);
+        address_ = {"127.0.0.1", ntohs(where.sin_port)};
+    }
+    ~HungServer() { ::close(socket_); }
+    HungServer(const HungServer&) = delete;
+    HungServer& operator=(const HungServer&) = delete;
+    [[nodiscard]] const Address& address() const { return address_; }
+
+private:
+    int socket_ = -1;
+    Address address_;
+};
+
+class ProcessRig : public ::testing::Test {
+protected:
+    static constexpr auto kPatience = std::chrono::seconds(60);  // then the test has failed
+
+    ProcessRig() {
+        std::signal(SIGPIPE, SIG_IGN);
+        uv_loop_init(&loop);
+        char name[] = "/tmp/chalksail-faults-XXXXXX";
+        folder = mkdtemp(name);
+    }
+    ~ProcessRig() override {
+        break_down();
+        for (int i = 0; i < 1000 && uv_run(&loop, UV_RUN_NOWAIT) != 0; ++i) {
+        }
+        uv_loop_close(&loop);
+        std::filesystem::remove_all(folder);
+    }
+
+    // Ends the gateway and its stand-ins; another start() may follow.
+    void break_down() {
+        end_gateway();
+        discovery.reset();
+        reader.reset();
+        writer.reset();
+        out.clear();
+        releases = 0;
+        exited = started_ = false;
+    }
+    void serve_reads() {
+        reader = std::make_unique<RawServer>(loop, [this](RawServer::Peer& p) {
+            const bool release = p.server->last.starts_with("DELETE");
+            releases += release ? 1 : 0;
+            p.send(release ? kLetGo : kRead);
+        });
+    }
+    void serve_writes() {
+        writer = std::make_unique<RawServer>(loop, [this](RawServer::Peer& p) {
+            const bool release = p.server->last.starts_with("DELETE");
+            releases += release ? 1 : 0;
+            p.send(release ? kLetGo : kStream);
+        });
+    }
+    // Starts the gateway with a list of one reader and one writer, and waits until it listens.
+    void start(const Address& read_at, const Address& write_at, const std::string& plan) {
+        const std::string list =
+            told::list_text(told::instance("r1", "reader", format_address(read_at)) + "," +
+                            told::instance("w1", "writer", format_address(write_at)));
+        discovery = std::make_unique<RawServer>(
+            loop, [list](RawServer::Peer& p) { p.send(kStreamHead + chunked(list + "\n")); });
+        const std::string config = folder + "/config.json";
+        std::ofstream(config) << told::configuration_text(format_address(discovery->address), list);
+        spawn(config, plan);
+        ASSERT_TRUE(until([this] { return out.find("listening") != std::string::npos || exited; }));
+        ASSERT_FALSE(exited) << log();
+        const auto at = out.find("127.0.0.1:");
+        address = {"127.0.0.1", static_cast<std::uint16_t>(std::stoi(out.substr(at + 10)))};
+    }
+    // Runs the loop until it holds; false if it never does.
+    bool until(const std::function<bool()>& holds) {
+        const auto end = std::chrono::steady_clock::now() + kPatience;
+        while (!holds()) {
+            if (std::chrono::steady_clock::now() > end) return false;
+            uv_run(&loop, UV_RUN_NOWAIT);
+            usleep(500);
+        }
+        return true;
+    }
+    // Whether the client has a whole answer; false once its connection has ended without one.
+    bool answered_whole(DirectClient& client) {
+        bool open = true;
+        const auto whole = [&] {
+            return client.got.find("0\r\n\r\n") != std::string::npos ||
+                   client.got.find("\"error\"") != std::string::npos;
+        };
+        until([&] {
+            open = client.read();
+            return whole() || !open;
+        });
+        return whole();
+    }
+    [[nodiscard]] std::string log() const {
+        std::ifstream in(folder + "/log");
+        return {std::istreambuf_iterator<char>(in), {}};
+    }
+
+    uv_loop_t loop{};
+    std::string folder;
+    std::string out;  // the gateway's standard output
+    Address address;
+    std::unique_ptr<RawServer> discovery, reader, writer;
+    int releases = 0;  // release calls that came to a reader or writer
+    bool exited = false;
+
+private:
+    void spawn(const std::string& config, const std::string& plan) {
+        uv_pipe_init(&loop, &pipe_, 0);
+        pipe_.data = this;
+        log_file_ = ::open((folder + "/log").c_str(), O_CREAT | O_WRONLY | O_CLOEXEC, 0600);
+        uv_stdio_container_t stdio[3];
+        stdio[0].flags = UV_IGNORE;
+        stdio[1].flags = static_cast<uv_stdio_flags>(UV_CREATE_PIPE | UV_WRITABLE_PIPE);
+        stdio[1].data.stream = reinterpret_cast<uv_stream_t*>(&pipe_);
+        stdio[2].flags = UV_INHERIT_FD;
+        stdio[2].data.fd = log_file_;
+        std::vector<std::string> environment = {"EDGE_CONFIG=" + config, "FAULT_PLAN=" + plan,
+                                                "LD_PRELOAD=" FAULT_SHIM,
+                                                "ASAN_OPTIONS=verify_asan_link_order=0"};
+        std::vector<char*> environment_pointers;
+        for (auto& e : environment) environment_pointers.push_back(e.data());
+        environment_pointers.push_back(nullptr);
+        std::string program = EDGE_PROGRAM, command = "platform";
+        char* arguments[] = {program.data(), command.data(), nullptr};
+        uv_process_options_t options{};
+        options.file = program.c_str();
+        options.args = arguments;
+        options.env = environment_pointers.data();
+        options.stdio = stdio;
+        options.stdio_count = 3;
+        options.exit_cb = [](uv_process_t* p, std::int64_t, int) {
+            static_cast<ProcessRig*>(p->data)->exited = true;
+        };
+        process_.data = this;
+        started_ = uv_spawn(&loop, &process_, &options) == 0;
+        ASSERT_TRUE(started_);
+        uv_read_start(
+            reinterpret_cast<uv_stream_t*>(&pipe_),
+            [](uv_handle_t*, std::size_t size, uv_buf_t* b) {
+                *b = uv_buf_init(new char[size], static_cast<unsigned>(size));
+            },
+            [](uv_stream_t* s, ssize_t n, const uv_buf_t* b) {
+                if (n > 0)
+                    static_cast<ProcessRig*>(s->data)->out.append(b->base, static_cast<std::size_t>(n));
+                else if (n < 0) uv_read_stop(s);
+                delete[] b->base;
+            });
+    }
+    void end_gateway() {
+        if (!started_) return;
+        if (!exited) uv_process_kill(&process_, SIGKILL);
+        until([this] { return exited; });
+        uv_close(reinterpret_cast<uv_handle_t*>(&process_), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&pipe_), nullptr);
+        ::close(log_file_);
+    }
+
+    uv_process_t process_{};
+    uv_pipe_t pipe_{};
+    int log_file_ = -1;
+    bool started_ = false;
+};
+
+}  // namespace chalksail::faults::testing
