Held state is released in its time while its write is unanswered; only answers set the clock back

Cause: a write whose last byte is written counted as out until it ended, and any end but a failed dial set the state's clock back. A server that hangs, or a connection that falls silent, takes the bytes and says nothing, so the state stayed (Edge::release_state returned while an attempt was out; Edge::end_attempt set held.since). Change: until an attempt has answered, what is held for its request is released when its time is over and again each time after that (core); by the protocol servers keep what an attempt waits for, so one that has come loses nothing. The module hears of it (StateReleased) and reads anew if that attempt ends without an answer. Resets, time-outs and call-offs prove no arrival and no longer set the clock back, in core and module.

--- a/include/chalksail/chalksail.hpp
+++ b/include/chalksail/chalksail.hpp
@@ -162,6 +162,12 @@
     ServerId server;
     bool held = false;
 };
+// The embedder has released what waited for this request at a server, as the attempt that is out did not
+// prove in time to have come to one. That attempt may still end well; for another one the prompt is read
+// anew.
+struct StateReleased {
+    RequestId id;
+};
 struct ClientGone {
     RequestId id;
 };
@@ -183,8 +189,8 @@
     std::int64_t from = 0;
     std::string hex;
 };
-using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, LeaseAnswer, ClientGone,
-                           TimerFired, ProbeEnded, PrefixesTold, PeerMessage>;
+using Event = std::variant<ListChanged, Arrived, StreamStarted, AttemptEnded, LeaseAnswer, StateReleased,
+                           ClientGone, TimerFired, ProbeEnded, PrefixesTold, PeerMessage>;
 
 // ---- actions: what the gateway does ----
 
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -50,7 +50,7 @@
         ListedServer server;  // kept here: once off the list, nothing else tells how it is spoken to
         std::string state;    // as the read told it
         std::int64_t attempt = 0;
-        Time since{};  // from when on no attempt that reached a server has been out
+        Time since{};  // from when on no attempt has been known to be with a server
         ReleaseReason reason = ReleaseReason::read_may_have_ended;  // of a release that is pending
     };
     std::optional<Held> held;  // the state that waits at a reader
@@ -470,7 +470,7 @@
         ended.remark = r.in.exchange->kept_tokens();
         if (const double told = r.told_prompt_tokens(); told > 0) r.in.exchange->prompt_counted(told);
     }
-    const bool by_request = convention_->release_covers() == Convention::ReleaseScope::request;
+    const bool by_request = release_covers_request();
     // The writer could not fetch the state; its reader may have it all the same, and must not keep it.
     if (judged.outcome == Outcome::full && judged.remark == 1 && r.held) {
         if (by_request) {
@@ -482,7 +482,12 @@
             release_state(r, ReleaseReason::not_fetched);
         }
     }
-    if (r.held && judged.outcome != Outcome::connect_failed) r.held->since = now_;
+    // Guards against a clock that is set back by ends that prove nothing: bytes that were written may lie
+    // unread at a server that hangs, and their connection may break or be given up all the same.
+    if (call.status != 0 || ending == Ending::bad_answer) {
+        if (r.held) r.held->since = now_;
+        if (r.pending_release) r.pending_release->since = now_;
+    }
     r.last_outcome = engine::name(judged.outcome);
     r.trail += (r.trail.empty() ? "" : " ") + call.server + (call.read ? ":read:" : ":write:") +
                r.last_outcome + "/" + std::to_string(whole_ms(now_ - call.begun)) + "ms" +
@@ -568,16 +573,15 @@
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
     note_held(done ? "release_done" : "release_failed", call.release->name, call.server, call.release->reason,
               call.release->held_since);
-    // Where any server takes it another is asked, at once: the time to let go runs on while one does not
-    // answer. Not once an attempt has begun behind a call that was out: that attempt's state would go, too.
-    if (done || convention_->release_covers() == Convention::ReleaseScope::attempt)
-        return resume_deferred(call.request);
+    // Where any server takes it another is asked, at once: the time to release runs on while one does not
+    // answer. Not once a read has ended well behind it: that state would go, too, and has time of its own.
+    if (done || !release_covers_request()) return resume_deferred(call.request);
     Open* r = find(call.request);
     ReleaseAttempt release = *call.release;
-    if (r != nullptr && r->call) {
+    if (r != nullptr && r->held) {
         if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
             r->pending_release = Open::Held{s->second, std::move(release.state), release.attempt,
-                                            release.held_since, release.reason};
+                                            r->held->since, release.reason};
         pending_releases_.push_back(r->id);
         return;
     }
@@ -590,6 +594,7 @@
     }
     if (next == nullptr) return resume_deferred(call.request);
     const auto again = release_call(std::move(release), *next);
+    if (again == CallId{}) return resume_deferred(call.request);
     if (r != nullptr) r->release = again;
     calls_.at(again).request = call.request;
 }
@@ -907,9 +912,7 @@
     out.begun = now_;
     out.read = read;
     if (action.timeout > Duration::zero()) out.timeout = now_ + action.timeout;
-    // Guards against a state that waits while connections don't come up: until a byte of the attempt is out
-    // the state's time runs on.
-    arm(*r, r->held && !read ? std::min(ends_at(*r, out), state_due(*r)) : ends_at(*r, out));
+    arm(*r, attempt_due(*r, out));
     r->call = out.id;
     calls_.emplace(out.id, std::move(out));
     emit(std::move(call));
@@ -1016,7 +1019,62 @@
     facts.written = attempt.written;
     return !engine::proves_not_run(convention_->judge(facts, attempt.server_kind).outcome);
 }
-Time Edge::state_due(const Open& r) const { return r.held->since + settings_.module.release_within; }
+bool Edge::release_covers_request() const {
+    return convention_->release_covers() == Convention::ReleaseScope::request;
+}
+Duration Edge::release_timeout() const {
+    const auto& limits = settings_.limits;
+    return limits.release_retry > Duration::zero() ? limits.release_retry : limits.release_timeout;
+}
+std::optional<Time> Edge::release_due(const Open& r) const {
+    if (!r.held && !r.pending_release) return std::nullopt;
+    Time since = r.held ? r.held->since : r.pending_release->since;
+    if (r.pending_release) since = std::min(since, r.pending_release->since);
+    return since + settings_.module.release_within;
+}
+// Guards against a state that waits for an attempt which never comes to a server: until one has answered the
+// state's time runs on, whether the connection does not come up or is silent.
+Time Edge::attempt_due(const Open& r, const Outgoing& attempt) const {
+    const Time end = ends_at(r, attempt);
+    const auto release = release_due(r);
+    return attempt.status != 0 || !release ? end : std::min(end, *release);
+}
+
+// The time of what is held is over, or may be, while an attempt is out.
+void Edge::look_at_unanswered(Open& r) {
+    const Outgoing& attempt = calls_.at(*r.call);
+    const auto release = release_due(r);
+    if (attempt.status != 0 || !release || now_ < *release) return arm(r, attempt_due(r, attempt));
+    arm(r, ends_at(r, attempt));
+    if (r.held && !may_have_come(attempt)) {
+        const CallId id = attempt.id;
+        emit(CallAbort{id});
+        return end_attempt(id, Ending::cancelled, "no connection in the state's time");
+    }
+    if (!release_covers_request()) return;
+    release_beside_attempt(r);
+    arm(r, attempt_due(r, attempt));
+}
+
+// Servers keep what an attempt waits for: where this one has come, the release takes nothing from it, and
+// where it has not, nothing is left behind. Which of the two holds shows only with its answer; until then the
+// release is made again and again, as the server may die with the attempt.
+void Edge::release_beside_attempt(Open& r) {
+    if (r.held) {
+        events_.emplace_back(StateReleased{r.id});
+        r.pending_release = std::exchange(r.held, std::nullopt);
+        r.pending_release->reason = ReleaseReason::write_unanswered;
+        held_ -= 1;
+        pending_releases_.push_back(r.id);
+    }
+    const Open::Held& held = *r.pending_release;
+    const auto call =
+        release_call({r.in.name, held.attempt, held.state, held.reason, held.since, {}, 0}, held.server);
+    r.pending_release->since = now_;
+    if (call == CallId{}) return;
+    r.release = call;
+    calls_.at(call).request = r.id;
+}
 
 void Edge::arm(Open& r, Time at) {
     disarm(r);
@@ -1079,11 +1137,7 @@
             emit(CallAbort{call});
             end_attempt(call, Ending::timed_out, now_ >= last ? "time is over" : "silent stream");
         } else if (r.call && now_ < ends_at(r, calls_.at(*r.call))) {
-            const CallId call = *r.call;
-            arm(r, ends_at(r, calls_.at(call)));
-            if (!r.held || may_have_come(calls_.at(call))) continue;
-            emit(CallAbort{call});
-            end_attempt(call, Ending::cancelled, "no connection in the state's time");
+            look_at_unanswered(r);
         } else if (r.call) {
             const CallId call = *r.call;
             const bool own = now_ < r.deadline;  // the module's own time-out of this attempt
@@ -1205,7 +1259,7 @@
 }
 
 bool Edge::release_under_way(const Open& r) const {
-    if (!r.release || convention_->release_covers() == Convention::ReleaseScope::attempt) return false;
+    if (!r.release || !release_covers_request()) return false;
     const auto call = calls_.find(*r.release);
     return call != calls_.end() && !call->second.written;
 }
@@ -1246,7 +1300,11 @@
     return calls_.emplace(out.id, std::move(out)).first->second;
 }
 
-CallId Edge::release_call(ReleaseAttempt release, const ListedServer& to) {
+CallId Edge::release_call(ReleaseAttempt release, const ListedServer& holder) {
+    // Where any server takes it, the one that spoke last is the likeliest to run and to be reached.
+    const ListedServer* const likeliest =
+        release_covers_request() ? server_for_release(release.tried) : nullptr;
+    const ListedServer& to = likeliest != nullptr ? *likeliest : holder;
     const auto& server = to.entry.id.value;
     auto request = convention_->release(release.name, release.attempt, release.state, to.entry.kind);
     if (!request || no_release_.contains(server)) {
@@ -1256,7 +1314,7 @@
     }
     release.tries += 1;
     note_held("release", release.name, server, release.reason, release.held_since);
-    const Time due = now_ + settings_.limits.release_timeout;
+    const Time due = now_ + release_timeout();
     Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kReleaseWorth);
     out.release = std::move(release);
     return out.id;
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -287,7 +287,12 @@
     void fire_due();
     [[nodiscard]] static Time ends_at(const Open& open, const Outgoing& attempt);
     [[nodiscard]] bool may_have_come(const Outgoing& attempt) const;
-    [[nodiscard]] Time state_due(const Open& open) const;  // of one with a state that waits
+    // When what is held for it, or may be, has to be released, if no attempt is known to be with a server.
+    [[nodiscard]] std::optional<Time> release_due(const Open& open) const;
+    // The next look at a request with an attempt out: its end, or sooner what is held.
+    [[nodiscard]] Time attempt_due(const Open& open, const Outgoing& attempt) const;
+    void look_at_unanswered(Open& open);
+    void release_beside_attempt(Open& open);
     void arm(Open& open, Time at);
     void disarm(Open& open);
     // ends
@@ -309,7 +314,7 @@
         std::set<std::string> tried;
         std::int64_t tries = 0;
     };
-    CallId release_call(ReleaseAttempt release, const ListedServer& to);
+    CallId release_call(ReleaseAttempt release, const ListedServer& holder);
     void note_held(std::string_view what, const std::string& request, const std::string& server,
                    observe::ReleaseReason reason, Time since);
     void release_pending();
@@ -319,6 +324,8 @@
     void resume_deferred(RequestId id);
     void drop_deferred(Open& open, bool finished);
     [[nodiscard]] const ListedServer* server_for_release(const std::set<std::string>& tried) const;
+    [[nodiscard]] Duration release_timeout() const;
+    [[nodiscard]] bool release_covers_request() const;
 
     Open* find(RequestId id);
     Open* find(ClientId client);
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -106,6 +106,7 @@
         case ReleaseReason::read_may_have_ended: return "read_may_have_ended";
         case ReleaseReason::place_may_be_held: return "place_may_be_held";
         case ReleaseReason::not_fetched: return "not_fetched";
+        case ReleaseReason::write_unanswered: return "write_unanswered";
     }
     return "unknown";
 }
--- a/src/observe/record.hpp
+++ b/src/observe/record.hpp
@@ -63,6 +63,7 @@
     read_may_have_ended,  // a read was called off or broke, and may have left a state
     place_may_be_held,    // a writer was asked to hold a place, and none is wanted
     not_fetched,          // a writer could not fetch the state
+    write_unanswered,     // a writer has said nothing in the state's time: its attempt may never have come
 };
 [[nodiscard]] std::string_view name(ReleaseReason reason);
 
--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -611,7 +611,8 @@
         r.out.reset();
         // What never came to a server left the state waiting.
         const bool came = e.outcome != Outcome::connect_failed && e.outcome != Outcome::moot;
-        if (came) r.untaken_since = now_;
+        if (answered(e.outcome)) r.untaken_since = now_;
+        if (std::exchange(r.state_released, false)) drop_state(r);
         if (s != nullptr) settle(*s, r, a, e);
         const bool may_have_run = !a.read && came && e.outcome != Outcome::full;
         if (may_have_run && !r.ran_at && s != nullptr) {
@@ -635,6 +636,19 @@
         if (e.outcome == Outcome::moot || !may_go_again(r) || now_ >= r.deadline) give_up(e.id);
     }
 
+    // Only an answer proves that an attempt was with a server: what was written to one may lie there unread.
+    static bool answered(Outcome outcome) {
+        return outcome == Outcome::ok || outcome == Outcome::read || outcome == Outcome::full ||
+               outcome == Outcome::error;
+    }
+    // The attempt that is out may still stream; for another the prompt is read anew.
+    void on(const StateReleased& e) {
+        const auto it = requests_.find(e.id);
+        if (it == requests_.end() || !it->second.state_at) return;
+        if (it->second.out) it->second.state_released = true;
+        else drop_state(it->second);
+    }
+
     // What an outcome tells of the server.
     void settle(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         s.in_use -= 1;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -106,7 +106,8 @@
     bool ended = false;  // final answer given; kept for an attempt that is still out
     std::optional<Attempt> out;
     std::optional<ServerId> state_at;  // the reader that keeps the read state
-    Time untaken_since{};              // since when no attempt that reached a server has been out
+    Time untaken_since{};              // since when no attempt is known to have been with a server
+    bool state_released = false;       // while an attempt was out: another one can't fetch it
     int sends = 0;
     std::set<ServerId> failed_at;
     // Once an attempt may have run: where and when the first such was sent.
