Faults of accept, dials and looks are judged in one place; connections wait out a shortage

Cause: an error number of the moment was taken for a final answer. libuv's listener answers ENFILE and EMFILE by closing the connections that wait; HttpServer::look took any error but EAGAIN for the client's end; a dial that failed in the call itself (HttpPool::dial) ended the attempt, with ENETUNREACH as the server's fault. Change: net/system_fault.hpp says whose fault an error is and whether the call is made again. net/listener.hpp accepts by itself: during a shortage connections wait in the backlog, and a listener that stops takes first what waits. A dial that has not left this machine is tried again (5 to 80 ms, within its time). A connection that breaks is not taken for the end of an answer without a length.

--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::uint64_t kDrainLookMs = 20;
+constexpr Duration kAcceptLogPause = std::chrono::seconds(1);  // a shortage gives many errors: one line each
 
 ServerLimits client_limits(const config::EdgeLimits& l) {
     ServerLimits out;
@@ -205,7 +206,14 @@
     add(core::ClientClosed{{peer}, describe(end)});
 }
 void EdgeShell::on_idle_closed(const ConnectionEnd& end) { log_.debug("client_closed", describe(end)); }
-void EdgeShell::on_accept_failed(int error) { log_.warn("accept_failed", uv_err_name(error)); }
+void EdgeShell::on_accept_failed(int error) {
+    const Time now = uv_now_time();
+    accept_errors_ += 1;
+    if (now < accept_logged_ + kAcceptLogPause) return;
+    accept_logged_ = now;
+    log_.warn("accept_failed", std::string(uv_err_name(-error)) + "; connections wait in the backlog; " +
+                                   std::to_string(accept_errors_) + " such errors since the start");
+}
 void EdgeShell::on_backlog(HttpServer::Peer peer, bool full) { add(core::ClientBacklog{{peer}, full}); }
 bool EdgeShell::on_ready(HttpPool::Call call, http::Headers& headers) {
     return edge_.may_begin(uv_now_time(), {call}, headers);
@@ -367,6 +375,7 @@
         metrics_.set("states_held", static_cast<double>(g.states_held));
         metrics_.set("client_connections", static_cast<double>(c.connections));
         metrics_.set("client_connections_over_limit", static_cast<double>(c.over_limit));
+        metrics_.set("client_accept_errors", static_cast<double>(accept_errors_));
         metrics_.set("client_bad_requests", static_cast<double>(c.bad_requests));
         metrics_.set("client_stalled", static_cast<double>(c.stalled));
         metrics_.set("client_timed_out", static_cast<double>(c.timed_out));
@@ -456,7 +465,8 @@
         stop_taking();
     }
     const auto g = edge_.gauges();
-    const bool done = g.open_requests == 0 && g.calls == 0 && clients_->counts().connections == 0;
+    const bool done =
+        g.open_requests == 0 && g.calls == 0 && clients_->counts().connections == 0 && !clients_->listening();
     if (done) return finish();
     if (now < drain_until_) return;
     if (!cutting_) {
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -103,6 +103,8 @@
     uv_timer_t* reload_timer_ = nullptr;
     Time take_until_{};  // while draining: requests that come until then are served
     Time drain_until_{};
+    std::uint64_t accept_errors_ = 0;
+    Time accept_logged_{};
     std::uint64_t tls_refused_ = 0;
     std::uint64_t tls_replaced_ = 0;
     bool draining_ = false;
--- a/src/net/http_pool.cpp
+++ b/src/net/http_pool.cpp
@@ -8,7 +8,9 @@
 #include <ctime>
 #include <utility>
 
+#include "base/backoff.hpp"
 #include "net/http_server.hpp"
+#include "net/system_fault.hpp"
 
 namespace chalksail::net {
 
@@ -19,11 +21,9 @@
 constexpr std::size_t kPoolReadBuffer = 64 * 1024;
 constexpr std::uint64_t kPoolSweepMs = 10;  // dial time-outs are tens of milliseconds and more
 constexpr std::uint64_t kSweepsToIdle = 25;
-
-bool out_of_resources(int error) {
-    return error == UV_EMFILE || error == UV_ENFILE || error == UV_ENOBUFS || error == UV_ENOMEM ||
-           error == UV_EADDRNOTAVAIL;
-}
+// Between tries of a dial for which this machine lacks something: the sweep looks when it is over.
+constexpr Duration kRedialLeast = std::chrono::milliseconds(5);
+constexpr Duration kRedialMost = std::chrono::milliseconds(80);
 
 // What the handshakes of one server are counted by.
 std::string gate_key(const std::pair<Address, std::string>& key) {
@@ -49,8 +49,11 @@
     bool sending_ended = false;        // closed for sending: of no use for another call
     bool settled = false;              // nobody listens to the rest of this answer
     bool paused = false;
-    Waiting first;  // to send once connected
-    Time since{};   // of the state
+    Waiting first;                    // to send once connected
+    bool short_of_resources = false;  // its dial has not left this machine yet, and is tried again ...
+    Time redial_at{};                 // ... from then on
+    Backoff redial{kRedialLeast, kRedialMost};
+    Time since{};  // of the state
 
     Connection(http::Limits limits, Target to) : target(std::move(to)), reader(limits) {}
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket); }
@@ -127,7 +130,7 @@
         char byte = 0;
         const bool quiet = uv_fileno(reinterpret_cast<uv_handle_t*>(&c->socket), &fd) == 0 &&
                            recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 &&
-                           (errno == EAGAIN || errno == EWOULDBLOCK);
+                           meaning_of(SystemCall::look, errno) != FaultMeaning::peer;
         if (quiet && uv_now_time() - c->since <= longest) {
             std::erase(idle, c);
             return c;
@@ -158,7 +161,6 @@
 
 void HttpPool::dial(const Target& target, Host& host, Waiting first) {
     auto* c = new Connection(limits_.message, target);
-    const Address& address = c->target.address;
     c->pool = this;
     c->since = first.since;
     c->first = std::move(first);
@@ -171,23 +173,33 @@
     busy_.emplace(c->call, c);
     host.connections += 1;
     counts_.dialled += 1;
+    connect_now(*c);
+}
+
+// Guards against servers that are blamed, and requests that are given up, for a moment in which this machine
+// has no descriptor, port or memory: until the dial's time is over it is tried again.
+void HttpPool::connect_now(Connection& c) {
+    const Address& address = c.target.address;
     sockaddr_storage where{};
     if (uv_ip4_addr(address.host.c_str(), address.port, reinterpret_cast<sockaddr_in*>(&where)) != 0)
         uv_ip6_addr(address.host.c_str(), address.port, reinterpret_cast<sockaddr_in6*>(&where));
-    const int error = uv_tcp_connect(&c->connect, &c->socket, reinterpret_cast<const sockaddr*>(&where),
+    const int error = uv_tcp_connect(&c.connect, &c.socket, reinterpret_cast<const sockaddr*>(&where),
                                      [](uv_connect_t* r, int status) {
                                          auto& connection = *static_cast<Connection*>(r->data);
                                          if (connection.state == Connection::State::dialling)
                                              connection.pool->connected(connection, status);
                                      });
-    if (error != 0) connected(*c, error);
+    c.short_of_resources = error != 0 && meaning_of(SystemCall::connect, error) != FaultMeaning::peer;
+    if (error == 0) return;
+    if (!c.short_of_resources) return connected(c, error);
+    counts_.dials_retried += 1;
+    c.redial_at = uv_now_time() + c.redial.next();
 }
 
 void HttpPool::connected(Connection& c, int status) {
     if (status != 0) {
         counts_.dial_failed += 1;
-        return broke(c, out_of_resources(status) ? Ending::no_resources : Ending::dial_failed,
-                     uv_strerror(status));
+        return broke(c, Ending::dial_failed, uv_strerror(status));
     }
     uv_tcp_nodelay(&c.socket, 1);
     start_reading(c);
@@ -237,7 +249,7 @@
         [](uv_stream_t* s, ssize_t n, const uv_buf_t* buffer) {
             auto& connection = *static_cast<Connection*>(s->data);
             if (n > 0) connection.pool->took(connection, {buffer->base, static_cast<std::size_t>(n)});
-            else if (n < 0) connection.pool->peer_closed(connection);
+            else if (n < 0) connection.pool->peer_closed(connection, static_cast<int>(n));
         });
 }
 
@@ -325,7 +337,10 @@
     if (step.ended) ended(c);
 }
 
-void HttpPool::peer_closed(Connection& c) {
+void HttpPool::peer_closed(Connection& c, int result) {
+    // Guards against a break that is taken for an end: an answer without a length would be whole with it.
+    if (result != UV_EOF && c.state == Connection::State::busy)
+        return broke(c, Ending::closed, std::string("connection broke: ") + uv_err_name(result));
     if (!c.filter) return ended(c);
     // Without close_notify a cut looks like an end: it is never taken for the end of an answer.
     const auto step = c.filter->peer_closed();
@@ -556,8 +571,17 @@
         }
         close(*c);
     }
+    std::vector<Connection*> redial;
+    for (Connection* c : dialling_)
+        if (c->short_of_resources && now >= c->redial_at) redial.push_back(c);
+    for (Connection* c : redial)
+        if (c->state == Connection::State::dialling) connect_now(*c);
     for (Connection* c : late)
         if (c->state == Connection::State::dialling) {
+            if (c->short_of_resources) {
+                broke(*c, Ending::no_resources, "this machine is short of descriptors, ports or memory");
+                continue;
+            }
             // Kept waiting by this gateway's own limit: no word on the server.
             if (gate_.waits_for_all(c->shake)) {
                 broke(*c, Ending::no_resources, "no handshake in time: all places are taken");
--- a/src/net/http_pool.hpp
+++ b/src/net/http_pool.hpp
@@ -111,6 +111,7 @@
         std::size_t handshakes_waiting_most = 0;  // since the start
         std::uint64_t dialled = 0;
         std::uint64_t dial_failed = 0;
+        std::uint64_t dials_retried = 0;  // this machine was short of something for the moment
         std::uint64_t reused = 0;
         std::uint64_t stale = 0;  // kept ones that had been closed, or had said something
         std::size_t connections = 0;
@@ -147,6 +148,7 @@
     // May another be made? At the limit for all, the one unused longest goes.
     bool may_dial();
     void dial(const Target& target, Host& host, Waiting first);
+    void connect_now(Connection& c);
     void connected(Connection& c, int status);
     void open_gate();
     void shake(Connection& c);
@@ -160,7 +162,7 @@
     void took(Connection& c, std::string_view bytes);
     void plain(Connection& c, std::string_view bytes);
     void tls_fault(Connection& c, const tls::Fault& fault);
-    void peer_closed(Connection& c);
+    void peer_closed(Connection& c, int result);
     void ended(Connection& c);
     void pieces(Connection& c, std::vector<http::ResponsePiece> all);
     void finish(Connection& c, bool keep);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -2,6 +2,7 @@
 
 #include <netinet/in.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include <algorithm>
 #include <cerrno>
@@ -9,21 +10,13 @@
 #include <stdexcept>
 #include <utility>
 
+#include "net/system_fault.hpp"
+
 namespace chalksail::net {
 namespace {
 
 constexpr std::size_t kReadBuffer = 64 * 1024;
 constexpr std::uint64_t kSweepMs = 250;
-constexpr int kBacklog = 1024;
-
-sockaddr_storage to_sockaddr(const Address& address) {
-    sockaddr_storage out{};
-    const int port = address.port;
-    if (uv_ip4_addr(address.host.c_str(), port, reinterpret_cast<sockaddr_in*>(&out)) != 0 &&
-        uv_ip6_addr(address.host.c_str(), port, reinterpret_cast<sockaddr_in6*>(&out)) != 0)
-        throw std::runtime_error("no IP address: " + address.host);
-    return out;
-}
 
 using Reason = ConnectionEnd::Reason;
 
@@ -114,57 +107,37 @@
 
 HttpServer::~HttpServer() {
     close_all();
-    stop_listening();
+    while (!listeners_.empty()) listeners_.begin()->first->close();
     uv_timer_stop(sweeper_);
     uv_close(reinterpret_cast<uv_handle_t*>(sweeper_),
              [](uv_handle_t* h) { delete reinterpret_cast<uv_timer_t*>(h); });
 }
 
 Address HttpServer::listen(const Address& address, Speaks speaks) {
-    auto* const listener = new Listener;
-    listener->server = this;
-    listener->speaks = speaks;
-    uv_tcp_init(&loop_, &listener->socket);
-    listener->socket.data = listener;
-    listeners_.push_back(listener);
-    const auto where = to_sockaddr(address);
-    int error = uv_tcp_bind(&listener->socket, reinterpret_cast<const sockaddr*>(&where), 0);
-    if (error == 0)
-        error = uv_listen(reinterpret_cast<uv_stream_t*>(&listener->socket), kBacklog,
-                          [](uv_stream_t* s, int status) {
-                              auto& from = *static_cast<Listener*>(s->data);
-                              if (status == 0) from.server->accept(from);
-                              else from.server->handler_.on_accept_failed(status);
-                          });
-    if (error != 0) {
-        stop_listening();
-        throw std::runtime_error("can't listen on " + format_address(address) + ": " + uv_strerror(error));
-    }
-    sockaddr_storage bound{};
-    int length = sizeof bound;
-    uv_tcp_getsockname(&listener->socket, reinterpret_cast<sockaddr*>(&bound), &length);
-    Address out = address;
-    out.port = ntohs(bound.ss_family == AF_INET ? reinterpret_cast<sockaddr_in&>(bound).sin_port
-                                                : reinterpret_cast<sockaddr_in6&>(bound).sin6_port);
-    return out;
+    auto* const listener = new Listener(loop_, *this, address);
+    listeners_.emplace(listener, speaks);
+    return listener->address();
 }
 
 void HttpServer::stop_listening() {
-    for (auto* listener : std::exchange(listeners_, {}))
-        uv_close(reinterpret_cast<uv_handle_t*>(&listener->socket),
-                 [](uv_handle_t* h) { delete static_cast<Listener*>(h->data); });
+    for (const auto& [listener, speaks] : std::map(listeners_)) listener->stop();
 }
 
-void HttpServer::accept(Listener& listener) {
+void HttpServer::on_accept_error(int error) { handler_.on_accept_failed(error); }
+
+void HttpServer::on_accepted(Listener& listener, int descriptor) {
+    const bool wants_tls = listeners_.at(&listener) == Speaks::tls;
+    if (wants_tls && tls_ == nullptr) {
+        ::close(descriptor);
+        return;
+    }
     auto* c = new Connection(limits_.message);
     c->server = this;
     c->id = ++last_connection_;
     uv_tcp_init(&loop_, &c->socket);
     c->socket.data = c;
-    const bool wants_tls = listener.speaks == Speaks::tls;
-    const int error = uv_accept(reinterpret_cast<uv_stream_t*>(&listener.socket), c->stream());
-    if (error != 0 || (wants_tls && tls_ == nullptr)) {
-        if (error != 0) handler_.on_accept_failed(error);
+    if (uv_tcp_open(&c->socket, descriptor) != 0) {
+        ::close(descriptor);
         uv_close(reinterpret_cast<uv_handle_t*>(&c->socket),
                  [](uv_handle_t* h) { delete static_cast<Connection*>(h->data); });
         return;
@@ -201,8 +174,9 @@
     if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&c.socket), &fd) != 0) return Unread::end;
     const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0) return Unread::bytes;
-    const bool open = n < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
-    return open ? Unread::nothing : Unread::end;
+    // Guards against a client that counts as gone as the look itself failed: the loop's read will tell.
+    const bool gone = n == 0 || meaning_of(SystemCall::look, errno) == FaultMeaning::peer;
+    return gone ? Unread::end : Unread::nothing;
 }
 
 bool HttpServer::unread(std::uint64_t id) const { return look(*connections_.at(id)) == Unread::bytes; }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -11,6 +11,7 @@
 
 #include <chalksail/chalksail.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -20,6 +21,7 @@
 #include "base/units.hpp"
 #include "http/message.hpp"
 #include "net/idle_connections.hpp"
+#include "net/listener.hpp"
 #include "net/tls/filter.hpp"
 
 namespace chalksail::net {
@@ -63,7 +65,7 @@
 // A monotonic clock: the loop's, in nanoseconds.
 [[nodiscard]] inline Time uv_now_time() { return Time(Duration(static_cast<std::int64_t>(uv_hrtime()))); }
 
-class HttpServer {
+class HttpServer : Listener::Handler {
 public:
     // A connection with the request in hand; the number never comes back.
     using Peer = std::uint64_t;
@@ -75,12 +77,12 @@
         virtual void on_backlog(Peer, bool) {}
         // A connection with no request in hand ended otherwise than by its peer.
         virtual void on_idle_closed(const ConnectionEnd&) {}
-        // accept() failed with this error of libuv's.
+        // accept() failed with this errno; it is tried again.
         virtual void on_accept_failed(int) {}
     };
 
     HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits);
-    ~HttpServer();
+    ~HttpServer() override;
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
@@ -90,7 +92,9 @@
     // Returns the address in use: port 0 asks for a free one. May be called for more than one address. At one
     // that speaks TLS nothing is accepted before set_tls().
     Address listen(const Address& address, Speaks speaks = Speaks::clear);
+    // Takes what has reached this machine, and listens no longer.
     void stop_listening();
+    [[nodiscard]] bool listening() const { return !listeners_.empty(); }
     // From now on each connection is shut down once it has no request in hand and nothing of one is unread.
     void drain();
     // Shuts down each connection, with or without an answer: the end of the drain time.
@@ -127,12 +131,9 @@
 
 private:
     struct Connection;
-    struct Listener {
-        uv_tcp_t socket{};
-        HttpServer* server = nullptr;
-        Speaks speaks = Speaks::clear;
-    };
-    void accept(Listener& listener);
+    void on_accepted(Listener& listener, int descriptor) override;
+    void on_accept_error(int error) override;
+    void on_listener_closed(Listener& listener) override { listeners_.erase(&listener); }
     void rest(Connection& c);
     // What a look at its socket finds that was not read yet.
     enum class Unread { nothing, bytes, end };
@@ -159,7 +160,7 @@
     Handler& handler_;
     ServerLimits limits_;
     std::shared_ptr<tls::Context> tls_;
-    std::vector<Listener*> listeners_;
+    std::map<Listener*, Speaks> listeners_;
     uv_timer_t* sweeper_ = nullptr;
     std::vector<char> read_buffer_;
     std::unordered_map<std::uint64_t, Connection*> connections_;
--- a/tests/faults/process_faults_test.cpp
+++ b/tests/faults/process_faults_test.cpp
@@ -52,5 +52,43 @@
     }
 }
 
+// Guards against requests that are refused, and servers that are blamed, while this machine has no
+// descriptor, port or route for a moment.
+TEST_F(ProcessRig, RequestsAreServedDespiteFailuresOfDials) {
+    serve_reads();
+    serve_writes();
+    start(
+        reader->address, writer->address,
+        "socket:ENFILE:2:3:20 connect:EADDRNOTAVAIL:2:3:10 connect:ENETUNREACH:3:5:10 connect:ENOBUFS:4:7:5");
+    EXPECT_EQ(served(12, "a"), 12) << log();
+    EXPECT_EQ(served(12, "b"), 12) << log();
+}
+
+// Interrupted waits, and reads and writes that move a byte at a time, change nothing.
+TEST_F(ProcessRig, RequestsAreServedDespiteShortAndInterruptedCalls) {
+    serve_reads();
+    serve_writes();
+    start(reader->address, writer->address,
+          "epoll_wait:EINTR:5:5:100000 read:EINTR:3:3:100000 read:SHORT:2:5:100000 write:SHORT:2:4:100000 "
+          "write:EINTR:3:7:100000 write:ENOBUFS:5:11:1000 recv:EINTR:2:3:100000 accept4:ECONNABORTED:1:2:100 "
+          "accept4:EINTR:2:5:100");
+    EXPECT_EQ(served(12, "a"), 12) << log();
+    EXPECT_EQ(served(12, "b"), 12) << log();
+}
+
+// A server's connection that breaks with an error of the network ends its request like any other break, and
+// no other one: what is behind it is served.
+TEST_F(ProcessRig, BrokenConnectionsToServersEndTheirOwnRequestsOnly) {
+    serve_reads();
+    serve_writes();
+    start(reader->address, writer->address, "read@server:ETIMEDOUT:4:6:3 read@server:EHOSTUNREACH:6:9:3");
+    for (int i = 0; i < 8; ++i) {
+        DirectClient client(address);
+        client.send(told::post("a" + std::to_string(i), "chat", "", "20000m"));
+        EXPECT_TRUE(answered_whole(client)) << i << "\n" << log();
+    }
+    EXPECT_FALSE(exited);
+}
+
 }  // namespace
 }  // namespace chalksail::faults::testing
