--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -412,6 +412,23 @@
     EXPECT_GE(d.releases().size(), 1U);
 }
 
+// Where the module may not call attempts off, one goes on for a client that has gone; what is held for it does
+// not wait for its end.
+TEST(PlatformEdge, StateOfAClientThatHasGoneIsReleasedBesideItsWrite) {
+    auto settings = released_within(500ms);
+    settings.module.may_cancel = false;
+    Platform d(settings);
+    const auto write = d.to_write();
+    d.written(write);
+    d.give({ClientClosed{{1}}});
+    EXPECT_EQ(d.releases().size(), 1U);
+    d.pass(10s);  // its server never answers, and is given up in the end
+    EXPECT_TRUE(d.was_aborted(write));
+    for (const auto& call : d.releases()) d.answer(call.call, 204);
+    d.pass(1s);
+    expect_empty(d);
+}
+
 // In the 300 ms beyond the state's time enough servers are asked to find one that runs among silent ones.
 TEST(PlatformEdge, ReleaseIsAskedOfFourServersInTheTimeThatIsLeft) {
     Unanswered d;
--- a/tests/faults/process_faults_test.cpp
+++ b/tests/faults/process_faults_test.cpp
@@ -90,5 +90,27 @@
     EXPECT_FALSE(exited);
 }
 
+// Guards against a reload that is given up because its file can't be read at that moment: it may just be
+// being replaced, or the system short of descriptors. What discovery tells counts soon after the signal.
+TEST_F(ProcessRig, ConfigurationThatCantBeReadYetIsReadAgain) {
+    serve_reads();
+    serve_writes();
+    start(reader->address, writer->address, "");
+    ASSERT_EQ(served(1, "a"), 1);
+    const std::string config = folder + "/config.json";
+    std::ifstream in(config);
+    std::string text{std::istreambuf_iterator<char>(in), {}};
+    RawServer moved(loop, [](RawServer::Peer& p) { p.send(kStreamHead); });
+    const std::string from = format_address(discovery->address);
+    text.replace(text.find(from), from.size(), format_address(moved.address));
+    std::filesystem::remove(config);
+    hang_up();
+    ASSERT_TRUE(until([&] { return log().find("the old one stays") != std::string::npos; }));
+    EXPECT_EQ(moved.requests, 0);
+    std::ofstream(folder + "/new.json") << text;
+    std::filesystem::rename(folder + "/new.json", config);
+    EXPECT_TRUE(until([&] { return moved.requests > 0; })) << log();
+}
+
 }  // namespace
 }  // namespace chalksail::faults::testing
--- a/tests/net/listener_test.cpp
+++ b/tests/net/listener_test.cpp
@@ -1,4 +1,5 @@
-// The listener while accept() fails. accept4() is replaced in this program.
+// Listener and server while accept() and looks at sockets fail. accept4() and recv() are replaced in this
+// program.
 #include "net/listener.hpp"
 
 #include <dlfcn.h>
@@ -9,10 +10,23 @@
 
 #include <cerrno>
 #include <functional>
+#include <string>
 #include <vector>
 
+#include "net/http_server.hpp"
+
 namespace {
 std::function<int()> accept_fault;  // the errno of the next accept4(), or 0
+std::function<int()> look_fault;    // of the next recv() with MSG_PEEK
+}  // namespace
+
+extern "C" ssize_t recv(int fd, void* buffer, size_t size, int flags) {
+    static const auto real = reinterpret_cast<ssize_t (*)(int, void*, size_t, int)>(dlsym(RTLD_NEXT, "recv"));
+    if (const int error = look_fault && (flags & MSG_PEEK) != 0 ? look_fault() : 0; error != 0) {
+        errno = error;
+        return -1;
+    }
+    return real(fd, buffer, size, flags);
 }
 
 extern "C" int accept4(int fd, sockaddr* address, socklen_t* length, int flags) {
@@ -127,5 +141,65 @@
     EXPECT_TRUE(accepted.empty());
 }
 
+class ServerTest : public ::testing::Test, public HttpServer::Handler {
+protected:
+    ServerTest() {
+        uv_loop_init(&loop);
+        server = std::make_unique<HttpServer>(loop, *this, ServerLimits{});
+        address = server->listen({"127.0.0.1", 0});
+    }
+    ~ServerTest() override {
+        look_fault = nullptr;
+        server.reset();
+        ::close(client);
+        uv_run(&loop, UV_RUN_DEFAULT);
+        EXPECT_EQ(uv_loop_close(&loop), 0);
+    }
+    void on_request(HttpServer::Peer peer, http::Request) override {
+        requests += 1;
+        server->reply(peer, 200, {}, "x");
+        server->flush();
+    }
+    void on_closed(HttpServer::Peer, const ConnectionEnd&) override {}
+    void connect_client() {
+        client = ::socket(AF_INET, SOCK_STREAM, 0);
+        sockaddr_in at{};
+        at.sin_family = AF_INET;
+        at.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+        at.sin_port = htons(address.port);
+        ASSERT_EQ(::connect(client, reinterpret_cast<const sockaddr*>(&at), sizeof at), 0);
+        while (server->counts().connections == 0) uv_run(&loop, UV_RUN_ONCE);
+    }
+    void ask() const {
+        const std::string request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n";
+        ASSERT_EQ(::send(client, request.data(), request.size(), 0), static_cast<ssize_t>(request.size()));
+    }
+
+    uv_loop_t loop{};
+    std::unique_ptr<HttpServer> server;
+    Address address;
+    int client = -1;
+    int requests = 0;
+};
+
+// Guards against a shutdown under a request that is there and was not seen, as the look at its socket failed.
+TEST_F(ServerTest, ConnectionIsNotEndedWhileItCantBeLookedAt) {
+    for (const int error : {EINTR, ENOMEM}) {
+        connect_client();
+        ask();
+        look_fault = [error] { return error; };
+        server->drain();
+        look_fault = nullptr;
+        const int before = requests;
+        for (int turns = 0; turns < 100 && requests == before; ++turns) uv_run(&loop, UV_RUN_NOWAIT);
+        EXPECT_EQ(requests, before + 1) << error;
+        std::string answer(4096, '\0');
+        EXPECT_GT(::recv(client, answer.data(), answer.size(), 0), 0);
+        ::close(client);
+        while (server->counts().connections > 0) uv_run(&loop, UV_RUN_ONCE);
+    }
+    client = -1;
+}
+
 }  // namespace
 }  // namespace chalksail::net
