--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -12,6 +12,7 @@
 #include <iterator>
 #include <random>
 
+#include "base/backoff.hpp"
 #include "base/json.hpp"
 #include "config/settings.hpp"
 #include "core/platform_settings.hpp"
@@ -68,45 +69,85 @@
 
 // Caught from before the listener opens, so that no signal ends the program with requests taken. One that
 // comes before the loop runs is handled by its first turn.
-struct Signals {
-    chalksail::net::EdgeShell* shell = nullptr;
-    std::function<void()> reload;  // at SIGHUP
-    uv_signal_t term{};
-    uv_signal_t interrupt{};
-    uv_signal_t hang_up{};
+class Signals {
+public:
+    // Reads the settings again; its error says why they were not taken.
+    using Reload = std::function<tl::expected<void, std::string>()>;
 
+    explicit Signals(chalksail::observe::Log& log) : log_(log) {}
+    void serve(chalksail::net::EdgeShell& shell, Reload reload) {
+        shell_ = &shell;
+        reload_ = std::move(reload);
+    }
     void start(uv_loop_t& loop) {
-        for (auto [handle, number] : {std::pair{&term, SIGTERM}, std::pair{&interrupt, SIGINT}}) {
+        for (auto [handle, number] : {std::pair{&term_, SIGTERM}, std::pair{&interrupt_, SIGINT}}) {
             uv_signal_init(&loop, handle);
             handle->data = this;
             uv_signal_start(
-                handle, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell->drain(); }, number);
+                handle, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->shell_->drain(); }, number);
             uv_unref(reinterpret_cast<uv_handle_t*>(handle));
         }
-        uv_signal_init(&loop, &hang_up);
-        hang_up.data = this;
+        uv_timer_init(&loop, &retry_);
+        retry_.data = this;
+        uv_unref(reinterpret_cast<uv_handle_t*>(&retry_));
+        uv_signal_init(&loop, &hang_up_);
+        hang_up_.data = this;
         uv_signal_start(
-            &hang_up,
-            [](uv_signal_t* s, int) {
-                const auto& signals = *static_cast<Signals*>(s->data);
-                // Guards against a reload in the turn in which the shell has ended: what it would reach is
-                // gone.
-                if (!signals.shell->finished()) signals.reload();
-            },
-            SIGHUP);
-        uv_unref(reinterpret_cast<uv_handle_t*>(&hang_up));
+            &hang_up_, [](uv_signal_t* s, int) { static_cast<Signals*>(s->data)->on_hang_up(); }, SIGHUP);
+        uv_unref(reinterpret_cast<uv_handle_t*>(&hang_up_));
     }
     void stop() {
-        uv_close(reinterpret_cast<uv_handle_t*>(&hang_up), nullptr);
-        uv_close(reinterpret_cast<uv_handle_t*>(&term), nullptr);
-        uv_close(reinterpret_cast<uv_handle_t*>(&interrupt), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&retry_), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&hang_up_), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&term_), nullptr);
+        uv_close(reinterpret_cast<uv_handle_t*>(&interrupt_), nullptr);
+    }
+
+private:
+    static constexpr chalksail::Duration kRetryLeast = std::chrono::milliseconds(10);
+    static constexpr chalksail::Duration kRetryMost = std::chrono::milliseconds(100);
+    // What a new configuration tells counts some seconds after its signal: by then it has been read, or is
+    // bad.
+    static constexpr chalksail::Duration kRetryPatience = std::chrono::seconds(3);
+
+    void on_hang_up() {
+        retry_until_ = chalksail::net::uv_now_time() + kRetryPatience;
+        backoff_.reset();
+        told_.clear();
+        try_reload();
+    }
+    // Guards against a reload that is given up for a file that is just being replaced or written, or for a
+    // moment without a descriptor.
+    void try_reload() {
+        // The shell may have ended in this turn: what a reload would reach is gone then.
+        if (shell_->finished()) return;
+        const auto taken = reload_();
+        if (taken) return;
+        if (taken.error() != told_) log_.error("configuration", taken.error() + "; the old one stays");
+        told_ = taken.error();
+        if (chalksail::net::uv_now_time() >= retry_until_) return;
+        const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(backoff_.next()).count();
+        uv_timer_start(
+            &retry_, [](uv_timer_t* t) { static_cast<Signals*>(t->data)->try_reload(); },
+            static_cast<std::uint64_t>(pause), 0);
     }
+
+    chalksail::observe::Log& log_;
+    chalksail::net::EdgeShell* shell_ = nullptr;
+    Reload reload_;
+    uv_signal_t term_{};
+    uv_signal_t interrupt_{};
+    uv_signal_t hang_up_{};
+    uv_timer_t retry_{};
+    chalksail::Backoff backoff_{kRetryLeast, kRetryMost};
+    chalksail::Time retry_until_{};
+    std::string told_;  // the error last logged of this reload
 };
 
 // Serves until a signal ends it. `list` and `reload` may need the loop, and come of it.
 struct Origin {
     std::unique_ptr<chalksail::membership::ListSource> list;
-    std::function<void()> reload;
+    Signals::Reload reload;
 };
 int serve(const EdgeSettings& settings,
           const std::function<Origin(uv_loop_t&, chalksail::observe::Log&)>& origin_of) {
@@ -115,13 +156,16 @@
     uv_loop_t loop;
     uv_loop_init(&loop);
     int status = 0;
-    Signals signals;
+    Signals signals(log);
     signals.start(loop);
     try {
         Origin origin = origin_of(loop, log);
         chalksail::net::EdgeShell shell(loop, settings, log, std::move(origin.list));
-        signals.shell = &shell;
-        signals.reload = origin.reload ? std::move(origin.reload) : [&shell] { shell.reload_tls(); };
+        const auto reload_tls = [&shell]() -> tl::expected<void, std::string> {
+            shell.reload_tls();
+            return {};
+        };
+        signals.serve(shell, origin.reload ? std::move(origin.reload) : reload_tls);
         chalksail::json::ObjectWriter line;
         line.text("event", "listening").text("address", format_address(shell.address()));
         if (settings.admin) line.text("admin", format_address(shell.admin_address()));
@@ -193,11 +237,13 @@
         auto watch = std::make_unique<chalksail::net::DiscoveryWatch>(loop, log, told->discovery,
                                                                       std::move(told->known));
         auto* const list = watch.get();
-        return Origin{std::move(watch), [list, &log, file] {
-                          const auto now = read_configuration(file, {});
-                          if (now) return list->move(now->discovery);
-                          log.error("configuration", file + ": " + now.error() + "; the old one stays");
-                      }};
+        const auto reload = [list, file]() -> tl::expected<void, std::string> {
+            const auto now = read_configuration(file, {});
+            if (!now) return tl::unexpected(file + ": " + now.error());
+            list->move(now->discovery);
+            return {};
+        };
+        return Origin{std::move(watch), reload};
     });
 }
 
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -294,6 +294,8 @@
         emit(CallAbort{call});
         return end_attempt(call, Ending::cancelled, "client gone");
     }
+    // Where it may not be called off it goes on to its end; nothing that is held waits for that.
+    if (r->call) arm(*r, attempt_due(*r, calls_.at(*r->call)));
     drop_if_over(id);
 }
 
@@ -970,7 +972,12 @@
 }
 
 void Edge::act(const Release& action) {
-    if (Open* r = find(action.id)) release_state(*r, ReleaseReason::decided);
+    Open* r = find(action.id);
+    if (r == nullptr) return;
+    const bool beside = r->call && (r->held || r->pending_release) && release_covers_request();
+    if (!beside) return release_state(*r, ReleaseReason::decided);
+    release_beside_attempt(*r, ReleaseReason::decided);
+    arm(*r, attempt_due(*r, calls_.at(*r->call)));
 }
 
 // The client comes again for the rest, which is read and written elsewhere.
@@ -1052,18 +1059,18 @@
         return end_attempt(id, Ending::cancelled, "no connection in the state's time");
     }
     if (!release_covers_request()) return;
-    release_beside_attempt(r);
+    release_beside_attempt(r, ReleaseReason::write_unanswered);
     arm(r, attempt_due(r, attempt));
 }
 
 // Servers keep what an attempt waits for: where this one has come, the release takes nothing from it, and
 // where it has not, nothing is left behind. Which of the two holds shows only with its answer; until then the
 // release is made again and again, as the server may die with the attempt.
-void Edge::release_beside_attempt(Open& r) {
+void Edge::release_beside_attempt(Open& r, ReleaseReason reason) {
     if (r.held) {
         events_.emplace_back(StateReleased{r.id});
         r.pending_release = std::exchange(r.held, std::nullopt);
-        r.pending_release->reason = ReleaseReason::write_unanswered;
+        r.pending_release->reason = reason;
         held_ -= 1;
         pending_releases_.push_back(r.id);
     }
@@ -1220,6 +1227,7 @@
     Open* r = find(id);
     if (r == nullptr || !r->answered || r->call) return;
     if (r->deferred) drop_deferred(*r, true);
+    disarm(*r);
     release_state(*r, ReleaseReason::request_over);
     open_.erase(id.value);
 }
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -292,7 +292,7 @@
     // The next look at a request with an attempt out: its end, or sooner what is held.
     [[nodiscard]] Time attempt_due(const Open& open, const Outgoing& attempt) const;
     void look_at_unanswered(Open& open);
-    void release_beside_attempt(Open& open);
+    void release_beside_attempt(Open& open, observe::ReleaseReason reason);
     void arm(Open& open, Time at);
     void disarm(Open& open);
     // ends
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -174,12 +174,23 @@
     if (uv_fileno(reinterpret_cast<const uv_handle_t*>(&c.socket), &fd) != 0) return Unread::end;
     const auto n = recv(fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     if (n > 0) return Unread::bytes;
-    // Guards against a client that counts as gone as the look itself failed: the loop's read will tell.
-    const bool gone = n == 0 || meaning_of(SystemCall::look, errno) == FaultMeaning::peer;
-    return gone ? Unread::end : Unread::nothing;
+    if (n == 0) return Unread::end;
+    // Guards against a look that failed itself and is taken for what it would have found: the loop's read
+    // will tell.
+    switch (meaning_of(SystemCall::look, errno)) {
+        case FaultMeaning::nothing_yet: return Unread::nothing;
+        case FaultMeaning::peer: return Unread::end;
+        case FaultMeaning::again:
+        case FaultMeaning::shortage: break;
+    }
+    return Unread::unknown;
 }
 
-bool HttpServer::unread(std::uint64_t id) const { return look(*connections_.at(id)) == Unread::bytes; }
+bool HttpServer::may_have_unread(const Connection& c) {
+    const Unread seen = look(c);
+    return seen == Unread::bytes || seen == Unread::unknown;
+}
+bool HttpServer::unread(std::uint64_t id) const { return may_have_unread(*connections_.at(id)); }
 
 void HttpServer::start_reading(Connection& connection) {
     connection.reading = true;
@@ -456,7 +467,7 @@
 void HttpServer::end_when_idle(Connection& c) {
     c.ending = true;
     const bool answering = c.peer != 0 || !c.out.empty() || uv_stream_get_write_queue_size(c.stream()) != 0;
-    if (c.close_after || answering || c.midway || look(c) == Unread::bytes) return;
+    if (c.close_after || answering || c.midway || may_have_unread(c)) return;
     c.close_after = true;
     shut_down(c);
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -135,9 +135,10 @@
     void on_accept_error(int error) override;
     void on_listener_closed(Listener& listener) override { listeners_.erase(&listener); }
     void rest(Connection& c);
-    // What a look at its socket finds that was not read yet.
-    enum class Unread { nothing, bytes, end };
+    // What a look at its socket finds that was not read yet. `unknown`: the look failed; something may be there.
+    enum class Unread { nothing, bytes, end, unknown };
     [[nodiscard]] static Unread look(const Connection& c);
+    [[nodiscard]] static bool may_have_unread(const Connection& c);
     [[nodiscard]] bool unread(std::uint64_t id) const;
     void end_when_idle(Connection& c);
     void shut_down(Connection& c);
