--- /dev/null
+++ b/tests/net/wall_clock_step_test.cpp
@@ -0,0 +1,100 @@
+// The wall clock is stepped under a running gateway; the monotonic clock runs on. clock_gettime() is replaced
+// in this program.
+#include <dlfcn.h>
+
+#include <ctime>
+
+#include "net/platform_rig.hpp"
+
+namespace {
+std::chrono::seconds wall_step{0};  // that the wall clock has been moved by
+}
+
+extern "C" int clock_gettime(clockid_t clock, timespec* out) {
+    static const auto real =
+        reinterpret_cast<int (*)(clockid_t, timespec*)>(dlsym(RTLD_NEXT, "clock_gettime"));
+    const int result = real(clock, out);
+    if (clock == CLOCK_REALTIME) out->tv_sec += wall_step.count();
+    return result;
+}
+
+namespace chalksail::net::testing {
+namespace {
+
+std::int64_t wall_ms() {
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+class WallClockStep : public Rig, public membership::ListSink {
+protected:
+    ~WallClockStep() override {
+        watch.reset();
+        discovery.reset();
+        wall_step = std::chrono::seconds(0);
+    }
+    void take(core::ServerList list) override { lists.push_back(std::move(list)); }
+    void begin() {
+        discovery = std::make_unique<RawServer>(loop, [this](RawServer::Peer& p) {
+            peer = &p;
+            p.send(kStreamHead + chunked(list("old", wall_ms() - 5000, 1)));
+        });
+        log = std::make_unique<observe::Log>("t", "off");
+        watch = std::make_unique<DiscoveryWatch>(loop, *log, discovery->address, std::nullopt);
+        watch->start(*this);
+        ASSERT_TRUE(until([&] { return lists.size() == 1; }));
+    }
+    void tell(const std::string& id, std::int64_t started_ms) {
+        const auto before = lists.size();
+        peer->send(chunked(list(id, started_ms, static_cast<int>(before) + 1, false)));
+        ASSERT_TRUE(until([&] { return lists.size() == before + 1; }));
+    }
+    static std::string list(const std::string& id, std::int64_t started_ms, int generation,
+                            bool whole = true) {
+        auto entry = told::instance(id, "writer", "127.0.0.1:9");
+        const std::string zero = "\"startedAtMs\":0";
+        entry.replace(entry.find(zero), zero.size(), "\"startedAtMs\":" + std::to_string(started_ms));
+        return told::list_text(entry, generation, whole) + "\n";
+    }
+    // How long ago the server of the last list started, by the clock that the module goes by.
+    [[nodiscard]] Duration age() const { return uv_now_time() - lists.back().servers.at(0).entry.born; }
+
+    std::unique_ptr<RawServer> discovery;
+    RawServer::Peer* peer = nullptr;
+    std::unique_ptr<DiscoveryWatch> watch;
+    std::vector<core::ServerList> lists;
+};
+
+// Guards against a cold server that is taken for a warm one, or a warm one for a cold one.
+TEST_F(WallClockStep, ServersThatStartBehindAStepAreColdForTheRightTime) {
+    for (const auto step :
+         {std::chrono::seconds(-3600), std::chrono::seconds(3600), std::chrono::seconds(-7)}) {
+        begin();
+        EXPECT_NEAR(seconds(age()), 5, 2);
+        wall_step = step;
+        tell("new", wall_ms() - 1000);
+        EXPECT_NEAR(seconds(age()), 1, 2) << step.count();
+        watch.reset();
+        discovery.reset();
+        lists.clear();
+        wall_step = std::chrono::seconds(0);
+    }
+}
+
+// Guards against servers that seem to have started anew as the wall clock has moved.
+TEST_F(WallClockStep, ServerToldAgainBehindAStepIsTheSame) {
+    begin();
+    const auto started = wall_ms() - 4000;
+    tell("w", started);
+    const Time born = lists.back().servers.at(0).entry.born;
+    for (const auto step :
+         {std::chrono::seconds(3600), std::chrono::seconds(-3600), std::chrono::seconds(-2)}) {
+        wall_step = step;
+        tell("w", started);
+        EXPECT_EQ(lists.back().servers.at(0).entry.born, born) << step.count();
+    }
+}
+
+}  // namespace
+}  // namespace chalksail::net::testing
