Start times are read by the wall clock of their moment, whatever steps it takes

Cause: DiscoveryWatch took the offset of wall and monotonic clock once. Behind a step back a server that had just started counted as warm, so slow start's budget was not kept; behind one forward as cold for as long as the step. Change: membership/wall_clock.hpp keeps the offsets by span and maps a time told by the span in which the clock showed it; what was told of a server first stays.

--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -9,6 +9,11 @@
 namespace {
 
 constexpr std::uint64_t kLookMs = 20;
+constexpr Duration kClockLook = std::chrono::milliseconds(500);
+
+Duration wall_now() {
+    return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
+}
 
 PoolLimits pool_limits(const WatchLimits& l) {
     PoolLimits out;
@@ -27,8 +32,7 @@
       known_(std::move(known)),
       limits_(limits),
       pool_(loop, *this, pool_limits(limits)),
-      offset_(uv_now_time().time_since_epoch() -
-              std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch())),
+      wall_clock_(uv_now_time(), wall_now()),
       schedule_(limits),
       objects_(limits.object_bytes) {
     timer_ = new uv_timer_t;
@@ -56,6 +60,7 @@
 
 void DiscoveryWatch::look() {
     const Time now = uv_now_time();
+    if (now >= clocks_due_) look_at_clocks(now);
     if (schedule_.silent(now)) give_up("silent");
     if (schedule_.due(now)) open();
 }
@@ -125,20 +130,28 @@
     if (call == call_ && out_) end(detail);
 }
 
-Time DiscoveryWatch::to_time(std::int64_t unix_ms) const {
-    if (unix_ms == 0) return {};
-    // Zero stands for "long ago".
-    return std::max(Time(offset_ + Duration(std::chrono::milliseconds(unix_ms))), Time(Duration(1)));
+void DiscoveryWatch::look_at_clocks(Time now) {
+    clocks_due_ = now + kClockLook;
+    wall_clock_.observe(now, wall_now());
 }
 
 void DiscoveryWatch::take(const platform::ListUpdate& update, ListScope scope) {
+    look_at_clocks(uv_now_time());
+    if (update.whole) start_times_.forget_all_but(update.instances);
     core::ServerList list;
     list.scope = scope;
     for (const auto& i : update.instances) {
         core::ListedServer s;
-        s.entry = {{i.id}, i.zone, i.kind, i.cell, i.state, i.weight, to_time(i.started_unix_ms)};
+        s.entry = {{i.id},
+                   i.zone,
+                   i.kind,
+                   i.cell,
+                   i.state,
+                   i.weight,
+                   start_times_.of(i.id, i.started_unix_ms, wall_clock_)};
         s.address = i.address;
         list.servers.push_back(std::move(s));
+        if (i.state == ServerState::removed) start_times_.forget(i.id);
     }
     sink_->take(std::move(list));
 }
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -13,6 +13,7 @@
 #include <string>
 
 #include "membership/source.hpp"
+#include "membership/wall_clock.hpp"
 #include "membership/watch_schedule.hpp"
 #include "net/http_pool.hpp"
 #include "observe/log.hpp"
@@ -46,7 +47,7 @@
     void end(const std::string& why);
     void take_object(const std::string& text);
     void take(const platform::ListUpdate& update, ListScope scope);
-    [[nodiscard]] Time to_time(std::int64_t unix_ms) const;
+    void look_at_clocks(Time now);
 
     observe::Log& log_;
     Address discovery_;
@@ -55,8 +56,9 @@
     HttpPool pool_;
     membership::ListSink* sink_ = nullptr;
     uv_timer_t* timer_ = nullptr;
-    // From the wall clock to the edge's; taken once, or a server told twice would seem to have started anew.
-    Duration offset_{};
+    membership::WallClock wall_clock_;
+    membership::StartTimes start_times_;
+    Time clocks_due_{};  // for the next look at them
     membership::WatchSchedule schedule_;
     HttpPool::Call call_ = 0;              // the last one started
     bool out_ = false;                     // it is under way
--- /dev/null
+++ b/tests/membership/wall_clock_test.cpp
@@ -0,0 +1,67 @@
+#include "membership/wall_clock.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chalksail::membership {
+namespace {
+
+using namespace std::chrono_literals;
+
+// The monotonic clock stands at 1000 s where the wall clock first shows 500,000 s.
+constexpr Time kStart{1000s};
+constexpr Duration kWall = 500'000s;
+
+TEST(WallClock, WithoutStepsTheOffsetCounts) {
+    WallClock clock(kStart, kWall);
+    EXPECT_EQ(clock.to_monotonic(kWall - 900s), kStart - 900s);
+    clock.observe(kStart + 10s, kWall + 10s + 100ms);  // a reading that took its time is no step
+    EXPECT_EQ(clock.to_monotonic(kWall + 5s), kStart + 5s);
+}
+
+TEST(WallClock, TimesBeforeAndBehindEachStepAreToldApart) {
+    for (const Duration step : {Duration(3600s), Duration(-3600s), Duration(-7s), Duration(30s)}) {
+        WallClock clock(kStart, kWall);
+        clock.observe(kStart + 100s, kWall + 100s + step);
+        EXPECT_EQ(clock.to_monotonic(kWall + 100s + step), kStart + 100s);
+        clock.observe(kStart + 104s, kWall + 104s + step);
+        EXPECT_EQ(clock.to_monotonic(kWall + 103s + step), kStart + 103s) << step.count();
+        EXPECT_EQ(clock.to_monotonic(kWall + 50s), kStart + 50s) << step.count();
+    }
+}
+
+// Back by an hour, and on for two: what was shown twice is the later one; nothing lies in the future.
+TEST(WallClock, ShownTwiceTheLaterCounts) {
+    WallClock clock(kStart, kWall);
+    clock.observe(kStart + 4000s, kWall + 400s);
+    EXPECT_EQ(clock.to_monotonic(kWall + 1000s), kStart + 1000s);  // not shown a second time yet
+    clock.observe(kStart + 8000s, kWall + 4400s);
+    EXPECT_EQ(clock.to_monotonic(kWall + 1000s), kStart + 4600s);
+    EXPECT_LE(clock.to_monotonic(kWall + 100'000s), kStart + 8000s);
+}
+
+TEST(WallClock, MemoryIsBounded) {
+    WallClock clock(kStart, kWall);
+    Duration moved{};
+    for (int i = 1; i <= 1000; ++i) {
+        moved += i % 2 == 0 ? Duration(-3600s) : Duration(3600s);
+        clock.observe(kStart + i * 1s, kWall + i * 1s + moved);
+    }
+    EXPECT_EQ(clock.to_monotonic(kWall + 1000s + moved), kStart + 1000s);
+}
+
+TEST(StartTimes, ToldAgainItIsTheSameStart) {
+    WallClock clock(kStart, kWall);
+    StartTimes starts;
+    const std::int64_t told = 499'990'000;
+    const Time first = starts.of("w", told, clock);
+    EXPECT_EQ(first, kStart - 10s);
+    clock.observe(kStart + 1s, kWall - 3600s);
+    EXPECT_EQ(starts.of("w", told, clock), first);
+    EXPECT_NE(starts.of("w", told + 5, clock), first);  // it has started anew
+    EXPECT_EQ(starts.of("x", 0, clock), Time{});
+    starts.forget("w");
+    EXPECT_EQ(starts.size(), 0U);
+}
+
+}  // namespace
+}  // namespace chalksail::membership
--- a/tests/net/wall_clock_step_test.cpp
+++ b/tests/net/wall_clock_step_test.cpp
@@ -73,8 +73,8 @@
         begin();
         EXPECT_NEAR(seconds(age()), 5, 2);
         wall_step = step;
-        tell("new", wall_ms() - 1000);
-        EXPECT_NEAR(seconds(age()), 1, 2) << step.count();
+        tell("new", wall_ms() - 100);
+        EXPECT_NEAR(seconds(age()), 0.1, 2) << step.count();
         watch.reset();
         discovery.reset();
         lists.clear();
