--- a/tests/faults/process_faults_test.cpp
+++ b/tests/faults/process_faults_test.cpp
@@ -76,6 +76,14 @@
     EXPECT_EQ(served(12, "b"), 12) << log();
 }
 
+// Guards against a gateway that does not come up for a moment's shortage.
+TEST_F(ProcessRig, GatewayComesUpDespiteFailuresAtItsStart) {
+    serve_reads();
+    serve_writes();
+    start(reader->address, writer->address, "socket:ENFILE:1:1:2 socket:ENOMEM:1:1:2");
+    EXPECT_EQ(served(1, "a"), 1);
+}
+
 // A server's connection that breaks with an error of the network ends its request like any other break, and
 // no other one: what is behind it is served.
 TEST_F(ProcessRig, BrokenConnectionsToServersEndTheirOwnRequestsOnly) {
