A gateway comes up despite a moment's shortage; plans of faults drawn from a seed

Cause: what fails at the start was final: the listener's socket(), libuv's loop, the configuration's open(). Each is tried again, 1 to 3 s, before anything is served. SeededPlan: twelve plans of six faults each, of all failures that leave a request servable: each of 30 requests is served. The shim's faults of reads and writes keep to sockets: a short write to an event descriptor, which Linux does not give, had libuv abort.

--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -26,6 +26,10 @@
 
 using chalksail::config::EdgeSettings;
 
+// What fails at the start for want of descriptors is tried again for a second.
+constexpr int kStartTries = 50;
+constexpr unsigned kStartPauseMs = 20;
+
 // The settings, or nothing after the problems have been written to standard error.
 std::optional<EdgeSettings> read_settings(const std::string& file) {
     std::ifstream in(file, std::ios::binary);
@@ -149,12 +153,26 @@
     std::unique_ptr<chalksail::membership::ListSource> list;
     Signals::Reload reload;
 };
+// Guards against a gateway that does not come up as its machine is short of descriptors at that moment. An
+// error of libuv's, or 0.
+int open_loop(uv_loop_t& loop) {
+    int error = 0;
+    for (int tries = 0; tries < kStartTries; ++tries) {
+        error = uv_loop_init(&loop);
+        if (error == 0) return 0;
+        uv_sleep(kStartPauseMs);
+    }
+    return error;
+}
 int serve(const EdgeSettings& settings,
           const std::function<Origin(uv_loop_t&, chalksail::observe::Log&)>& origin_of) {
     std::signal(SIGPIPE, SIG_IGN);
     chalksail::observe::Log log(settings.name, settings.log_level);
     uv_loop_t loop;
-    uv_loop_init(&loop);
+    if (const int error = open_loop(loop); error != 0) {
+        std::cerr << "chalksail-edge: no event loop: " << uv_strerror(error) << '\n';
+        return 1;
+    }
     int status = 0;
     Signals signals(log);
     signals.start(loop);
@@ -196,11 +214,13 @@
     return value == nullptr ? std::string() : std::string(value);
 }
 
+constexpr std::string_view kUnreadable = "can't be read";
+
 // At a reload the file alone counts: the variables are those of the start.
 tl::expected<chalksail::platform::Configuration, std::string> read_configuration(
     const std::string& file, const chalksail::platform::Environment& environment) {
     std::ifstream in(file, std::ios::binary);
-    if (!in) return tl::unexpected(std::string("can't be read"));
+    if (!in) return tl::unexpected(std::string(kUnreadable));
     const std::string text{std::istreambuf_iterator<char>(in), {}};
     auto out = chalksail::platform::parse_configuration(text, environment);
     if (!out) return out;
@@ -218,8 +238,14 @@
         std::cerr << "chalksail-edge: EDGE_CONFIG is not set\n";
         return 1;
     }
-    auto told = read_configuration(
-        file, {variable("EDGE_NAME"), variable("EDGE_LISTEN"), variable("EDGE_DISCOVERY")});
+    const chalksail::platform::Environment environment{variable("EDGE_NAME"), variable("EDGE_LISTEN"),
+                                                       variable("EDGE_DISCOVERY")};
+    auto told = read_configuration(file, environment);
+    // The same for a file that can't be opened at that moment.
+    for (int tries = 0; !told && told.error() == kUnreadable && tries < kStartTries; ++tries) {
+        uv_sleep(kStartPauseMs);
+        told = read_configuration(file, environment);
+    }
     if (!told) {
         std::cerr << file << ": " << told.error() << '\n';
         return 1;
--- a/src/net/listener.cpp
+++ b/src/net/listener.cpp
@@ -19,6 +19,7 @@
 constexpr int kAcceptedEachTurn = 256;  // then the connections that are there have their turn
 constexpr Duration kRetryLeast = std::chrono::milliseconds(2);
 constexpr Duration kRetryMost = std::chrono::milliseconds(50);
+constexpr Duration kOpenPatience = std::chrono::seconds(3);
 constexpr Duration kStopPatience = std::chrono::milliseconds(500);
 
 struct SocketAddress {
@@ -60,6 +61,20 @@
 }
 
 void Listener::open(const Address& address) {
+    const Time until = uv_now_time() + kOpenPatience;
+    for (;;) {
+        const int error = try_open(address);
+        if (error == 0) return;
+        const bool passes = error == EINTR || meaning_of(SystemCall::socket, error) == FaultMeaning::shortage;
+        if (!passes || uv_now_time() >= until)
+            throw std::runtime_error("can't listen on " + format_address(address) + ": " +
+                                     uv_strerror(-error));
+        const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(backoff_.next()).count();
+        uv_sleep(static_cast<unsigned>(pause));  // nothing is served yet
+    }
+}
+
+int Listener::try_open(const Address& address) {
     const auto where = to_socket_address(address);
     socket_ = ::socket(where.storage.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
     const int on = 1;
@@ -67,11 +82,11 @@
         bind(socket_, reinterpret_cast<const sockaddr*>(&where.storage), where.size) == 0 &&
         listen(socket_, kBacklog) == 0) {
         address_.port = bound_port(socket_);
-        return;
+        return 0;
     }
     const int error = errno;
-    if (socket_ >= 0) ::close(socket_);
-    throw std::runtime_error("can't listen on " + format_address(address) + ": " + uv_strerror(-error));
+    if (socket_ >= 0) ::close(std::exchange(socket_, -1));
+    return error;
 }
 
 void Listener::watch() {
--- a/src/net/listener.hpp
+++ b/src/net/listener.hpp
@@ -43,7 +43,11 @@
 private:
     ~Listener() = default;  // stop() and close() end it
     enum class Result { nothing_left, shortage };
+    // Guards against a gateway that does not come up as its machine is short of something at that moment: it
+    // is tried again for kOpenPatience.
     void open(const Address& address);
+    // An errno, or 0.
+    int try_open(const Address& address);
     void watch();
     void on_readable();
     Result accept_all();
--- a/src/net/system_fault.cpp
+++ b/src/net/system_fault.cpp
@@ -53,7 +53,7 @@
     error = std::abs(error);
     switch (call) {
         case SystemCall::accept: return would_block(error) ? FaultMeaning::nothing_yet : of_accept(error);
-        case SystemCall::socket: return error == EINTR ? FaultMeaning::again : FaultMeaning::shortage;
+        case SystemCall::socket: return lacks_resources(error) ? FaultMeaning::shortage : FaultMeaning::peer;
         case SystemCall::connect: return of_connect(error);
         case SystemCall::look:
             if (would_block(error)) return FaultMeaning::nothing_yet;
--- a/src/net/system_fault.hpp
+++ b/src/net/system_fault.hpp
@@ -7,7 +7,7 @@
 
 enum class SystemCall {
     accept,   // a connection that waits at a listener
-    socket,   // a descriptor for a new connection
+    socket,   // a descriptor for a new connection or listener; `peer` stands for what does not pass by itself
     connect,  // at once, in the call itself; an error that comes later is the other side's
     look,     // recv with MSG_PEEK: is something there, or has the peer gone?
 };
--- a/tests/faults/fault_shim.cpp
+++ b/tests/faults/fault_shim.cpp
@@ -7,8 +7,9 @@
 //
 // call: accept4, socket, connect, read, recv, write, send, epoll_wait (for writev, sendmsg and epoll_pwait
 // too). kind: client (accepted), server (connected); without it every descriptor. fault: an errno by name, or
-// SHORT (one byte at most is moved). The rule's calls are counted from 1: the first-th fails, then each
-// every-th after it, `most` times in all. A plan that can't be read ends the process with exit code 99.
+// SHORT (one byte at most is moved). Reads and writes fail on accepted and connected sockets only: pipes and
+// event descriptors do not give these errors. The rule's calls are counted from 1: the first-th fails, then
+// each every-th after it, `most` times in all. A plan that can't be read ends the process with exit code 99.
 #include <dlfcn.h>
 #include <sys/epoll.h>
 #include <sys/socket.h>
@@ -119,6 +120,8 @@
 
 // The fault for this call, or 0.
 int fault_for(const char* call, int fd) {
+    const bool moves_bytes = std::strcmp(call, "read") == 0 || std::strcmp(call, "write") == 0;
+    if (moves_bytes && kind_of(fd) == Kind::other) return 0;
     for (auto& rule : plan()) {
         if (rule.call != call || (!rule.any_kind && rule.kind != kind_of(fd))) continue;
         const long seen = ++rule.seen;
--- a/tests/faults/process_faults_test.cpp
+++ b/tests/faults/process_faults_test.cpp
@@ -1,5 +1,7 @@
 // Real gateway processes under injected faults. The verdicts are of order (what came before what), never of
 // time.
+#include <random>
+
 #include "faults/process_rig.hpp"
 
 namespace chalksail::faults::testing {
@@ -84,6 +86,41 @@
     EXPECT_EQ(served(1, "a"), 1);
 }
 
+// Plans drawn from a seed, of all the failures that leave a request servable: each is served, and the process
+// lives on.
+class SeededPlan : public ProcessRig, public ::testing::WithParamInterface<unsigned> {
+protected:
+    static std::string plan(unsigned seed) {
+        static const std::vector<std::string> faults = {
+            "accept4:ENFILE",      "accept4:EMFILE",       "accept4:ENOBUFS", "accept4:ENOMEM",
+            "accept4:EPROTO",      "accept4:ECONNABORTED", "accept4:EINTR",   "socket:ENFILE",
+            "socket:EMFILE",       "socket:ENOBUFS",       "socket:ENOMEM",   "connect:EADDRNOTAVAIL",
+            "connect:ENETUNREACH", "connect:ENOBUFS",      "connect:EAGAIN",  "recv:EINTR",
+            "recv:ENOMEM",         "read:EINTR",           "read:SHORT",      "write:EINTR",
+            "write:SHORT",         "write:ENOBUFS",        "epoll_wait:EINTR"};
+        std::mt19937 draw(seed);
+        std::string out;
+        for (int i = 0; i < 6; ++i) {
+            const auto first = 1 + draw() % 6;
+            const auto every = 2 + draw() % 5;
+            out += faults[draw() % faults.size()] + ":" + std::to_string(first) + ":" +
+                   std::to_string(every) + ":12 ";
+        }
+        return out;
+    }
+};
+INSTANTIATE_TEST_SUITE_P(Seeds, SeededPlan, ::testing::Range(1U, 13U));
+
+TEST_P(SeededPlan, EveryRequestIsServed) {
+    const std::string faults = plan(GetParam());
+    serve_reads();
+    serve_writes();
+    start(reader->address, writer->address, faults);
+    for (int round = 0; round < 3; ++round)
+        EXPECT_EQ(served(10, "r" + std::to_string(round) + "-"), 10) << faults << "\n" << log();
+    EXPECT_FALSE(exited) << faults;
+}
+
 // A server's connection that breaks with an error of the network ends its request like any other break, and
 // no other one: what is behind it is served.
 TEST_F(ProcessRig, BrokenConnectionsToServersEndTheirOwnRequestsOnly) {
