--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -429,6 +429,44 @@
     expect_empty(d);
 }
 
+// An attempt that may not be called off ends at its request's deadline, also where nobody waits for it any
+// more and its server never answers.
+TEST(PlatformEdge, AttemptOfAClientThatHasGoneEndsAtTheDeadline) {
+    auto settings = released_within(500ms);
+    settings.module.may_cancel = false;
+    Platform d(settings);
+    d.get(told::post("9b1f"));
+    const auto read = d.sent().back().call;
+    d.written(read);
+    d.give({ClientClosed{{1}}});
+    EXPECT_FALSE(d.was_aborted(read));
+    d.pass(5s);
+    EXPECT_TRUE(d.was_aborted(read));
+    for (std::size_t i = 0; i < d.releases().size(); ++i) d.answer(d.releases()[i].call, 204);
+    d.pass(1s);
+    expect_empty(d);
+}
+
+// Of the servers in service the one that spoke last is asked for a release, not the one that holds the state:
+// that one may have fallen silent since.
+TEST(PlatformEdge, ReleaseIsAskedOfWhoSpokeLast) {
+    Unanswered d;
+    const auto holder = d.sent()[0].server;
+    d.pass(100ms);
+    d.get(told::post("9b20"), 2);
+    ASSERT_EQ(d.sent().size(), 3U);
+    d.answer(d.sent()[2].call, 202);
+    d.pass(4ms);
+    ASSERT_EQ(d.sent().size(), 4U);
+    const auto spoke = d.sent()[3].server;
+    ASSERT_NE(spoke, holder);
+    d.answer(d.sent()[3].call, 200, kEvent + kDoneEvent);
+    d.pass(406ms);
+    ASSERT_GE(d.releases().size(), 1U);
+    EXPECT_EQ(d.releases()[0].target, "/kv/leases/9b1f");
+    EXPECT_EQ(d.releases()[0].server, spoke);
+}
+
 // In the 300 ms beyond the state's time enough servers are asked to find one that runs among silent ones.
 TEST(PlatformEdge, ReleaseIsAskedOfFourServersInTheTimeThatIsLeft) {
     Unanswered d;
--- a/tests/policy/brain_test.cpp
+++ b/tests/policy/brain_test.cpp
@@ -135,6 +135,30 @@
     EXPECT_EQ(g.all<Release>().size(), 1U);
 }
 
+// The same behind a write that breaks, is given up or called off without an answer: it may lie unread.
+TEST(Rules, StatesTimeRunsOnOverEndsWithoutAnAnswer) {
+    for (const auto outcome : {Outcome::reset, Outcome::timeout, Outcome::cancelled, Outcome::full}) {
+        Gateway g;
+        g.list({server("r", "reader"), server("w", "writer")});
+        g.arrive(1);
+        g.end(1, 0, "r", Outcome::read);
+        ASSERT_EQ(g.sent_to(), "w");
+        auto gone = server("w", "writer");
+        gone.state = ServerState::removed;
+        g.list({gone}, ListScope::changes);  // nobody is left to write
+        const Time held = g.now;
+        g.pass(300ms);
+        g.end(1, 1, "w", outcome);
+        while (g.all<Release>().empty() && g.now < held + 2s) {
+            g.pass(4ms);
+            g.step();
+        }
+        // An answer proves that the write had come: the state has its whole time again.
+        EXPECT_LT(g.now - held, outcome == Outcome::full ? 700ms : 400ms) << static_cast<int>(outcome);
+        EXPECT_GE(g.now - held, outcome == Outcome::full ? 600ms : 300ms) << static_cast<int>(outcome);
+    }
+}
+
 TEST(Rules, HeldRequestIsAnsweredBeforeItsDeadline) {
     Gateway g;
     g.list({server("w", "writer")});  // none that reads
