--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -429,6 +429,27 @@
     expect_empty(d);
 }
 
+// Guards against a release that finds one silent server after another, as where a zone is cut off: each round
+// asks twice as many, so that a dozen servers are asked before the time is over.
+TEST(PlatformEdge, ReleaseAsksMoreServersWithEachSilentOne) {
+    Platform d(released_within(500ms));
+    std::vector<ListedServer> all = {listed("r1", "reader"), listed("w1", "writer")};
+    for (int i = 0; i < 20; ++i) all.push_back(listed("x" + std::to_string(i), "reader", ServerState::up));
+    d.list(all);
+    const auto write = d.to_write("order");
+    d.written(write);
+    d.pass(500ms + 290ms);
+    std::set<std::string> asked;
+    for (const auto& call : d.releases()) asked.insert(call.server);
+    EXPECT_GE(asked.size(), 12U);
+    EXPECT_LE(asked.size(), 16U);
+    // One that answers ends it.
+    d.answer(d.releases().back().call, 204);
+    const auto calls = d.releases().size();
+    d.pass(150ms);
+    EXPECT_EQ(d.releases().size(), calls);
+}
+
 // An attempt that may not be called off ends at its request's deadline, also where nobody waits for it any
 // more and its server never answers.
 TEST(PlatformEdge, AttemptOfAClientThatHasGoneEndsAtTheDeadline) {
