A release that meets silence asks two, four, eight servers; fifteen within its time

Cause: releases asked one server after another, 80 ms each. Change: each round asks twice as many as the one before, up to eight, all of one release known to each other; one that answers ends it. By the protocol any server takes a release, and asking twice does nothing.

--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -313,6 +313,12 @@
     // Sends what is no attempt; it is given up at `due`.
     Outgoing& call_out(CallKind kind, const ListedServer& to, ServerRequest request, Time due,
                        double worth = 0);
+    // Which servers have been asked for one release, in how many rounds, and whether one has taken it.
+    struct ReleaseProgress {
+        std::set<std::string> asked;
+        std::int64_t rounds = 0;
+        bool done = false;
+    };
     // One release call, and what it takes to ask again.
     struct ReleaseAttempt {
         std::string name;
@@ -320,10 +326,12 @@
         std::string state;
         observe::ReleaseReason reason = observe::ReleaseReason::none;
         Time held_since{};
-        std::set<std::string> tried;
-        std::int64_t tries = 0;
+        std::shared_ptr<ReleaseProgress> progress = nullptr;  // of all calls for one release
+        bool leads = true;                                    // its failure is followed by the next round
     };
     CallId release_call(ReleaseAttempt release, const ListedServer& holder);
+    // Another round, behind one whose leading call failed at that server.
+    void ask_more_servers(ReleaseAttempt release, RequestId request, const std::string& failed_at);
     void note_held(std::string_view what, const std::string& request, const std::string& server,
                    observe::ReleaseReason reason, Time since);
     void release_pending();
@@ -332,7 +340,7 @@
     [[nodiscard]] bool release_under_way(const Open& open) const;
     void resume_deferred(RequestId id);
     void drop_deferred(Open& open, bool finished);
-    [[nodiscard]] const ListedServer* server_for_release(const std::set<std::string>& tried) const;
+    [[nodiscard]] const ListedServer* server_for_release(const std::set<std::string>& asked) const;
     [[nodiscard]] Duration release_timeout() const;
     [[nodiscard]] bool release_covers_request() const;
 
--- a/src/core/edge_releases.cpp
+++ b/src/core/edge_releases.cpp
@@ -15,6 +15,7 @@
 
 // A release gives back memory that others wait for: before anything that would take some.
 constexpr double kReleaseWorth = std::numeric_limits<double>::max();
+constexpr std::int64_t kWideningRounds = 3;  // behind the first call: two, four and eight servers
 
 }  // namespace
 
@@ -44,7 +45,7 @@
         r.pending_release = Open::Held{s->second, "", call.attempt.value, now_};
         pending_releases_.push_back(r.id);
     } else {
-        release_call({r.in.name, call.attempt.value, "", ReleaseReason::read_may_have_ended, now_, {}, 0},
+        release_call({r.in.name, call.attempt.value, "", ReleaseReason::read_may_have_ended, now_},
                      s->second);
     }
 }
@@ -70,38 +71,50 @@
     emit(Note{observe::ServerRecord{call.server, "release", done ? "ok" : has_none ? "none" : "failed"}});
     note_held(done ? "release_done" : "release_failed", call.release->name, call.server, call.release->reason,
               call.release->held_since);
-    // Where any server takes it another is asked, at once: the time to release runs on while one does not
+    call.release->progress->done = call.release->progress->done || done;
+    // Where any server takes it others are asked, at once: the time to release runs on while one does not
     // answer. Not once a read has ended well behind it: that state would go, too, and has time of its own.
-    if (done || !release_covers_request()) return resume_deferred(call.request);
+    const bool goes_on = release_covers_request() && !call.release->progress->done && call.release->leads;
+    if (!goes_on) return resume_deferred(call.request);
     Open* r = find(call.request);
-    ReleaseAttempt release = *call.release;
-    if (r != nullptr && r->held) {
-        if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
-            r->pending_release = Open::Held{s->second, std::move(release.state), release.attempt,
-                                            r->held->since, release.reason};
-        pending_releases_.push_back(r->id);
-        return;
-    }
-    release.tried.insert(call.server);
-    const ListedServer* next =
-        release.tries < settings_.limits.release_tries ? server_for_release(release.tried) : nullptr;
-    if (next == nullptr && release.tries < settings_.limits.release_tries) {
-        release.tried = {call.server};
-        next = server_for_release(release.tried);
+    if (r == nullptr || !r->held) return ask_more_servers(*call.release, call.request, call.server);
+    if (const auto s = servers_.find({call.server}); s != servers_.end() && !r->pending_release)
+        r->pending_release = Open::Held{s->second, call.release->state, call.release->attempt, r->held->since,
+                                        call.release->reason};
+    pending_releases_.push_back(r->id);
+}
+
+// Guards against a release that meets one silent server after another, as where a zone is cut off: each round
+// asks twice as many as the one before, up to kWideningRounds.
+void Edge::ask_more_servers(ReleaseAttempt release, RequestId request, const std::string& failed_at) {
+    ReleaseProgress& progress = *release.progress;
+    if (progress.rounds >= settings_.limits.release_tries) return resume_deferred(request);
+    progress.rounds += 1;
+    const int wanted = progress.rounds <= kWideningRounds ? 1 << progress.rounds : 1;
+    CallId leading{};
+    for (int i = 0; i < wanted; ++i) {
+        const ListedServer* next = server_for_release(progress.asked);
+        if (next == nullptr && leading == CallId{}) {  // all have been asked: once more
+            progress.asked = {failed_at};
+            next = server_for_release(progress.asked);
+        }
+        if (next == nullptr) break;
+        release.leads = leading == CallId{};
+        const CallId call = release_call(release, *next);
+        if (call == CallId{}) continue;
+        calls_.at(call).request = request;
+        if (release.leads) leading = call;
     }
-    if (next == nullptr) return resume_deferred(call.request);
-    const auto again = release_call(std::move(release), *next);
-    if (again == CallId{}) return resume_deferred(call.request);
-    if (r != nullptr) r->release = again;
-    calls_.at(again).request = call.request;
+    if (leading == CallId{}) return resume_deferred(request);
+    if (Open* r = find(request)) r->release = leading;
 }
 
 // Who spoke last of those in service that were not asked: that it lives is all that is wanted.
-const ListedServer* Edge::server_for_release(const std::set<std::string>& tried) const {
+const ListedServer* Edge::server_for_release(const std::set<std::string>& asked) const {
     const ListedServer* out = nullptr;
     Time last{};
     for (const auto& [id, s] : servers_) {
-        if (s.entry.state != ServerState::up || tried.contains(id.value)) continue;
+        if (s.entry.state != ServerState::up || asked.contains(id.value)) continue;
         const auto heard = heard_.find(id.value);
         const Time at = heard == heard_.end() ? Time{} : heard->second;
         if (out != nullptr && at <= last) continue;
@@ -202,7 +215,7 @@
     }
     const Open::Held& held = *r.pending_release;
     const auto call =
-        release_call({r.in.name, held.attempt, held.state, held.reason, held.since, {}, 0}, held.server);
+        release_call({r.in.name, held.attempt, held.state, held.reason, held.since}, held.server);
     r.pending_release->since = now_;
     if (call == CallId{}) return;
     r.release = call;
@@ -222,8 +235,7 @@
     if (r.held) held_ -= 1;
     r.held.reset();
     r.pending_release.reset();
-    const auto call =
-        release_call({r.in.name, held.attempt, held.state, reason, held.since, {}, 0}, held.server);
+    const auto call = release_call({r.in.name, held.attempt, held.state, reason, held.since}, held.server);
     if (call == CallId{}) return;
     r.release = call;
     calls_.at(call).request = r.id;
@@ -265,9 +277,10 @@
 }
 
 CallId Edge::release_call(ReleaseAttempt release, const ListedServer& holder) {
+    if (release.progress == nullptr) release.progress = std::make_shared<ReleaseProgress>();
     // Where any server takes it, the one that spoke last is the likeliest to run and to be reached.
     const ListedServer* const likeliest =
-        release_covers_request() ? server_for_release(release.tried) : nullptr;
+        release_covers_request() ? server_for_release(release.progress->asked) : nullptr;
     const ListedServer& to = likeliest != nullptr ? *likeliest : holder;
     const auto& server = to.entry.id.value;
     auto request = convention_->release(release.name, release.attempt, release.state, to.entry.kind);
@@ -276,7 +289,7 @@
         emit(Note{observe::ServerRecord{server, "release", "none"}});
         return {};
     }
-    release.tries += 1;
+    release.progress->asked.insert(server);
     note_held("release", release.name, server, release.reason, release.held_since);
     const Time due = now_ + release_timeout();
     Outgoing& out = call_out(CallKind::release, to, std::move(*request), due, kReleaseWorth);
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -68,7 +68,7 @@
     if (told.server_idle > Duration::zero()) l.server_idle = told.server_idle / 2;
     l.server_rest = milliseconds(5);
     l.release_timeout = milliseconds(150);
-    // What is held has 300 ms beyond its time: four servers are asked in that.
+    // What is held has 300 ms beyond its time: four rounds of servers are asked in that.
     l.release_retry = milliseconds(80);
     l.release_tries = 8;
     // The platform kills no sooner than this after SIGTERM. Half of it goes by as before, and what comes then
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -133,13 +133,15 @@
     ASSERT_EQ(d.releases().size(), 1U);
     EXPECT_EQ(d.releases()[0].method, "DELETE");
     EXPECT_EQ(d.releases()[0].target, "/kv/leases/9b1f");
-    d.pass(100ms);  // silence
-    ASSERT_EQ(d.releases().size(), 2U);
+    d.pass(100ms);  // silence: two others are asked
+    ASSERT_EQ(d.releases().size(), 3U);
     EXPECT_NE(d.releases()[1].server, d.releases()[0].server);
+    EXPECT_NE(d.releases()[2].server, d.releases()[0].server);
+    EXPECT_NE(d.releases()[2].server, d.releases()[1].server);
     EXPECT_TRUE(d.was_aborted(d.releases()[0].call));
     d.answer(d.releases()[1].call, 204);
     d.pass(2s);
-    EXPECT_EQ(d.releases().size(), 2U);
+    EXPECT_EQ(d.releases().size(), 3U);
 }
 
 // A read may have ended well at the moment at which it broke. While it is read anew nothing is let go of: the
