--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -222,6 +222,7 @@
     [[nodiscard]] Gauges gauges() const;
     // Names and states of the servers listed, for operators.
     [[nodiscard]] std::vector<ListedServer> listed() const;
+    [[nodiscard]] std::size_t server_count() const { return servers_.size(); }
 
 private:
     struct Open;
--- a/src/net/edge_shell.cpp
+++ b/src/net/edge_shell.cpp
@@ -64,6 +64,13 @@
         if (std::isalnum(static_cast<unsigned char>(c)) == 0) c = '_';
     return name;
 }
+// When this turn of the loop began to read its sockets; exact to the loop's milliseconds.
+Time turn_begin(const uv_loop_t& loop) {
+    return Time(std::chrono::milliseconds(static_cast<std::int64_t>(uv_now(&loop))));
+}
+std::string milliseconds_text(Duration d) {
+    return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(d).count()) + " ms";
+}
 void close_timer(uv_timer_t*& timer) {
     if (timer == nullptr) return;
     uv_timer_stop(timer);
@@ -155,7 +162,9 @@
     check_->data = this;
     uv_check_start(check_, [](uv_check_t* c) {
         auto& shell = *static_cast<EdgeShell*>(c->data);
+        const Time begun = turn_begin(shell.loop_);
         shell.pump();
+        shell.note_slow_turn(begun);
         if (std::exchange(shell.drain_look_due_, false)) shell.look_at_drain();
     });
     uv_unref(reinterpret_cast<uv_handle_t*>(check_));
@@ -263,6 +272,15 @@
     pumping_ = false;
 }
 
+void EdgeShell::note_slow_turn(Time begun) {
+    const auto report = slow_turns_.ended(begun, uv_now_time());
+    if (!report) return;
+    log_.warn("slow_turn", "the loop stood still for " + milliseconds_text(report->longest) +
+                               " at worst; such turns: " + std::to_string(report->count) + "; " +
+                               std::to_string(edge_.gauges().open_requests) + " requests are open, " +
+                               std::to_string(edge_.server_count()) + " servers known");
+}
+
 void EdgeShell::reload_tls() {
     const auto look = [&](tls::Rotation& rotation, const std::string& whose) {
         const auto looked = rotation.look(std::time(nullptr));
@@ -432,8 +450,11 @@
 void EdgeShell::drain() {
     if (draining_) return;
     draining_ = true;
-    log_.info("drain",
-              "stops accepting; " + std::to_string(edge_.gauges().open_requests) + " requests are open");
+    drain_begun_ = uv_now_time();
+    log_.info("drain", "stops accepting; " + std::to_string(edge_.gauges().open_requests) +
+                           " requests are open; new ones are taken for " +
+                           milliseconds_text(settings_.limits.drain_grace) + ", the end comes after " +
+                           milliseconds_text(settings_.limits.drain) + " at the latest");
     take_until_ = uv_now_time() + settings_.limits.drain_grace;
     if (settings_.limits.drain_grace == Duration::zero()) {
         stop_taking();
@@ -497,6 +518,9 @@
 void EdgeShell::finish() {
     if (finished_) return;
     finished_ = true;
+    if (draining_)
+        log_.info("drain", "ends after " + milliseconds_text(uv_now_time() - drain_begun_) + "; " +
+                               std::to_string(edge_.gauges().open_requests) + " requests unanswered");
     uv_idle_stop(turn_);
     uv_close(reinterpret_cast<uv_handle_t*>(turn_),
              [](uv_handle_t* h) { delete reinterpret_cast<uv_idle_t*>(h); });
--- a/src/net/edge_shell.hpp
+++ b/src/net/edge_shell.hpp
@@ -20,6 +20,7 @@
 #include "net/tls/files.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
+#include "observe/slow_turns.hpp"
 #include "store/store.hpp"
 
 namespace chalksail::net {
@@ -74,6 +75,7 @@
     void carry_out(core::Output& output);
     void stop_taking();
     void finish();
+    void note_slow_turn(Time begun);
 
     uv_loop_t& loop_;
     config::EdgeSettings settings_;
@@ -105,6 +107,8 @@
     Time drain_until_{};
     std::uint64_t accept_errors_ = 0;
     Time accept_logged_{};
+    observe::SlowTurns slow_turns_;
+    Time drain_begun_{};
     std::uint64_t tls_refused_ = 0;
     std::uint64_t tls_replaced_ = 0;
     bool draining_ = false;
