--- a/tests/faults/process_rig.hpp
+++ b/tests/faults/process_rig.hpp
@@ -93,9 +93,11 @@
     }
     // Starts the gateway with a list of one reader and one writer, and waits until it listens.
     void start(const Address& read_at, const Address& write_at, const std::string& plan) {
-        const std::string list =
-            told::list_text(told::instance("r1", "reader", format_address(read_at)) + "," +
-                            told::instance("w1", "writer", format_address(write_at)));
+        start_with(told::list_text(told::instance("r1", "reader", format_address(read_at)) + "," +
+                                   told::instance("w1", "writer", format_address(write_at))),
+                   plan);
+    }
+    void start_with(const std::string& list, const std::string& plan) {
         discovery = std::make_unique<RawServer>(
             loop, [list](RawServer::Peer& p) { p.send(kStreamHead + chunked(list + "\n")); });
         const std::string config = folder + "/config.json";
@@ -103,6 +105,10 @@
         // A busy machine must not look like a server that can't be dialled.
         const std::string dial = "\"dial_timeout_ns\":250000000";
         text.replace(text.find(dial), dial.size(), "\"dial_timeout_ns\":5000000000");
+        for (const auto& [from, to] : settings) {
+            ASSERT_NE(text.find(from), std::string::npos) << from;
+            text.replace(text.find(from), from.size(), to);
+        }
         std::ofstream(config) << text;
         spawn(config, plan);
         ASSERT_TRUE(until([this] { return out.find("listening") != std::string::npos || exited; }));
@@ -121,6 +127,9 @@
         return true;
     }
     void hang_up() { uv_process_kill(&process_, SIGHUP); }
+    void terminate() { uv_process_kill(&process_, SIGTERM); }
+    void kill() { uv_process_kill(&process_, SIGKILL); }
+    [[nodiscard]] pid_t gateway() const { return process_.pid; }
     // How many of so many clients at once are served: a whole stream, with its end.
     int served(int count, const std::string& prefix) {
         std::vector<std::unique_ptr<DirectClient>> all;
@@ -153,6 +162,8 @@
 
     uv_loop_t loop{};
     std::string folder;
+    // Parts of the configuration's text and what stands in their place.
+    std::vector<std::pair<std::string, std::string>> settings;
     std::string out;  // the gateway's standard output
     Address address;
     std::unique_ptr<RawServer> discovery, reader, writer;
