The module counts and filters the fleet once a step, not once for each server and request

Cause: 'usable' asked for each cold server how many warm ones there are, and for each ejected one whether any is healthy: each answer a walk over all servers, in each pick, for each held request, every 4 ms. With thousands of servers a step stood still for longer than deadlines and the 0.1 s behind a client's close. Change: counts by role (fleet_counts.hpp) are taken anew after a change only; who takes a class is found once a step; cold budgets once a step and role; the readers of a prefix are ranked again only behind a list or another number of copies; servers out of good standing stand in a set of their own. Decisions are meant to be the same. LargeFleet passes.

--- a/src/policy/brain.cpp
+++ b/src/policy/brain.cpp
@@ -7,6 +7,7 @@
 #include <optional>
 #include <set>
 
+#include "fleet_counts.hpp"
 #include "state.hpp"
 
 namespace chalksail {
@@ -61,7 +62,8 @@
 
 class Brain::Impl {
 public:
-    Impl(const Settings& settings, std::uint64_t seed) : s_(settings), own_seed_(std::to_string(seed)) {
+    Impl(const Settings& settings, std::uint64_t seed)
+        : s_(settings), own_seed_(std::to_string(seed)), counts_(settings.cold_for, settings.cold_from) {
         validate(s_);
         stream_seconds_.resize(s_.classes.size());
         class_work_.resize(s_.classes.size());
@@ -95,6 +97,8 @@
     [[nodiscard]] std::size_t tracked() const { return requests_.size(); }
 
 private:
+    enum class Stage { read, write };
+
     // ================= arrival =================
     void on(const Arrived& in) {
         if (requests_.contains(in.id)) return;
@@ -181,7 +185,7 @@
             if (r.ended || r.out) continue;
             // Two ticks, as a step may be one late. A writer that comes after the aim comes too late.
             if (now_ + service_time(r) + 2 * s_.tick >= r.deadline ||
-                attempts_left(r) < (r.state_at ? 1 : 2) || (now_ >= r.aim && !writer_in_service()) ||
+                attempts_left(r) < (r.state_at ? 1 : 2) || (now_ >= r.aim && !counts().has_writer()) ||
                 (blind() && sheds(id, r)))
                 give_up(id);  // it can't be served in time any more: answered at once
             else held.emplace_back(id, urgency(r));
@@ -195,6 +199,8 @@
             return x.aim < y.aim;
         });
         wanted_.reset();
+        candidates_.clear();
+        cold_budgets_.clear();
         for (const auto& [id, worth] : held) {
             auto& r = requests_.at(id);
             if (r.state_at) go_on_to_writer(id, r);
@@ -232,10 +238,10 @@
         }
         double room = 0;
         cell_room_.clear();
-        for (auto& [id, w] : servers_) {
-            if (w.role == Role::prefill || !usable(w, r) || !has_room(w)) continue;
-            room += w.limit - load(w);
-            cell_room_[w.entry.cell] += w.limit - load(w);
+        for (const Server* w : candidates(r, Stage::write)) {
+            if (!usable(*w, r) || !has_room(*w)) continue;
+            room += w->limit - load(*w);
+            cell_room_[w->entry.cell] += w->limit - load(*w);
         }
         for (const auto& [id, o] : requests_) {
             if (!wants_room(o)) continue;
@@ -251,7 +257,7 @@
     void start(RequestId id, Request& r) {
         if (room_for(r) <= 0) return;  // hold: memory_aware
         Server* reader = best_reader(r);
-        if (reader == nullptr && any_usable(Role::prefill, r)) return;  // hold: the readers' queues are long
+        if (reader == nullptr && any_usable_reader(r)) return;  // hold: the readers' queues are long
         if (reader != nullptr && waits_for_its_text(*reader, r)) return;  // hold: who keeps it is full
         Server* writer = best_writer(r, true);
         Server* mixed = best_mixed(r);
@@ -260,7 +266,7 @@
             send(id, r, *mixed, false);
         } else if (reader != nullptr) {
             send(id, r, *reader, true);
-        } else if (s_.read_in_place && writer != nullptr && !any_usable(Role::prefill, r)) {
+        } else if (s_.read_in_place && writer != nullptr && !any_usable_reader(r)) {
             send(id, r, *writer, false);  // exception: no reader is left, a writer may read by itself
         }
     }
@@ -374,15 +380,26 @@
     }
     // A prefix is cached at the first few readers by its hash, as many as its traffic needs, and a session at
     // one of these: gateways that guess another number still agree on most sessions.
-    double prefix_cut(const std::string& prefix) const {
+    double prefix_cut(const std::string& prefix) {
         const auto share = prefix_share_.find(prefix);
+        const double all = fleet_.readers();
+        if (share == prefix_share_.end() || all <= 0) return 0;
+        const double copies =
+            std::min(all, std::ceil(kCopies * all * share->second / (kFewArrivals + seen_)));
+        // Ranked anew only for another number of copies, or behind a change of the list, which forgets them.
+        if (prefix_cuts_.size() > kKeptMost) prefix_cuts_.clear();
+        PrefixCut& known = prefix_cuts_[prefix];
+        if (known.copies != copies) known = {copies, rank_of_copy(prefix, copies)};
+        return known.rank;
+    }
+    struct PrefixCut {
+        double copies = 0;
+        double rank = 0;  // of the last reader that keeps one
+    };
+    double rank_of_copy(const std::string& prefix, double copies) const {
         std::vector<double> ranks;
         for (const auto& [id, s] : servers_)
             if (s.role == Role::prefill && in_service(s)) ranks.push_back(unit(prefix, id.value));
-        if (share == prefix_share_.end() || ranks.empty()) return 0;
-        const double all = static_cast<double>(ranks.size());
-        const double copies =
-            std::min(all, std::ceil(kCopies * all * share->second / (kFewArrivals + seen_)));
         const auto last = ranks.begin() + static_cast<std::ptrdiff_t>(copies) - 1;
         std::nth_element(ranks.begin(), last, ranks.end(), std::greater<>());
         return *last;
@@ -392,7 +409,7 @@
         const double cut = few ? prefix_cut(r.in.prefix) : 0;
         const std::string& key = few || r.in.prefix.empty() ? r.in.session : r.in.prefix;
         return pick(
-            r, [&](const Server& s) { return s.role == Role::prefill && has_read_room(s, r); },
+            r, Stage::read, [&](const Server& s) { return has_read_room(s, r); },
             [&](const Server& s) {
                 // Ties go to the session's own text (or what is told), then by hash: it is found again.
                 return std::tuple(read_score(s, r), !few && cell_has_room(s, r),
@@ -404,7 +421,7 @@
     Server* best_writer(const Request& r, bool need_room) {
         const Server* at = blind() && r.state_at ? find(*r.state_at) : nullptr;
         return pick(
-            r, [&](const Server& s) { return s.role != Role::prefill && (!need_room || has_room(s)); },
+            r, Stage::write, [&](const Server& s) { return !need_room || has_room(s); },
             [&](const Server& s) {
                 // States that leave are spread by the writers to spare, or a busy zone's few get them all.
                 const double part = at != nullptr && at->entry.cell != s.entry.cell ? 1e-6 + spare(s) : 1;
@@ -413,20 +430,21 @@
     }
     Server* best_mixed(const Request& r) {
         return pick(
-            r, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
+            r, Stage::write, [&](const Server& s) { return s.role == Role::mixed && has_room(s); },
             [&](const Server& s) { return std::pair(blend(s, s, r), unit(r.in.session, s.entry.id.value)); });
     }
     // The best of the usable servers that fit; those where this request has failed come last.
     template <class Fits, class Score>
-    Server* pick(const Request& r, Fits fits, Score score) {
+    Server* pick(const Request& r, Stage stage, Fits fits, Score score) {
         Server* best = nullptr;
         using Key = std::pair<int, decltype(score(std::declval<const Server&>()))>;
         std::optional<Key> best_key;
-        for (auto& [id, s] : servers_) {
+        for (Server* const candidate : candidates(r, stage)) {
+            Server& s = *candidate;
             if (!fits(s) || !usable(s, r)) continue;
             // One error may be the first of many: "once" requests keep away until it has served well again.
             const bool doubt = s_.classes[r.cls].effect != Effect::repeatable && s.error_share > kErrorDoubt;
-            const Key key{r.failed_at.contains(id) ? 0 : doubt ? 1 : 2, score(s)};
+            const Key key{r.failed_at.contains(s.entry.id) ? 0 : doubt ? 1 : 2, score(s)};
             if (best_key && key <= *best_key) continue;
             best = &s;
             best_key = key;
@@ -474,12 +492,7 @@
     Server& limited(Server& s) { return blind() ? pool_ : s; }
     void sum_pool() {
         const double share = pool_.memory > 0 ? pool_.limit / starting_limit(pool_) : 1;
-        pool_.memory = pool_.stream_tokens = 0;
-        for (const auto& [id, s] : servers_) {
-            if (s.role == Role::prefill) continue;
-            pool_.stream_tokens += s.stream_tokens;
-            if (in_service(s) && !ejected(s)) pool_.memory += s.memory * (cold(s) ? s_.cold_from : 1);
-        }
+        pool_.memory = counts().writer_memory();
         pool_.limit = share * starting_limit(pool_);
     }
     double starting_limit(const Server& s) const {
@@ -531,32 +544,50 @@
             pool_.stream_tokens += r.tokens();
         }
         note_work(s, class_work_[r.cls].mean);
-        if (s.ejection > Duration::zero()) s.trial_open = false;  // one request at a time while on trial
+        if (s.ejection > Duration::zero()) {  // one request at a time while on trial
+            s.trial_open = false;
+            counts_.changed();
+        }
         if (wanted_) *wanted_ += (read ? r.tokens() : 0) - (r.state_at ? r.tokens() : 0);
         r.out = a;
         actions_.emplace_back(Send{id, s.entry.id, timeout});
     }
 
     // ================= cold starts =================
-    bool cold(const Server& s) const { return s.entry.born != Time{} && now_ - s.entry.born < s_.cold_for; }
+    bool cold(const Server& s) const { return is_cold(s, now_, s_.cold_for); }
     // A cold server gets our part of what the rule lets it bear, taking a warm one to bear what we send it.
     // Under one request a window it gets one in a longer window, and the first after a drawn wait.
-    bool cold_budget_allows(const Server& s, double work) const {
+    bool cold_budget_allows(const Server& s, std::size_t cls) const {
         if (!cold(s)) return true;
-        const double budget =
-            kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) * warm_rate(s.role);
-        const double stretch = std::clamp(work / std::max(budget, 1e-9), 1.0, 1.0 * s_.gateways);
-        const Duration window = from_seconds(seconds(s_.fall_window) * stretch) + s_.tick;
-        const double wait = seconds(s_.fall_window) * (stretch - 1) * unit(own_seed_, s.entry.id.value);
-        if (now_ < s.told_at + from_seconds(wait)) return false;
+        const ColdBudget& budget = cold_budget(s.role, cls);
+        if (now_ < s.told_at + from_seconds(budget.longest_wait * s.draw)) return false;
         double sent = 0;
         for (const auto& [at, amount] : s.cold_sends)
-            if (at + window > now_) sent += amount;
-        return sent == 0 || sent + work <= budget;
+            if (at + budget.window > now_) sent += amount;
+        return sent == 0 || sent + class_work_[cls].mean <= budget.work;
+    }
+    struct ColdBudget {
+        double work = 0;          // that a cold server may get in the window
+        Duration window{};        // longer than the settings' where not one request fits in that
+        double longest_wait = 0;  // in seconds, until the first request; each server's is drawn
+    };
+    // Of one server of this role. Kept until the work sent to warm ones changes: each cold server asks for
+    // it.
+    const ColdBudget& cold_budget(Role role, std::size_t cls) const {
+        const auto [it, fresh] = cold_budgets_.try_emplace(std::pair(role, cls));
+        if (!fresh) return it->second;
+        ColdBudget& out = it->second;
+        out.work = kColdCaution * s_.fall_multiple * s_.cold_from * seconds(s_.fall_window) * warm_rate(role);
+        const double stretch =
+            std::clamp(class_work_[cls].mean / std::max(out.work, 1e-9), 1.0, 1.0 * s_.gateways);
+        out.window = from_seconds(seconds(s_.fall_window) * stretch) + s_.tick;
+        out.longest_wait = seconds(s_.fall_window) * (stretch - 1);
+        return out;
     }
     // The work that we send to warm servers of each role, fading over a few windows.
     void note_work(Server& s, double work) {
         if (cold(s)) return void(s.cold_sends.emplace_back(now_, work));
+        cold_budgets_.clear();
         auto& [sum, at] = warm_work_[s.role];
         sum = sum * std::exp(-seconds(now_ - at) / warm_span()) + work;
         at = now_;
@@ -569,12 +600,10 @@
     double warm_span() const { return kWarmWindows * std::max(1.0, seconds(s_.fall_window)); }
     double warm_rate(Role role) const {  // a second, at one of them
         const auto at = warm_work_.find(role);
-        const auto warm = std::count_if(servers_.begin(), servers_.end(), [&](const auto& p) {
-            return p.second.role == role && in_service(p.second) && !cold(p.second);
-        });
+        const auto warm = counts().warm(role);
         if (at == warm_work_.end() || warm == 0) return 0;
         return at->second.first * std::exp(-seconds(now_ - at->second.second) / warm_span()) / warm_span() /
-               warm;
+               static_cast<double>(warm);
     }
 
     // ================= outcomes =================
@@ -652,8 +681,12 @@
     // What an outcome tells of the server.
     void settle(Server& s, const Request& r, const Attempt& a, const AttemptEnded& e) {
         s.in_use -= 1;
-        if (a.read) s.prompt_tokens -= a.fresh;
-        else s.stream_tokens -= r.tokens();
+        if (a.read) {
+            s.prompt_tokens -= a.fresh;
+        } else {
+            s.stream_tokens -= r.tokens();
+            pool_.stream_tokens -= r.tokens();
+        }
         switch (e.outcome) {
             case Outcome::ok:
                 s.last_answer = now_;
@@ -705,43 +738,50 @@
     }
 
     // ================= health =================
-    static bool in_service(const Server& s) { return s.listed && s.entry.state == ServerState::up; }
-    bool ejected(const Server& s) const { return s.ejection > Duration::zero() && !s.trial_open; }
-    template <class Holds>
-    bool any_server(Holds holds) const {
-        return std::any_of(servers_.begin(), servers_.end(), [&](const auto& p) { return holds(p.second); });
-    }
-    bool any_usable(Role role, const Request& r) const {
-        return any_server([&](const Server& s) { return s.role == role && usable(s, r); });
+    bool any_usable_reader(const Request& r) {
+        const auto& readers = candidates(r, Stage::read);
+        return std::any_of(readers.begin(), readers.end(), [&](const Server* s) { return usable(*s, r); });
     }
     // May this request go there now?
     bool usable(const Server& s, const Request& r) const {
+        return takes_class(s, r.cls) && group_allows(s, r);
+    }
+    // May any request of this class?
+    bool takes_class(const Server& s, std::size_t cls) const {
         if (!in_service(s)) return false;
-        if (!cold_budget_allows(s, class_work_[r.cls].mean)) return false;
-        if (!group_allows(s, r)) return false;
+        if (!cold_budget_allows(s, cls)) return false;
         if (s.ejection == Duration::zero()) return true;
-        if (s.trial_open && s_.classes[r.cls].effect == Effect::repeatable) return true;
+        if (s.trial_open && s_.classes[cls].effect == Effect::repeatable) return true;
         // All look bad: the least bad, but at a pace, or quick failures soon use up every request's attempts.
-        return !role_has_healthy(s.role) && now_ >= s.last_sent + shortest_aim_ / kTriesEachAim;
+        return !counts().has_healthy(s.role) && now_ >= s.last_sent + shortest_aim_ / kTriesEachAim;
     }
-    bool writer_in_service() const {
-        return any_server([](const Server& s) { return s.role != Role::prefill && in_service(s); });
+    // The servers that take a class now, by stage: found once a step, as each held request would walk over
+    // the whole fleet. What is sent in the step only closes some of them: who takes one looks again.
+    const std::vector<Server*>& candidates(const Request& r, Stage stage) {
+        const auto [it, fresh] = candidates_.try_emplace(std::pair(r.cls, stage));
+        if (!fresh) return it->second;
+        for (auto& [id, s] : servers_) {
+            const bool reads = s.role == Role::prefill;
+            if (reads == (stage == Stage::read) && takes_class(s, r.cls)) it->second.push_back(&s);
+        }
+        return it->second;
     }
-    bool role_has_healthy(Role role) const {
-        return any_server([role](const Server& s) {
-            const bool serves = s.role == role || s.role == Role::mixed;
-            return serves && in_service(s) && s.ejection == Duration::zero();
-        });
+    const FleetCounts& counts() const {
+        counts_.refresh(servers_, now_);
+        return counts_;
     }
     void passed(Server& s) {
         s.error_share *= 1 - kErrorStep;
         if (s.ejection == Duration::zero()) return;
         s.trial_open = true;
+        counts_.changed();
         if (++s.trial_passes >= kTrialPasses) reinstate(s);
     }
     void reinstate(Server& s) {
         s.ejection = Duration::zero();
         s.error_share = kErrorStep;  // on probation
+        out_of_standing_.erase(s.entry.id);
+        counts_.changed();
         end_trial(s);
     }
     static void end_trial(Server& s) {
@@ -750,8 +790,9 @@
     }
     // Out for the shortest aim, then twice as long each time, up to the time that a restart takes to warm.
     void eject(Server& s) {
-        if (ejected(s) && now_ < s.ejected_until) return;  // failures of the same moment count once
-        any_ejected_ = true;
+        if (is_ejected(s) && now_ < s.ejected_until) return;  // failures of the same moment count once
+        out_of_standing_.insert(s.entry.id);
+        counts_.changed();
         s.ejection = s.ejection == Duration::zero()
                          ? shortest_aim_
                          : std::min(2 * s.ejection, std::max(shortest_aim_, s_.cold_for));
@@ -760,14 +801,13 @@
     }
     // The way back: a probe where allowed, then one repeatable request at a time.
     void review_ejected() {
-        if (!std::exchange(any_ejected_, false)) return;
-        for (auto& [id, s] : servers_) {
-            any_ejected_ = any_ejected_ || s.ejection > Duration::zero();
-            if (s.ejection == Duration::zero() || now_ < s.ejected_until || s.trial_open || s.probing)
-                continue;
+        for (const auto& id : out_of_standing_) {
+            Server& s = servers_.at(id);
+            if (now_ < s.ejected_until || s.trial_open || s.probing) continue;
             if (!in_service(s) || s.in_use > 0) continue;
             s.probing = s_.may_probe;
             s.trial_open = !s_.may_probe;
+            counts_.changed();
             if (s.probing) actions_.emplace_back(Probe{id});
         }
     }
@@ -780,7 +820,10 @@
             s->probe_ok_at = now_;
             // An answer this late has queued: then one that fails to come only tells that the server is busy.
             if (e.taken > s_.dial_timeout / kQuickProbe) probes_queue_ = true;
-            if (s->ejection > Duration::zero()) s->trial_open = true;
+            if (s->ejection > Duration::zero()) {
+                s->trial_open = true;
+                counts_.changed();
+            }
             return;
         }
         s->probe_failed_at = now_;
@@ -906,11 +949,19 @@
             s.prefixes_told = false;
             s.cold_sends.clear();
             s.told_at = now_;
+            s.draw = unit(own_seed_, entry.id.value);
             s.slowness = {};
             reinstate(s);
             s.error_share = 0;
         }
-        std::erase_if(servers_, [](const auto& p) { return !p.second.listed && p.second.in_use == 0; });
+        std::erase_if(servers_, [this](const auto& p) {
+            const bool over = !p.second.listed && p.second.in_use == 0;
+            if (over) out_of_standing_.erase(p.first);
+            return over;
+        });
+        prefix_cuts_.clear();
+        counts_.changed();
+        pool_.stream_tokens = counts().stream_tokens();
         fleet_ = {};
         cells_.clear();
         zones_.clear();
@@ -945,10 +996,11 @@
         const auto want = [&](Time at) { next = next ? std::min(*next, at) : at; };
         for (const auto& [id, r] : requests_)
             if (!r.ended && (!r.out || (!r.out->started && !r.out->cancelled))) want(now_ + 2 * s_.tick);
-        if (any_ejected_)
-            for (const auto& [id, s] : servers_)
-                if (s.ejection > Duration::zero() && !s.trial_open && !s.probing && s.in_use == 0)
-                    want(std::max(s.ejected_until, now_ + 2 * s_.tick));
+        for (const auto& id : out_of_standing_) {
+            const Server& s = servers_.at(id);
+            if (!s.trial_open && !s.probing && s.in_use == 0)
+                want(std::max(s.ejected_until, now_ + 2 * s_.tick));
+        }
         if (!next || (wake_at_ && *wake_at_ <= *next && *wake_at_ > now_)) return;
         wake_at_ = std::max(*next, now_ + s_.tick);
         wake_id_ = {wake_id_.value + 1};
@@ -981,8 +1033,12 @@
     double average_report_ = 0;
     bool probes_queue_ = false;
     bool any_lowered_ = false;                                    // a server's limit may be below its start
-    bool any_ejected_ = false;                                    // a server may not be in good standing
+    std::set<ServerId> out_of_standing_;                          // ejected, or on trial since
+    mutable FleetCounts counts_;                                  // see counts()
     std::map<std::int64_t, std::pair<RunningMean, Time>> links_;  // by cell: first tokens of states leaving
+    std::map<std::pair<std::size_t, Stage>, std::vector<Server*>> candidates_;  // in this step: by class
+    mutable std::map<std::pair<Role, std::size_t>, ColdBudget> cold_budgets_;   // the same: by role and class
+    std::map<std::string, PrefixCut> prefix_cuts_;
     std::optional<double> wanted_;              // in this step: tokens of reads under way and waiting states
     std::map<std::int64_t, double> cell_room_;  // by cell: writers' room less reads under way
     double writer_memory_ = 0;
--- a/src/policy/state.hpp
+++ b/src/policy/state.hpp
@@ -62,11 +62,21 @@
     RunningMean slowness;
     std::vector<std::pair<Time, double>> cold_sends;  // work sent while cold
     Time told_at{};                                   // that it started
+    double draw = 0;  // between 0 and 1, by this gateway's seed: gateways come to a cold server one by one
     // Text that this gateway had it read: tokens by session and by prefix, and when.
     std::map<std::string, std::pair<double, Time>> kept;
     bool prefixes_told = false;  // its kept text comes with each request: no guess
 };
 
+[[nodiscard]] inline bool in_service(const Server& s) { return s.listed && s.entry.state == ServerState::up; }
+// Kept out after failures, and not yet let back on trial.
+[[nodiscard]] inline bool is_ejected(const Server& s) {
+    return s.ejection > Duration::zero() && !s.trial_open;
+}
+[[nodiscard]] inline bool is_cold(const Server& s, Time now, Duration cold_for) {
+    return s.entry.born != Time{} && now - s.entry.born < cold_for;
+}
+
 // What the list tells of the servers in service, in all or in one cell.
 struct Census {
     std::map<Role, double> count{{Role::prefill, 0}, {Role::decode, 0}, {Role::mixed, 0}}, weight = count;
