--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -275,7 +275,7 @@
     if (it == calls_.end()) return;
     Outgoing& call = it->second;
     call.sent = true;
-    heard_[call.server] = now_;
+    heard_.spoke(call.server, now_);
     call.status = in.status;
     call.head = convention_->read_head(in.status, in.headers);
     if (call.kind == CallKind::attempt && !call.read && in.status == 200)
@@ -307,7 +307,8 @@
             emit(CallAbort{id});
             return end_attempt(id, Ending::cancelled, "client gone");
         }
-        r.last_chunk = heard_[call.server] = now_;
+        r.last_chunk = now_;
+        heard_.spoke(call.server, now_);
         r.chunks += progress.events;
         if (!r.started) begin_stream(r, call);
         if (!progress.to_client.empty()) emit(StreamBytes{r.client, std::move(progress.to_client)});
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -30,6 +30,7 @@
 #include "config/settings.hpp"
 #include "core/convention.hpp"
 #include "core/decider.hpp"
+#include "core/last_heard.hpp"
 #include "engine/outcome.hpp"
 #include "engine/vocabulary.hpp"
 #include "http/message.hpp"
@@ -383,8 +384,8 @@
     std::size_t unanswered_ = 0;
     std::size_t request_bytes_ = 0;  // of the bodies of open requests
     std::size_t held_ = 0;
-    std::set<std::string> no_release_;             // servers that have no release call
-    std::unordered_map<std::string, Time> heard_;  // by server: when it last spoke; looked up, never walked
+    std::set<std::string> no_release_;  // servers that have no release call
+    LastHeard heard_;                   // which servers spoke last
     std::vector<RequestId>
         pending_releases_;  // requests for which something may be held that no attempt may want
 };
--- a/src/core/edge_releases.cpp
+++ b/src/core/edge_releases.cpp
@@ -111,17 +111,15 @@
 
 // Who spoke last of those in service that were not asked: that it lives is all that is wanted.
 const ListedServer* Edge::server_for_release(const std::set<std::string>& asked) const {
-    const ListedServer* out = nullptr;
-    Time last{};
-    for (const auto& [id, s] : servers_) {
-        if (s.entry.state != ServerState::up || asked.contains(id.value)) continue;
-        const auto heard = heard_.find(id.value);
-        const Time at = heard == heard_.end() ? Time{} : heard->second;
-        if (out != nullptr && at <= last) continue;
-        out = &s;
-        last = at;
-    }
-    return out;
+    const auto fits = [&](const std::string& server) {
+        const auto it = servers_.find({server});
+        return it != servers_.end() && it->second.entry.state == ServerState::up && !asked.contains(server);
+    };
+    if (const std::string* const server = heard_.latest(fits)) return &servers_.at({*server});
+    // None that has spoken is left.
+    for (const auto& [id, server] : servers_)
+        if (fits(id.value)) return &server;
+    return nullptr;
 }
 
 void Edge::end_lease(const Outgoing& call, Ending ending) {
--- a/src/core/edge_servers.cpp
+++ b/src/core/edge_servers.cpp
@@ -54,7 +54,7 @@
         if (!over) return false;
         verification_.forget(p.first.value);
         no_release_.erase(p.first.value);
-        heard_.erase(p.first.value);
+        heard_.forget(p.first.value);
         emit(ServerForgotten{p.first.value});
         return true;
     });
--- /dev/null
+++ b/tests/core/last_heard_test.cpp
@@ -0,0 +1,39 @@
+#include "core/last_heard.hpp"
+
+#include <gtest/gtest.h>
+
+namespace chalksail::core {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr Time kNow{1000s};
+const auto kAny = [](const std::string&) { return true; };
+
+TEST(LastHeard, TheOneThatSpokeLastComesFirst) {
+    LastHeard heard;
+    EXPECT_EQ(heard.latest(kAny), nullptr);
+    heard.spoke("a", kNow);
+    heard.spoke("b", kNow + 1s);
+    heard.spoke("c", kNow + 1s);
+    EXPECT_EQ(*heard.latest(kAny), "b");  // of the same moment, by name
+    EXPECT_EQ(*heard.latest([](const std::string& s) { return s != "b"; }), "c");
+    heard.spoke("a", kNow + 2s);
+    EXPECT_EQ(*heard.latest(kAny), "a");
+    heard.forget("a");
+    heard.forget("a");
+    EXPECT_EQ(*heard.latest(kAny), "b");
+}
+
+TEST(LastHeard, ServersThatStreamAreMovedNowAndThen) {
+    LastHeard heard;
+    heard.spoke("a", kNow);
+    heard.spoke("b", kNow + 1ms);
+    heard.spoke("a", kNow + LastHeard::kStep - 1ms);
+    EXPECT_EQ(*heard.latest(kAny), "b");
+    heard.spoke("a", kNow + LastHeard::kStep);
+    EXPECT_EQ(*heard.latest(kAny), "a");
+}
+
+}  // namespace
+}  // namespace chalksail::core
