--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -439,6 +439,25 @@
     EXPECT_GE(d.releases().size(), 1U);
 }
 
+// Guards against a clock that is set back: what a first read may have left has been there since that read
+// broke, also when a second one breaks without a word.
+TEST(PlatformEdge, SecondBrokenReadDoesNotSetBackTheTimeOfWhatTheFirstMayHaveLeft) {
+    Platform d(released_within(500ms));
+    d.list({listed("r1", "reader"), listed("r2", "reader"), listed("r3", "reader"), listed("w1", "writer")});
+    d.get(told::post("9b1f"));
+    for (const auto wait : {0ms, 300ms}) {
+        d.pass(wait);
+        const auto read = d.sent().back().call;
+        d.written(read);
+        d.give({CallFailed{read, engine::Ending::closed, ""}});
+    }
+    ASSERT_EQ(d.sent().size(), 3U);
+    d.written(d.sent().back().call);
+    EXPECT_TRUE(d.releases().empty());
+    d.pass(210ms);
+    EXPECT_GE(d.releases().size(), 1U);
+}
+
 // Where the module may not call attempts off, one goes on for a client that has gone; what is held for it
 // does not wait for its end.
 TEST(PlatformEdge, StateOfAClientThatHasGoneIsReleasedBesideItsWrite) {
