--- a/src/core/edge_releases.cpp
+++ b/src/core/edge_releases.cpp
@@ -42,7 +42,9 @@
     const auto s = servers_.find({call.server});
     if (s == servers_.end()) return;
     if (release_covers_request()) {
-        r.pending_release = Open::Held{s->second, "", call.attempt.value, now_};
+        // One call releases what each of its reads may have left: the earliest counts.
+        const Time since = r.pending_release ? r.pending_release->since : now_;
+        r.pending_release = Open::Held{s->second, "", call.attempt.value, since};
         pending_releases_.push_back(r.id);
     } else {
         release_call({r.in.name, call.attempt.value, "", ReleaseReason::read_may_have_ended, now_},
