--- a/review/rig.hpp
+++ b/review/rig.hpp
@@ -129,7 +129,8 @@
     // Whether the peer has closed the connection, without taking bytes.
     bool peer_closed() const {
         char byte = 0;
-        return recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT) == 0;
+        const auto n = recv(socket_, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+        return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
     }
     std::optional<std::string> take_until(const std::string& mark, int wait_ms) {
         for (;;) {
@@ -272,6 +273,7 @@
     std::string address;
     std::string kind;
     std::string state = "up";
+    std::string zone = "a";
 };
 
 // The agent on the gateway's machine: GET /v1/endpoints and its watch.
@@ -293,8 +295,9 @@
             const Instance& one = entry.first;
             if (whole && one.state == "removed") continue;
             items += std::string(items.empty() ? "" : ",") + R"({"instanceId":")" + one.id +
-                     R"(","hostPort":")" + one.address + R"(","zone":"a","machineType":")" + one.kind +
-                     R"(","cell":1,"lifecycle":")" + one.state + R"(","weight":1.0,"startedAtMs":0})";
+                     R"(","hostPort":")" + one.address + R"(","zone":")" + one.zone + R"(","machineType":")" +
+                     one.kind + R"(","cell":1,"lifecycle":")" + one.state +
+                     R"(","weight":1.0,"startedAtMs":0})";
         }
         return R"({"generation":)" + std::to_string(generation_) + R"(,"reset":)" +
                (whole ? "true" : "false") + R"(,"instances":[)" + items + "]}";
