--- a/review/rig.hpp
+++ b/review/rig.hpp
@@ -197,17 +197,22 @@
 class Listener {
 public:
     using Serve = std::function<void(Stream&)>;
-    explicit Listener(Serve serve) : serve_(std::move(serve)) {
+    explicit Listener(Serve serve, int backlog = 512) : serve_(std::move(serve)) {
         socket_ = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
         auto address = loopback(0);
         socklen_t size = sizeof address;
         if (bind(socket_, reinterpret_cast<sockaddr*>(&address), sizeof address) != 0 ||
-            listen(socket_, 512) != 0 ||
+            listen(socket_, backlog) != 0 ||
             getsockname(socket_, reinterpret_cast<sockaddr*>(&address), &size) != 0)
             cannot_run("no free port");
         port = ntohs(address.sin_port);
         std::thread([this] {
             for (;;) {
+                pollfd ready{socket_, POLLIN, 0};
+                if (cut_ || poll(&ready, 1, 5) <= 0 || cut_) {
+                    if (cut_) sleep_ms(1);
+                    continue;
+                }
                 const int accepted = accept4(socket_, nullptr, nullptr, SOCK_CLOEXEC);
                 if (accepted < 0) return;
                 std::thread([this, accepted] {
@@ -218,9 +223,21 @@
         }).detach();
     }
     [[nodiscard]] std::string address() const { return "127.0.0.1:" + std::to_string(port); }
+    // From now on new connections never come up: the queue of those not accepted is full (needs a backlog of
+    // 1).
+    void cut_off() {
+        cut_ = true;
+        const auto to = loopback(port);
+        for (int i = 0; i < 8; ++i) {
+            const int filler = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC | SOCK_NONBLOCK, 0);
+            (void)connect(filler, reinterpret_cast<const sockaddr*>(&to), sizeof to);
+        }
+    }
+    [[nodiscard]] bool is_cut_off() const { return cut_; }
     int port = 0;
 
 private:
+    std::atomic<bool> cut_{false};
     Serve serve_;
     int socket_ = -1;
 };
@@ -396,6 +413,7 @@
         const std::string out = folder_ + "/out";
         const std::string log = folder_ + "/log";
         const std::string config = folder_ + "/config.json";
+        std::fflush(nullptr);
         pid = fork();
         if (pid == 0) {
             prctl(PR_SET_PDEATHSIG, SIGKILL);
