--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -9,14 +9,12 @@
 program=build-review/$number/case
 [ -n "$run" ] && [ -x "$program" ] || { echo "not built: run the deploy file's build and review/build.sh" >&2; exit 2; }
 folder=$(mktemp -d) || exit 2
-"$program" "$folder" "$here/record.txt" "$run" &
+# The gateway ends with the program that starts it, however that ends.
+timeout -k 1 110 "$program" "$folder" "$here/record.txt" "$run" &
 rig=$!
-trap 'kill -KILL $rig 2>/dev/null' INT TERM
-( sleep 110; kill -KILL $rig 2>/dev/null ) &
-guard=$!
+trap 'kill $rig 2>/dev/null' INT TERM
 wait $rig
 status=$?
-kill $guard 2>/dev/null
 rm -rf "$folder"
 [ $status -le 2 ] || status=2
 exit $status
