Log and count attempts that are deferred for a release call

The log could not tell whether the router kept the request waiting or the core deferred an attempt that the router had sent: neither wrote a line.

A deferred attempt is recorded when it is deferred, and when it begins or is dropped, with its server and the time that it waited: log line deferred_attempt, metric chalksail_deferred_attempts_total.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -275,7 +275,7 @@
     // A release call that is still queued must not be dropped in favour of the next attempt: the KV state
     // would never be released. The attempt is deferred instead.
     if (!request->finished() && parts_.kv_states.defers_attempts(request->id)) {
-        parts_.kv_states.defer(request->id, action);
+        parts_.kv_states.defer(request->id, action, now_, output_);
         return parts_.requests.set_timer(*request, request->deadline);
     }
     const auto reason = parts_.guard.check(*request, action, now_);
@@ -297,7 +297,7 @@
 
 // Called when a release call has been written or abandoned.
 void Edge::resume_deferred(RequestId id) {
-    if (const auto action = parts_.kv_states.take_ready_attempt(id)) apply(*action);
+    if (const auto action = parts_.kv_states.take_ready_attempt(id, now_, output_)) apply(*action);
 }
 
 void Edge::apply(const Reject& action) {
@@ -341,7 +341,7 @@
 void Edge::apply(const CancelAttempt& action) {
     ActiveRequest* const request = parts_.requests.find(action.id);
     if (request == nullptr || request->stream_started()) return;
-    if (parts_.kv_states.has_deferred(request->id)) return completion_.drop_deferred(*request, output_);
+    if (parts_.kv_states.has_deferred(request->id)) return completion_.drop_deferred(*request, now_, output_);
     if (!request->attempt) return;
     UpstreamCall& call = *parts_.calls.find(*request->attempt);
     if (call.attempt != action.attempt) return;
@@ -462,7 +462,7 @@
     if (now_ < request.deadline) return parts_.requests.set_timer(request, request.deadline);
     if (parts_.kv_states.has_deferred(request.id)) {
         parts_.requests.set_timer(request, now_ + deadline_grace());
-        return completion_.drop_deferred(request, output_);
+        return completion_.drop_deferred(request, now_, output_);
     }
     if (request.phase != RequestPhase::overdue) {
         ActiveRequests::mark_overdue(request);
--- a/src/core/request_completion.cpp
+++ b/src/core/request_completion.cpp
@@ -24,13 +24,13 @@
 
 void RequestCompletion::remove_if_complete(ActiveRequest& request, Time now, StepOutput& output) {
     if (!request.finished() || request.attempt) return;
-    if (parts_.kv_states.has_deferred(request.id)) drop_deferred(request, output);
+    if (parts_.kv_states.has_deferred(request.id)) drop_deferred(request, now, output);
     parts_.kv_states.finish(request.id, now, output);
     parts_.requests.remove(request);
 }
 
-void RequestCompletion::drop_deferred(ActiveRequest& request, StepOutput& output) {
-    const Send action = parts_.kv_states.take_deferred(request.id);
+void RequestCompletion::drop_deferred(ActiveRequest& request, Time now, StepOutput& output) {
+    const Send action = parts_.kv_states.drop_deferred(request.id, now, output);
     const AttemptId attempt{request.attempts++};
     output.notify(AttemptEnded{
         request.id, attempt, action.server, AttemptOutcome::not_sent, {}, request.finished(), false, 0, {}});
--- a/src/core/request_completion.hpp
+++ b/src/core/request_completion.hpp
@@ -30,7 +30,7 @@
     void remove_if_complete(ActiveRequest& request, Time now, StepOutput& output);
     // Drops the request's deferred attempt and reports it to the router as not sent, which implies nothing
     // about its server.
-    void drop_deferred(ActiveRequest& request, StepOutput& output);
+    void drop_deferred(ActiveRequest& request, Time now, StepOutput& output);
 
 private:
     CoreParts& parts_;
--- a/src/core/reserved_kv_states.cpp
+++ b/src/core/reserved_kv_states.cpp
@@ -8,6 +8,8 @@
 namespace chalksail::core {
 
 using engine::ExchangeEnd;
+using observe::DeferralAction;
+using observe::DeferralRecord;
 using observe::KvReservationAction;
 using observe::KvReservationRecord;
 using observe::ReleaseReason;
@@ -277,21 +279,31 @@
     return call != nullptr && !call->written();
 }
 
-void ReservedKvStates::defer(RequestId id, const Send& attempt) { find(id)->deferred = attempt; }
+void ReservedKvStates::defer(RequestId id, const Send& attempt, Time now, StepOutput& output) {
+    Entry& entry = *find(id);
+    entry.deferred = DeferredAttempt{attempt, now};
+    output.record(DeferralRecord{entry.name, DeferralAction::deferred, attempt.server.value, Duration{}});
+}
 
 bool ReservedKvStates::has_deferred(RequestId id) const {
     const Entry* const entry = find(id);
     return entry != nullptr && entry->deferred.has_value();
 }
 
-std::optional<Send> ReservedKvStates::take_ready_attempt(RequestId id) {
+std::optional<Send> ReservedKvStates::take_ready_attempt(RequestId id, Time now, StepOutput& output) {
     if (!has_deferred(id) || defers_attempts(id)) return std::nullopt;
-    return take_deferred(id);
+    return take_deferred(*find(id), DeferralAction::resumed, now, output);
 }
 
-Send ReservedKvStates::take_deferred(RequestId id) {
+Send ReservedKvStates::drop_deferred(RequestId id, Time now, StepOutput& output) {
     assert(has_deferred(id));
-    return *std::exchange(find(id)->deferred, std::nullopt);
+    return take_deferred(*find(id), DeferralAction::dropped, now, output);
+}
+
+Send ReservedKvStates::take_deferred(Entry& entry, DeferralAction action, Time now, StepOutput& output) {
+    DeferredAttempt taken = *std::exchange(entry.deferred, std::nullopt);
+    output.record(DeferralRecord{entry.name, action, taken.attempt.server.value, now - taken.since});
+    return std::move(taken.attempt);
 }
 
 }  // namespace chalksail::core
--- a/src/core/reserved_kv_states.hpp
+++ b/src/core/reserved_kv_states.hpp
@@ -105,22 +105,26 @@
     // Returns true if a new attempt must be deferred because a release call for the request has not been
     // written yet.
     [[nodiscard]] bool defers_attempts(RequestId id) const;
-    void defer(RequestId id, const Send& attempt);
+    void defer(RequestId id, const Send& attempt, Time now, StepOutput& output);
     [[nodiscard]] bool has_deferred(RequestId id) const;
     // Removes and returns the deferred attempt if no release call defers it any longer; std::nullopt if it
     // still waits or there is none.
-    [[nodiscard]] std::optional<Send> take_ready_attempt(RequestId id);
-    // Removes and returns the deferred attempt, which must exist.
-    [[nodiscard]] Send take_deferred(RequestId id);
+    [[nodiscard]] std::optional<Send> take_ready_attempt(RequestId id, Time now, StepOutput& output);
+    // Removes and returns the deferred attempt, which must exist and does not begin.
+    [[nodiscard]] Send drop_deferred(RequestId id, Time now, StepOutput& output);
 
 private:
+    struct DeferredAttempt {
+        Send attempt;
+        Time since{};
+    };
     // The state of one request.
     struct Entry {
         std::string name;
         std::optional<KvReservation> held;
         std::optional<KvReservation> pending;
         std::optional<CallId> last_release;  // the last release call, which may still be in flight
-        std::optional<Send> deferred;
+        std::optional<DeferredAttempt> deferred;
     };
     // The progress of one release, shared by all its calls.
     struct ReleaseProgress {
@@ -154,6 +158,7 @@
     // no call was begun.
     bool begin_next_round(RequestId id, ReleaseCall release, const std::string& failed_at, Time now,
                           StepOutput& output);
+    Send take_deferred(Entry& entry, observe::DeferralAction action, Time now, StepOutput& output);
     [[nodiscard]] Duration release_timeout() const;
 
     const config::EdgeSettings& settings_;
--- a/src/observe/log.cpp
+++ b/src/observe/log.cpp
@@ -75,6 +75,15 @@
             .number("age_ms", ms(r.age))
             .done();
     }
+    std::string operator()(const DeferralRecord& r) const {
+        return json::ObjectWriter()
+            .text("event", "deferred_attempt")
+            .text("request", r.request)
+            .text("action", name(r.action))
+            .text("server", r.server)
+            .number("ms", ms(r.waited))
+            .done();
+    }
     std::string operator()(const GuardRecord& r) const {
         return json::ObjectWriter()
             .text("event", "guard")
--- a/src/observe/metrics.cpp
+++ b/src/observe/metrics.cpp
@@ -26,6 +26,7 @@
     prometheus::Family<prometheus::Counter>& servers;
     prometheus::Family<prometheus::Counter>& endpoint_lists;
     prometheus::Family<prometheus::Counter>& kv_reservations;
+    prometheus::Family<prometheus::Counter>& deferred_attempts;
     prometheus::Family<prometheus::Counter>& guards;
     prometheus::Family<prometheus::Histogram>& first_token;
     prometheus::Family<prometheus::Histogram>& attempt_seconds;
@@ -41,6 +42,7 @@
     void count(const ServerRecord& record);
     void count(const EndpointListRecord& record);
     void count(const KvReservationRecord& record);
+    void count(const DeferralRecord& record);
     void count(const GuardRecord& record);
 
     explicit Families(const std::string& name)
@@ -73,6 +75,12 @@
                   .Help("Changes of KV states and capacity reservations at servers, by change and reason")
                   .Labels({{"gateway", name}})
                   .Register(registry)),
+          deferred_attempts(prometheus::BuildCounter()
+                                .Name("chalksail_deferred_attempts_total")
+                                .Help("Attempts that waited for a release call of their request, by change "
+                                      "(deferred, resumed, dropped)")
+                                .Labels({{"gateway", name}})
+                                .Register(registry)),
           guards(
               prometheus::BuildCounter()
                   .Name("chalksail_guards_total")
@@ -141,6 +149,10 @@
         .Increment();
 }
 
+void Metrics::Families::count(const DeferralRecord& record) {
+    deferred_attempts.Add({{"what", std::string(name(record.action))}}).Increment();
+}
+
 void Metrics::Families::count(const GuardRecord& record) {
     guards.Add({{"what", std::string(name(record.reason))}}).Increment();
 }
--- a/src/observe/record.cpp
+++ b/src/observe/record.cpp
@@ -84,6 +84,15 @@
     return "unknown";
 }
 
+std::string_view name(DeferralAction action) {
+    switch (action) {
+        case DeferralAction::deferred: return "deferred";
+        case DeferralAction::resumed: return "resumed";
+        case DeferralAction::dropped: return "dropped";
+    }
+    return "unknown";
+}
+
 std::string_view name(GuardReason reason) {
     switch (reason) {
         case GuardReason::send_after_final_answer: return "send after the final answer";
--- a/src/observe/record.hpp
+++ b/src/observe/record.hpp
@@ -156,6 +156,23 @@
     Duration age{};  // time since an attempt was last known to have reached a server
 };
 
+// What happens to an attempt that waits for a release call of its request.
+enum class DeferralAction {
+    deferred,  // the attempt waits, as a release call for the request has not been written yet
+    resumed,   // no release call defers it any longer: the attempt begins unless a guard blocks it
+    dropped,   // the request ended, or the router cancelled the attempt, before it could begin
+};
+[[nodiscard]] std::string_view name(DeferralAction action);
+
+// A change of an attempt that waits for a release call of its request.
+// Log line, level info: {"event":"deferred_attempt","request","action","server","ms"}.
+struct DeferralRecord {
+    std::string request;
+    DeferralAction action = DeferralAction::deferred;
+    std::string server;  // the server of the attempt, not of the release call
+    Duration waited{};   // since the attempt was deferred
+};
+
 // Why an action of the router was blocked before it took effect.
 enum class GuardReason {
     send_after_final_answer,
@@ -178,6 +195,6 @@
 };
 
 using Record = std::variant<AttemptRecord, RequestRecord, ServerRecord, EndpointListRecord,
-                            KvReservationRecord, GuardRecord>;
+                            KvReservationRecord, DeferralRecord, GuardRecord>;
 
 }  // namespace chalksail::observe
--- a/tests/core/driver.hpp
+++ b/tests/core/driver.hpp
@@ -72,6 +72,7 @@
                 if (auto* a = std::get_if<observe::AttemptRecord>(&emitted->record)) attempts.push_back(*a);
                 if (auto* g = std::get_if<observe::GuardRecord>(&emitted->record)) guards.push_back(*g);
                 if (auto* s = std::get_if<observe::ServerRecord>(&emitted->record)) servers.push_back(*s);
+                if (auto* w = std::get_if<observe::DeferralRecord>(&emitted->record)) deferrals.push_back(*w);
             }
         }
     }
@@ -149,6 +150,7 @@
     std::vector<observe::AttemptRecord> attempts;
     std::vector<observe::GuardRecord> guards;
     std::vector<observe::ServerRecord> servers;
+    std::vector<observe::DeferralRecord> deferrals;
     std::vector<std::string> forgotten;
     std::string streamed;
     int streams_begun = 0;
--- a/tests/core/platform_release_test.cpp
+++ b/tests/core/platform_release_test.cpp
@@ -311,7 +311,11 @@
     DeferredByRelease d;
     EXPECT_EQ(d.sent().size(), 3U);
     EXPECT_FALSE(d.was_aborted(d.releases()[0].call));
+    ASSERT_EQ(d.deferrals.size(), 1U);
+    EXPECT_EQ(d.deferrals[0].action, observe::DeferralAction::deferred);
     d.written(d.releases()[0].call);
+    ASSERT_EQ(d.deferrals.size(), 2U);
+    EXPECT_EQ(d.deferrals[1].action, observe::DeferralAction::resumed);
     ASSERT_EQ(d.sent().size(), 4U);
     EXPECT_EQ(d.sent()[3].server[0], 'r');
     EXPECT_FALSE(d.was_aborted(d.releases()[0].call));
@@ -338,6 +342,8 @@
     d.written(d.releases()[0].call);
     d.respond(d.releases()[0].call, 204);
     EXPECT_EQ(d.sent().size(), 3U);
+    ASSERT_EQ(d.deferrals.size(), 2U);
+    EXPECT_EQ(d.deferrals[1].action, observe::DeferralAction::dropped);
     expect_no_open_work(d);
 }
 
--- a/tests/core/reserved_kv_states_test.cpp
+++ b/tests/core/reserved_kv_states_test.cpp
@@ -132,10 +132,10 @@
     release_pending(false);
     EXPECT_EQ(released_at().size(), 1U);
     EXPECT_TRUE(states->defers_attempts(kRequest));
-    states->defer(kRequest, Send{kRequest, {"r2"}, {}});
-    EXPECT_FALSE(states->take_ready_attempt(kRequest).has_value());
+    states->defer(kRequest, Send{kRequest, {"r2"}, {}}, now, output);
+    EXPECT_FALSE(states->take_ready_attempt(kRequest, now, output).has_value());
     calls.find(last_release)->advance(SendPhase::written);
-    const auto ready = states->take_ready_attempt(kRequest);
+    const auto ready = states->take_ready_attempt(kRequest, now, output);
     ASSERT_TRUE(ready.has_value());
     EXPECT_EQ(ready->server.value, "r2");
     EXPECT_FALSE(states->has_deferred(kRequest));
--- a/tests/observe/metrics_test.cpp
+++ b/tests/observe/metrics_test.cpp
@@ -37,5 +37,15 @@
               R"({"event":"endpoint_list","kind":"delta","generation":17,"up":0,"draining":0,"removed":2})");
 }
 
+TEST(Metrics, DeferredAttemptsAreCountedByChangeAndLoggedWithTheirServer) {
+    Metrics metrics("g");
+    const DeferralRecord record{"q1", DeferralAction::resumed, "w1", std::chrono::milliseconds(80)};
+    metrics.count(record);
+    EXPECT_NE(metrics.page().find(R"(chalksail_deferred_attempts_total{gateway="g",what="resumed"} 1)"),
+              std::string::npos);
+    EXPECT_EQ(format_json(record),
+              R"({"event":"deferred_attempt","request":"q1","action":"resumed","server":"w1","ms":80.0})");
+}
+
 }  // namespace
 }  // namespace chalksail::observe
