Core: begin a deferred decode when the release call that deferred it ends

Cause: a release call for the whole request defers the request's next attempt until the call is written. If the call failed first, release_ended() answered whether the deferred attempt might begin, and answered no whenever a state was held, as it begins no next round of calls then. Nothing else begins the attempt: not the pending release, which waits for the held state, nor a timer, as only the deadline's is set while an attempt is deferred.

Mend: release_ended() no longer answers the question. Whenever a release call has been written or has ended, in whatever way, the core asks take_ready_attempt(), which alone knows whether a call still defers the attempt. The failed release stays pending, due with the state.

Six tests in platform_release_test.cpp fail without it: the call times out, fails at once (six endings), is answered early (500 and 404; 204 passed before), its server leaves the list, it belongs to a later round, and the release stays due.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -207,8 +207,8 @@
         case CallKind::reservation: return end_reservation(call, ending);
         case CallKind::verify: return end_verification(call, ending);
         case CallKind::release:
-            if (parts_.kv_states.release_ended(call, ending, now_, output_)) resume_deferred(call.request);
-            return;
+            parts_.kv_states.release_ended(call, ending, now_, output_);
+            return resume_deferred(call.request);
     }
 }
 
@@ -295,7 +295,8 @@
                                 {}});
 }
 
-// Called when a release call has been written or abandoned.
+// Called whenever a release call has been written or has ended: only take_ready_attempt() decides whether
+// another call still defers the attempt.
 void Edge::resume_deferred(RequestId id) {
     if (const auto action = parts_.kv_states.take_ready_attempt(id, now_, output_)) apply(*action);
 }
--- a/src/core/reserved_kv_states.cpp
+++ b/src/core/reserved_kv_states.cpp
@@ -129,7 +129,7 @@
     pending_.push_back(id);
 }
 
-bool ReservedKvStates::release_ended(const UpstreamCall& call, ExchangeEnd ending, Time now,
+void ReservedKvStates::release_ended(const UpstreamCall& call, ExchangeEnd ending, Time now,
                                      StepOutput& output) {
     const auto in_flight = release_calls_.extract(call.id);
     assert(!in_flight.empty());
@@ -147,26 +147,26 @@
     // If any server accepts the call, others are called at once: the time limit for the release keeps running
     // while a server is silent.
     const bool repeat = release_covers_request() && !release.progress->done && release.starts_next_round;
-    if (!repeat) return true;
+    if (!repeat) return;
     Entry* const entry = find(call.request);
     if (entry == nullptr || !entry->held)
-        return !begin_next_round(call.request, release, call.server, now, output);
+        return begin_next_round(call.request, release, call.server, now, output);
     // If a later prefill has left a KV state, repeating the call now would release that, too. The release
-    // stays pending instead, and is made together with that state's.
+    // stays pending instead, and is made together with that state's, unless a decode attempt fetches it
+    // before.
     const auto* const server = endpoints_.find(call.server);
     if (server != nullptr && !entry->pending)
         entry->pending =
             KvReservation{*server, release.state, release.attempt, entry->held->since, release.reason};
     pending_.push_back(call.request);
-    return false;
 }
 
 // Each round calls more servers than the one before, as several servers may be silent, for example if a zone
 // is cut off.
-bool ReservedKvStates::begin_next_round(RequestId id, ReleaseCall release, const std::string& failed_at,
+void ReservedKvStates::begin_next_round(RequestId id, ReleaseCall release, const std::string& failed_at,
                                         Time now, StepOutput& output) {
     ReleaseProgress& progress = *release.progress;
-    if (progress.rounds >= settings_.limits.release_attempts) return false;
+    if (progress.rounds >= settings_.limits.release_attempts) return;
     progress.rounds += 1;
     std::optional<CallId> leading;
     for (int i = 0; i < calls_in_round(progress.rounds); ++i) {
@@ -180,9 +180,8 @@
         const auto call = begin_release(id, release, *next, now, output);
         if (release.starts_next_round) leading = call;
     }
-    if (!leading) return false;
+    if (!leading) return;
     if (Entry* const entry = find(id)) entry->last_release = leading;
-    return true;
 }
 
 void ReservedKvStates::reservation_ended(const UpstreamCall& call, Time now) {
--- a/src/core/reserved_kv_states.hpp
+++ b/src/core/reserved_kv_states.hpp
@@ -77,9 +77,9 @@
     // Updates what is held for the request after the end of an attempt, which must no longer be in flight.
     void attempt_ended(RequestId id, const UpstreamCall& call, const AttemptResult& result, Time now,
                        StepOutput& output);
-    // Returns true if the request's deferred attempt may be ready: see take_ready_attempt().
-    [[nodiscard]] bool release_ended(const UpstreamCall& call, engine::ExchangeEnd ending, Time now,
-                                     StepOutput& output);
+    // Updates what is held for the request after the end of a release call, however that ended. Its deferred
+    // attempt may be ready now: see take_ready_attempt().
+    void release_ended(const UpstreamCall& call, engine::ExchangeEnd ending, Time now, StepOutput& output);
     // Schedules the release of a reservation that may have been made, unless an attempt uses it before.
     void reservation_ended(const UpstreamCall& call, Time now);
 
@@ -154,9 +154,8 @@
                                         StepOutput& output);
     void release_entry(RequestId id, Entry& entry, const KvReservation& reservation,
                        observe::ReleaseReason reason, Time now, StepOutput& output);
-    // Begins the next round of calls after the failure of a call with `starts_next_round`; returns false if
-    // no call was begun.
-    bool begin_next_round(RequestId id, ReleaseCall release, const std::string& failed_at, Time now,
+    // Begins the next round of calls, if any is left, after the failure of a call with `starts_next_round`.
+    void begin_next_round(RequestId id, ReleaseCall release, const std::string& failed_at, Time now,
                           StepOutput& output);
     Send take_deferred(Entry& entry, observe::DeferralAction action, Time now, StepOutput& output);
     [[nodiscard]] Duration release_timeout() const;
--- a/tests/core/platform_release_test.cpp
+++ b/tests/core/platform_release_test.cpp
@@ -361,5 +361,110 @@
     EXPECT_EQ(d.sent().size(), 3U);
     expect_no_open_work(d);
 }
+
+// A request whose first prefill broke. The release of what that may have left became due beside the second
+// prefill, which has succeeded since, while the release call was not written: the decode attempt is deferred.
+struct DecodeDeferredByRelease : Platform {
+    // If `later_round`, the server of the first release call is silent, and the leading call of the next
+    // round defers the attempt. The other call of that round has failed before.
+    explicit DecodeDeferredByRelease(bool later_round = false)
+        : Platform(settings_with_release_within(500ms)) {
+        list({listed("r1", "reader"), listed("r2", "reader"), listed("r3", "reader"), listed("w1", "writer"),
+              listed("w2", "writer"), listed("w3", "writer")});
+        receive(platform_text::post("9b1f", "order"));
+        const auto first = sent().back().call;
+        written(first);
+        step({CallFailed{first, engine::ExchangeEnd::connection_closed, ""}});
+        EXPECT_EQ(sent().size(), 2U);
+        const auto second = sent().back().call;
+        written(second);
+        advance_time(500ms);
+        EXPECT_EQ(releases().size(), 1U);
+        if (later_round) {
+            written(releases().back().call);
+            advance_time(80ms);
+            EXPECT_EQ(releases().size(), 3U);
+            step({CallFailed{releases().back().call, engine::ExchangeEnd::dial_failed, ""}});
+        }
+        advance_time(40ms);
+        respond(second, 202, R"({"cached_tokens":40})");
+        EXPECT_EQ(sent().size(), 2U);
+        EXPECT_EQ(deferrals.size(), 1U);
+    }
+    // Checks that the decode attempt has begun, and that it completes and leaves nothing behind.
+    void expect_decode_completes() {
+        ASSERT_EQ(sent().size(), 3U);
+        EXPECT_EQ(sent()[2].server[0], 'w');
+        EXPECT_EQ(deferrals.back().action, observe::DeferralAction::resumed);
+        respond(sent()[2].call, 200, kEvent + kDoneEvent);
+        EXPECT_EQ(streams_ended, 1);
+        expect_no_open_work(*this);
+    }
+};
+
+// Guards against a decode attempt that is never sent, because the release call that deferred it failed while
+// its KV state was held: the state was held until the deadline and the request was answered with 504.
+TEST(PlatformEdge, DecodeDeferredBehindAReleaseThatTimesOutBegins) {
+    DecodeDeferredByRelease d;
+    d.advance_time(50ms);  // the release call ends 80 ms after its beginning
+    d.expect_decode_completes();
+}
+
+// The same for each other way in which the release call can end.
+TEST(PlatformEdge, DecodeDeferredBehindAReleaseThatFailsBegins) {
+    using engine::ExchangeEnd;
+    for (const auto ending :
+         {ExchangeEnd::dial_failed, ExchangeEnd::no_resources, ExchangeEnd::connection_closed,
+          ExchangeEnd::malformed_response, ExchangeEnd::expired, ExchangeEnd::withdrawn}) {
+        SCOPED_TRACE(static_cast<int>(ending));
+        DecodeDeferredByRelease d;
+        d.step({CallFailed{d.releases().back().call, ending, ""}});
+        d.expect_decode_completes();
+    }
+}
+
+// The same for a call that is answered before its last byte was written: with an error, as unknown, or well.
+TEST(PlatformEdge, DecodeDeferredBehindAReleaseThatIsAnsweredEarlyBegins) {
+    for (const int status : {500, 404, 204}) {
+        SCOPED_TRACE(status);
+        DecodeDeferredByRelease d;
+        const auto release = d.releases().back().call;
+        d.step({CallSent{release}, CallHead{release, status, {}}, CallDone{release}});
+        d.expect_decode_completes();
+    }
+}
+
+// The same if the release call's server leaves the list meanwhile.
+TEST(PlatformEdge, DecodeDeferredBehindAReleaseAtARemovedServerBegins) {
+    DecodeDeferredByRelease d;
+    const std::string called = d.releases().back().server;
+    std::vector<membership::EndpointConfig> left;
+    for (const auto* name : {"r1", "r2", "r3", "w1", "w2", "w3"})
+        if (name != called) left.push_back(listed(name, name[0] == 'r' ? "reader" : "writer"));
+    d.list(left);
+    d.advance_time(50ms);
+    d.expect_decode_completes();
+}
+
+// The same for a release call of a later round: the first call was written and not answered, so the next
+// round began beside the second prefill.
+TEST(PlatformEdge, DecodeDeferredBehindALaterRoundOfReleasesBegins) {
+    DecodeDeferredByRelease d(true);
+    d.advance_time(50ms);
+    d.expect_decode_completes();
+}
+
+// The release that failed stays due: if no server answers the decode attempt either, what the first prefill
+// may have left and the held KV state are released in time.
+TEST(PlatformEdge, FailedReleaseStaysDueBesideTheDecodeThatItDeferred) {
+    DecodeDeferredByRelease d;
+    const Time held_since = d.now;
+    d.advance_time(50ms);
+    ASSERT_EQ(d.sent().size(), 3U);
+    d.written(d.sent()[2].call);
+    const auto calls = d.releases().size();
+    d.advance_time(held_since + 500ms - d.now);
+    EXPECT_GT(d.releases().size(), calls);
+}
 }  // namespace
 }  // namespace chalksail::core::testing
--- a/tests/core/reserved_kv_states_test.cpp
+++ b/tests/core/reserved_kv_states_test.cpp
@@ -57,8 +57,10 @@
         }
         return servers;
     }
+    // Returns true if no other release call defers the request's attempts now.
     bool fail_release(CallId id) {
-        return states->release_ended(calls.end(id), engine::ExchangeEnd::timed_out, now, output);
+        states->release_ended(calls.end(id), engine::ExchangeEnd::timed_out, now, output);
+        return !states->defers_attempts(kRequest);
     }
 
     Time now{1000s};
@@ -109,7 +111,8 @@
     EXPECT_EQ(released_at().size(), 1U);
     UpstreamCall call = calls.end(last_release);
     call.status = 404;
-    EXPECT_TRUE(states->release_ended(call, engine::ExchangeEnd::response_received, now, output));
+    states->release_ended(call, engine::ExchangeEnd::response_received, now, output);
+    EXPECT_FALSE(states->defers_attempts(kRequest));
     cancel_prefill();
     EXPECT_TRUE(released_at().empty());
     states->forget_server("r1");
@@ -149,8 +152,22 @@
     const CallId first = last_release;
     EXPECT_FALSE(fail_release(first));
     EXPECT_EQ(released_at(), (std::vector<std::string>{"r1", "w1"}));
-    EXPECT_TRUE(fail_release(last_release));  // not the leading call: starts no further round
-    EXPECT_TRUE(released_at().empty());
+    EXPECT_FALSE(fail_release(last_release));  // not the leading call, which still defers attempts
+    EXPECT_TRUE(released_at().empty());        // starts no further round
+}
+
+// Guards against an attempt that stays deferred after the release call that deferred it has failed while a KV
+// state is held, which is the state that the attempt needs.
+TEST_F(PlatformReservedKvStatesTest, AFailedReleaseDoesNotDeferTheAttemptForAHeldState) {
+    cancel_prefill();
+    states->release_during_attempt(kRequest, observe::ReleaseReason::decided, now, output);
+    EXPECT_EQ(released_at().size(), 1U);
+    hold();
+    states->defer(kRequest, Send{kRequest, {"w1"}, {}}, now, output);
+    EXPECT_TRUE(fail_release(last_release));
+    EXPECT_TRUE(released_at().empty());  // another round would release the held state, too
+    EXPECT_TRUE(states->take_ready_attempt(kRequest, now, output).has_value());
+    EXPECT_TRUE(states->release_due(kRequest).has_value());  // the failed release stays due
 }
 
 TEST_F(PlatformReservedKvStatesTest, AReleaseDuringAnAttemptNotifiesTheRouterAndStaysPending) {
