Tests: a request without a server may be answered 504 at its deadline on a busy machine

The request has 300 ms; the router refuses it two ticks before its deadline, and where the process gets no processor in these ticks it fails at the deadline.

The check was a verdict on the clock.

--- a/tests/net/platform_rig.hpp
+++ b/tests/net/platform_rig.hpp
@@ -77,6 +77,12 @@
         return until([&] { return c.got().find(text) != std::string::npos || c.closed(); }) &&
                c.got().find(text) != std::string::npos;
     }
+    // Waits for the response to a request for which no server is in service. The gateway refuses it with 503
+    // just before its deadline, or answers 504 at the deadline if the machine is too busy for that.
+    bool answered_without_a_server(RawClient& c) {
+        return answered(c, "HTTP/1.1 50") &&
+               (c.got().starts_with("HTTP/1.1 503") || c.got().starts_with("HTTP/1.1 504"));
+    }
     // Sends a request on a new connection, and returns whether its complete stream arrives. The gateway holds
     // requests until it has a list, so the first one served shows that the list is in force.
     bool served(const std::string& id) {
