--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,6 +9,6 @@
 flags=(-std=c++20 -O2 -Wall -Wextra)
 "$compiler" "${flags[@]}" -c review/stand-in-2/world.cpp -o "$out/world.o"
 for number in 6 7 8 9 10; do
-    source=review/$number/case.cpp
+    source=review/$number/scenario.cpp
     if [ -f "$source" ]; then "$compiler" "${flags[@]}" "$source" "$out/world.o" -o "$out/case-$number"; fi
 done
--- a/review/stand-in-2/world.cpp
+++ b/review/stand-in-2/world.cpp
@@ -168,7 +168,9 @@
         return;
     }
     busy_[connection] = exchange;
-    world_.attempt_arrived(exchange);
+    const std::string told = request.header("x-time-left");
+    const double unit = told.ends_with('u') ? 1e-6 : 1e-3;
+    world_.attempt_arrived(exchange, told.empty() ? -1 : std::atof(told.c_str()) * unit);
     if (world_.instead && world_.instead(*this, exchange, request)) return;
     if (reads()) read(exchange);
     else write(exchange);
@@ -648,7 +650,7 @@
     return call;
 }
 
-void World::attempt_arrived(const std::shared_ptr<ModelServer::Exchange>& exchange) {
+void World::attempt_arrived(const std::shared_ptr<ModelServer::Exchange>& exchange, double told) {
     const auto& id = exchange->id;
     const auto& server = exchange->server->id();
     record.line(now(), "attempt %s at %s", id.c_str(), server.c_str());
@@ -658,6 +660,11 @@
                                 " s after its client left");
     if (call.done && now() > call.done_at + 0.05)
         rule_broken("lost", "an attempt of " + id + " arrived after its final answer");
+    // What is left to the client, with 0.15 s of slack and 50 ms as for each time limit.
+    const double left = call.sent + call.limit - now();
+    if (call.left_at < 0 && told > std::max(0.0, left) + 0.15 + 0.05)
+        rule_broken("lost", "an attempt of " + id + " told its server " + std::to_string(told) +
+                                " s, where " + std::to_string(left) + " s were left");
     auto& all = attempts[id];
     for (const auto& earlier : all) {
         if (earlier.exchange->running && !earlier.exchange->connection->ended_by_peer())
--- a/review/stand-in-2/world.hpp
+++ b/review/stand-in-2/world.hpp
@@ -272,7 +272,8 @@
     std::string new_id();
     void end_judgement();  // what is left without an answer
     // Called by the parts.
-    void attempt_arrived(const std::shared_ptr<ModelServer::Exchange>& exchange);
+    // `told`: the seconds that X-Time-Left states; below 0: none.
+    void attempt_arrived(const std::shared_ptr<ModelServer::Exchange>& exchange, double told);
     void attempt_ended(const std::shared_ptr<ModelServer::Exchange>& exchange, const std::string& outcome,
                        bool proves_not_run = false);
     void call_done(Call& call);
