--- a/review/6/scenario.cpp
+++ b/review/6/scenario.cpp
@@ -49,7 +49,7 @@
     settings.memory_mb = 192;
     settings.sockets = 1024;
     settings.cores = 1.0 / kGateways;
-    settings.core = 0;
+    settings.one_core = true;
     settings.chat_deadline = 1;
     World world(options.record, options.root, options.run, settings, options.seed);
     const ServerTimes times{0.03, 0.03, 0.02, 40};
--- a/review/stand-in-2/world.cpp
+++ b/review/stand-in-2/world.cpp
@@ -507,11 +507,14 @@
         dup2(out, 2);
         rlimit files{static_cast<rlim_t>(settings.sockets), static_cast<rlim_t>(settings.sockets)};
         setrlimit(RLIMIT_NOFILE, &files);
-        if (settings.core >= 0) {
-            cpu_set_t cores;
-            CPU_ZERO(&cores);
-            CPU_SET(static_cast<std::size_t>(settings.core), &cores);
-            sched_setaffinity(0, sizeof cores, &cores);
+        if (settings.one_core) {
+            cpu_set_t allowed;
+            cpu_set_t one;
+            CPU_ZERO(&one);
+            sched_getaffinity(0, sizeof allowed, &allowed);
+            for (std::size_t core = 0; core < CPU_SETSIZE && CPU_COUNT(&one) == 0; ++core)
+                if (CPU_ISSET(core, &allowed)) CPU_SET(core, &one);
+            sched_setaffinity(0, sizeof one, &one);
         }
         for (int fd = 3; fd < settings.sockets + 64; ++fd) ::close(fd);
         if (chdir(root_.c_str()) != 0) _exit(127);
--- a/review/stand-in-2/world.hpp
+++ b/review/stand-in-2/world.hpp
@@ -52,7 +52,7 @@
     double chat_deadline = 4;
     double order_deadline = 12;
     double order_window = 0;
-    int core = -1;  // the core that all gateways share; below 0: any
+    bool one_core = false;  // all gateways share one core
 };
 
 inline std::string ns(double seconds) { return std::to_string(static_cast<long long>(seconds * 1e9)); }
