--- a/review/stand-in-2/world.cpp
+++ b/review/stand-in-2/world.cpp
@@ -429,6 +429,19 @@
 
 // ================= the world =================
 
+namespace {
+
+// Whether an ordinary user, as whom the gateways run, may enter the folder.
+bool open_to_all(const std::string& folder) {
+    for (std::size_t end = folder.find('/', 1);; end = folder.find('/', end + 1)) {
+        struct stat found {};
+        if (stat(folder.substr(0, end).c_str(), &found) != 0 || (found.st_mode & S_IXOTH) == 0) return false;
+        if (end == std::string::npos) return true;
+    }
+}
+
+}  // namespace
+
 World::World(const std::string& record_file, std::string root, std::string run_command, Settings all,
              unsigned seed)
     : record(record_file),
@@ -442,8 +455,10 @@
     getrlimit(RLIMIT_NOFILE, &files);
     files.rlim_cur = files.rlim_max;
     setrlimit(RLIMIT_NOFILE, &files);
+    umask(022);
     const char* const temporary = std::getenv("TMPDIR");
-    std::string name = std::string(temporary == nullptr ? "/tmp" : temporary) + "/review-XXXXXX";
+    std::string name = temporary != nullptr && open_to_all(temporary) ? temporary : "/tmp";
+    name += "/review-XXXXXX";
     if (mkdtemp(name.data()) == nullptr) std::exit(2);
     folder_ = name;
     const int unused = std::system(("chmod 755 " + folder_).c_str());
--- a/review/stand-in-2/world.hpp
+++ b/review/stand-in-2/world.hpp
@@ -6,6 +6,7 @@
 #include <signal.h>
 #include <sys/prctl.h>
 #include <sys/resource.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 
 #include <cstdarg>
