--- a/review/stand-in-2/world.hpp
+++ b/review/stand-in-2/world.hpp
@@ -243,7 +243,7 @@
     };
     std::map<std::string, std::vector<Attempt>> attempts;
     std::vector<std::string> broken;  // sentences on broken rules
-    bool verbose = true;
+    bool judge_told = false;          // the time that attempts tell their servers
 
     [[nodiscard]] double now() const { return loop.now(); }
     double uniform(double from, double to) { return std::uniform_real_distribution<>(from, to)(random); }
