Core: cut a decode server's stream at the maximum size of a body

What callers saw: a server that went on with valid events and never came to [DONE] was forwarded for as long as it sent.

Cause: an event, a chunk and a pause had limits, the whole body had none; AttemptRunner::receive_stream counted events, not bytes. On the platform no body exceeds 256 KiB, so a stream is malformed from the byte beyond that on.

Events complete within it are forwarded, then the attempt is aborted as malformed and the client's stream ends without its last chunk.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -162,6 +162,7 @@
         block.size("stream-buffer", limits.stream_buffer_bytes);
         block.size("event", limits.event_bytes);
         block.size("answer", limits.response_bytes);
+        block.size("stream-bytes", limits.max_stream_bytes);
         block.size("pipelined", limits.pipelined_bytes);
         block.size("discarded", limits.discarded_bytes);
         block.duration("head-timeout", limits.head_timeout);
--- a/src/core/attempt_runner.cpp
+++ b/src/core/attempt_runner.cpp
@@ -40,6 +40,11 @@
 void AttemptRunner::receive_stream(UpstreamCall& call, std::string_view bytes, Time now, StepOutput& output) {
     const CallId id = call.id;
     ActiveRequest& request = *parts_.requests.find(call.request);
+    // Bytes within the limit are parsed first, so that the result does not depend on how the body was split.
+    const std::size_t remaining = parts_.settings.limits.max_stream_bytes - call.stream_bytes;
+    const bool too_large = bytes.size() > remaining;
+    bytes = bytes.substr(0, remaining);
+    call.stream_bytes += bytes.size();
     auto progress = call.parser->feed(bytes);
     if (progress.events > 0) {
         // The client has disconnected, and the settings do not let the router cancel attempts.
@@ -52,7 +57,9 @@
             output.emit(SendStreamBytes{request.client, std::move(progress.to_client)});
     }
     switch (progress.state) {
-        case DecodeResponseParser::State::incomplete: return;
+        case DecodeResponseParser::State::incomplete:
+            if (!too_large) return;
+            return abort(id, ExchangeEnd::malformed_response, "stream exceeds the size limit", now, output);
         case DecodeResponseParser::State::complete:
             output.emit(CompleteCall{id});
             return end(id, ExchangeEnd::response_received, "", now, output);
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -26,7 +26,7 @@
 }
 
 void set_byte_limits(std::int64_t memory_mb, config::EdgeLimits& limits) {
-    // The platform sends no larger bodies; request heads have a few hundred bytes.
+    // The platform sends no larger bodies in either direction; request heads have a few hundred bytes.
     limits.head_bytes = 16 * kKiB;
     limits.body_bytes = 256 * kKiB;
     // Totals for all requests. A body is copied while its attempt waits for a connection, so the bodies use
@@ -37,6 +37,7 @@
     limits.response_bytes = 64 * kKiB;
     limits.event_bytes = 64 * kKiB;
     limits.chunk_bytes = limits.body_bytes;
+    limits.max_stream_bytes = limits.body_bytes;
     limits.stream_buffer_bytes = 64 * kKiB;
     limits.pipelined_bytes = limits.unfinished_bytes / 2;  // total, like unfinished_bytes
 }
--- a/src/core/upstream_calls.hpp
+++ b/src/core/upstream_calls.hpp
@@ -52,6 +52,7 @@
     bool paused = false;          // the response is not read, because the client is slow
     bool half_closed = false;     // cancelled by a half-close; the response may still be on its way
     std::unique_ptr<DecodeResponseParser> parser;  // for a decode response with status 200
+    std::size_t stream_bytes = 0;                  // bytes of the body that the parser was given
 
     [[nodiscard]] bool sent() const { return send_phase != SendPhase::queued; }
     [[nodiscard]] bool written() const { return send_phase == SendPhase::written; }
--- a/tests/core/edge_test.cpp
+++ b/tests/core/edge_test.cpp
@@ -230,6 +230,24 @@
     EXPECT_TRUE(d.was_aborted(decode));
 }
 
+// Guards against a server whose valid events never end.
+TEST(Edge, StreamBeyondTheMaximumSizeEndsWithAnErrorEvent) {
+    constexpr std::size_t kMaxBytes = 1024;
+    auto s = settings();
+    s.limits.max_stream_bytes = kMaxBytes;
+    Driver d(s);
+    d.list_default_servers();
+    const auto decode = d.advance_to_decode();
+    d.head(decode);
+    d.body(decode, chunk("a"));
+    EXPECT_EQ(d.streamed, chunk("a"));
+    for (std::size_t sent = 0; sent < kMaxBytes; sent += chunk("b").size()) d.body(decode, chunk("b"));
+    EXPECT_TRUE(d.was_aborted(decode));
+    EXPECT_NE(d.streamed.find("stream exceeds the size limit"), std::string::npos);
+    EXPECT_EQ(d.streams_ended + d.streams_aborted, 1);
+    expect_no_open_work(d);
+}
+
 TEST(Edge, ResponseAfterCancellationIsIgnored) {
     Driver d;
     d.list_default_servers();
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -46,6 +46,53 @@
     expect_no_open_work(d);
 }
 
+// An event of `size` bytes.
+std::string event_of_size(std::size_t size) {
+    const std::string begin = R"(data: {"text":")";
+    const std::string end = "\"}\n\n";
+    return begin + std::string(size - begin.size() - end.size(), 'x') + end;
+}
+
+// Guards against a server whose response never ends: valid events beyond the maximum size of a body were
+// forwarded for up to half an hour.
+TEST(PlatformEdge, StreamBeyondTheMaximumBodySizeIsAbortedWithoutAStreamEnd) {
+    constexpr std::size_t kMaxBody = 256 * 1024;
+    constexpr std::size_t kEventSize = 1024;
+    std::string body;
+    while (body.size() < kMaxBody) body += event_of_size(kEventSize);
+    ASSERT_EQ(body.size(), kMaxBody);
+    for (const std::size_t read_size : {std::size_t{1}, std::size_t{1000}, 2 * kMaxBody}) {
+        Platform d;
+        const auto decode = d.advance_to_decode();
+        d.written(decode);
+        d.step({CallHead{decode, 200, {}}});
+        const std::string endless = body + event_of_size(kEventSize);
+        for (std::size_t at = 0; at < endless.size() && !d.was_aborted(decode); at += read_size)
+            d.body(decode, endless.substr(at, read_size));
+        EXPECT_TRUE(d.was_aborted(decode));
+        EXPECT_EQ(d.streamed, body);  // however the body was split
+        EXPECT_EQ(d.streams_aborted, 1);
+        EXPECT_EQ(d.streams_ended, 0);
+        EXPECT_EQ(d.attempts.back().outcome, "reset");
+        EXPECT_EQ(d.attempts.back().detail, "stream exceeds the size limit");
+        expect_no_open_work(d);
+    }
+}
+
+TEST(PlatformEdge, StreamOfTheMaximumBodySizeIsServed) {
+    constexpr std::size_t kMaxBody = 256 * 1024;
+    constexpr std::size_t kEventSize = 1024;
+    std::string body;
+    while (body.size() + kEventSize < kMaxBody) body += event_of_size(kEventSize);
+    body += event_of_size(kMaxBody - body.size() - kDoneEvent.size()) + kDoneEvent;
+    ASSERT_EQ(body.size(), kMaxBody);
+    Platform d;
+    d.respond(d.advance_to_decode(), 200, body);
+    EXPECT_EQ(d.streamed, body);
+    EXPECT_EQ(d.streams_ended, 1);
+    expect_no_open_work(d);
+}
+
 // Servers cannot distinguish a second request with the same id from the first. The first continues.
 TEST(PlatformEdge, DuplicateIdIsRejectedWhileTheFirstRequestIsOpen) {
     Platform d;
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -182,6 +182,24 @@
                       std::pair(kStreamHead + chunked(kEvent) + "C0000000\r\n" + std::string(200'000, 'a'),
                                 true)));
 
+// Guards against a server whose valid events never end: its client got neither an end nor a close.
+TEST_F(PlatformRig, EndlessStreamOfValidEventsIsCutAtTheMaximumBodySize) {
+    constexpr std::size_t kMaxBody = 256 * 1024;
+    std::size_t sent = 0;
+    begin(
+        [&](auto& p) {
+            p.send(kStreamHead);
+            for (; sent <= kMaxBody; sent += kEvent.size()) p.send(chunked(kEvent));
+        },
+        [](auto& s) { s.limits.stream_idle_timeout = 1h; });  // only the size can end the stream
+    RawClient& c = client();
+    c.send(messages::post("a1"));
+    ASSERT_TRUE(until([&] { return c.closed(); }));
+    EXPECT_GT(c.got().size(), kMaxBody);
+    EXPECT_EQ(c.got().find("\r\n0\r\n\r\n"), std::string::npos);
+    EXPECT_TRUE(until([&] { return writer->peers[0]->disconnected; }));
+}
+
 TEST_F(PlatformRig, ValidStreamWithInformationalResponsesOrExtraBytesIsServed) {
     for (const auto& all :
          {"HTTP/1.1 102 Processing\r\n\r\nHTTP/1.1 103 Early Hints\r\nLink: x\r\n\r\n" + kStream,
