Tests: lift the stream's size limit where a stream has to fill socket buffers

StreamEndedAfterTheSignalReachesASlowClientCompletely sends 2 MB to a client that does not read, so that output waits when the server's stream ends. What it tests is the shutdown with queued output, not the size: it keeps its 2 MB and its checks, and sets max_stream_bytes above them.

--- a/tests/net/crossing_test.cpp
+++ b/tests/net/crossing_test.cpp
@@ -233,7 +233,11 @@
 // A stream that its server ends after the signal reaches a slow client completely.
 TEST_F(PlatformRig, StreamEndedAfterTheSignalReachesASlowClientCompletely) {
     RawServer::Peer* stream = nullptr;
-    begin([&](auto& p) { stream = &p; }, [](auto& s) { s.limits.drain_grace = 0ms; });
+    begin([&](auto& p) { stream = &p; },
+          [](auto& s) {
+              s.limits.drain_grace = 0ms;
+              s.limits.max_stream_bytes = std::size_t{1} << 30U;  // the stream has to fill socket buffers
+          });
     DirectClient c(edge->address());
     c.send(messages::post("a1"));
     ASSERT_TRUE(until([&] { return stream != nullptr; }));
