HTTP server: parse one pipelined request of a connection in each turn, at its own cost

The gateways' logs have slow_turn lines of up to 3,152 ms.

Cause: flush() wrote a response and parsed the next buffered request, and dispatch() goes on while there is input, so all requests of a connection were handled in one turn. Each of them moved all bytes behind it, as the buffer was one string and erase() took its front.

Change: a connection with buffered input is deferred (DeferredInput) and gets one request parsed in each turn, before the sockets are read; the loop does not wait meanwhile. Unparsed bytes stand in ReceiveBuffer, a queue of segments: consuming moves nothing. This holds for the admin listener and for TLS too. ClientConnection::parse_next() takes over the loop over segments.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -8,6 +8,7 @@
 
 #include "http/message.hpp"
 #include "net/idle_connections.hpp"
+#include "net/receive_buffer.hpp"
 #include "net/tcp_connection.hpp"
 
 namespace chalksail::net {
@@ -68,11 +69,14 @@
         phase_ = next;
     }
 
+    // Parses `unparsed` up to the end of the next request, or all of it if no request is complete.
+    [[nodiscard]] http::RequestReader::Progress parse_next();
+
     const Id id;
     http::RequestReader reader;
     Exchange exchange;
     std::string tls_output;  // Encrypted bytes of the TLS filter itself: handshake and alerts
-    std::string unparsed;    // Received bytes that were not parsed yet
+    ReceiveBuffer unparsed;  // Received bytes that were not parsed yet
     std::string output;      // Plaintext output that was not passed to the socket yet
     Time since{};            // Start of the message being received, or of the wait for one
     Time last_byte_at{};     // When the last byte was received
@@ -84,6 +88,7 @@
     IdleConnections::Kind idle_kind = IdleConnections::Kind::silent;
     bool ends_when_idle = false;   // Shut down after the responses to all requests received so far
     bool flush_scheduled = false;  // HttpServer::flush() will write the output
+    bool input_deferred = false;   // `unparsed` will be parsed in the next turn of the loop
 
 private:
     void on_bytes(std::string_view bytes) override { owner_.on_bytes(*this, bytes); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -12,11 +12,6 @@
 
 using Reason = ConnectionEnd::Reason;
 
-// Frees the allocated memory of an empty string.
-void release_if_empty(std::string& text) {
-    if (text.empty()) std::string().swap(text);
-}
-
 }  // namespace
 
 HttpServer::HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits)
@@ -25,6 +20,7 @@
       limits_(limits),
       sweep_timer_(loop, [this] { sweep(); }),
       read_buffer_(kReadBufferBytes),
+      deferred_input_(loop, [this](Connection::Id id) { parse_deferred(id); }),
       idle_connections_(limits.idle_connections) {
     sweep_timer_.start_repeating(kSweepInterval);
     sweep_timer_.unref();
@@ -131,50 +127,55 @@
     // is closed once too much was discarded.
     const bool over_limit =
         connection.unparsed.size() > limits_.pipelined_bytes || unfinished_bytes_ > limits_.unfinished_bytes;
-    if (connection.discarded_bytes > 0 || (connection.is_in(Phase::responding) && over_limit)) {
+    const bool is_pipelined = connection.is_in(Phase::responding) || !connection.unparsed.empty();
+    if (connection.discarded_bytes > 0 || (is_pipelined && over_limit)) {
         connection.discarded_bytes += bytes.size();
         if (connection.discarded_bytes > limits_.discarded_bytes) close(connection, {Reason::sent_ahead, 0});
         return;
     }
-    connection.unparsed += bytes;
-    parse_requests(connection);
-    if (connection.is_in(Phase::responding)) update_unfinished_bytes(connection, connection.unparsed.size());
+    connection.unparsed.append(bytes);
+    if (!is_pipelined) return parse_input(connection);
+    update_unfinished_bytes(connection, connection.unparsed.size());
 }
 
-// Parses the received bytes and passes the next complete request to the handler, unless one is pending.
-void HttpServer::parse_requests(Connection& connection) {
-    while (connection.accepts_request() && !connection.unparsed.empty()) {
-        if (connection.is_in(Phase::awaiting_request)) {
-            connection.enter(Phase::receiving_request);
-            connection.since = uv_now_time();
-        }
-        std::string_view rest = connection.unparsed;
-        auto progress = connection.reader.feed(rest);
-        connection.unparsed.erase(0, connection.unparsed.size() - rest.size());
-        if (auto* fault = std::get_if<http::Fault>(&progress)) return reject(connection, *fault);
-        if (auto* more = std::get_if<http::RequestReader::NeedMore>(&progress)) {
-            on_partial_request(connection, more->send_continue);
-            // Bounds the memory used by many clients that each send part of a large request and then stop:
-            // each of them stays within its own limit.
-            if (unfinished_bytes_ > limits_.unfinished_bytes)
-                return reject(connection, {503, "too many requests are still coming"});
-            break;
-        }
-        on_whole_request(connection, std::move(std::get<http::Request>(progress)));
+void HttpServer::parse_deferred(Connection::Id id) {
+    const auto it = connections_.find(id);
+    if (it == connections_.end()) return;
+    it->second->input_deferred = false;
+    parse_input(*it->second);
+}
+
+void HttpServer::parse_input(Connection& connection) {
+    if (!connection.accepts_request() || connection.unparsed.empty()) return;
+    if (connection.is_in(Phase::awaiting_request)) {
+        connection.enter(Phase::receiving_request);
+        connection.since = uv_now_time();
     }
-    if (connection.is_ending()) return;
-    if (connection.is_in(Phase::responding)) close_if_disconnected(connection);
-    else if (connection.discarded_bytes > 0)
-        reject(connection, {503, "too much was sent ahead of the answers"});
+    auto progress = connection.parse_next();
+    if (auto* fault = std::get_if<http::Fault>(&progress)) return reject(connection, *fault);
+    if (auto* request = std::get_if<http::Request>(&progress)) {
+        on_whole_request(connection, std::move(*request));
+        if (connection.is_in(Phase::responding)) close_if_disconnected(connection);
+        return;
+    }
+    on_partial_request(connection, std::get<http::RequestReader::NeedMore>(progress).send_continue);
+}
+
+// Called after the responses to the requests before the discarded bytes.
+void HttpServer::reject_discarded(Connection& connection) {
+    reject(connection, {503, "too much was sent ahead of the answers"});
 }
 
 void HttpServer::on_partial_request(Connection& connection, bool send_continue) {
-    if (send_continue) {
-        append_output(connection, http::kContinue);
-        flush(connection);
-    }
-    release_if_empty(connection.unparsed);
     update_unfinished_bytes(connection, connection.reader.body_bytes());
+    // Bounds the memory used by many clients that each send part of a large request and then stop: each of
+    // them stays within its own limit.
+    if (unfinished_bytes_ > limits_.unfinished_bytes)
+        return reject(connection, {503, "too many requests are still coming"});
+    if (connection.discarded_bytes > 0) return reject_discarded(connection);
+    if (!send_continue) return;
+    append_output(connection, http::kContinue);
+    flush(connection);
 }
 
 void HttpServer::on_whole_request(Connection& connection, http::Request request) {
@@ -187,7 +188,6 @@
     connection.exchange.head_only = request.method == "HEAD";
     connection.exchange.http_1_0 = request.http_1_0;
     active_requests_.emplace(connection.exchange.peer, &connection);
-    release_if_empty(connection.unparsed);
     handler_.on_request(connection.exchange.peer, std::move(request));
 }
 
@@ -213,7 +213,7 @@
     append_output(connection, http::format_response_head(fault.status, headers));
     append_output(connection, body);
     connection.enter(Phase::flushing);
-    std::string().swap(connection.unparsed);
+    connection.unparsed.clear();
     connection.reader = http::RequestReader(limits_.message);  // frees the part of the request read so far
     update_unfinished_bytes(connection, 0);
     flush(connection);
@@ -300,7 +300,7 @@
 }
 
 void HttpServer::flush() {
-    // Flushing may deliver pipelined requests to the handler, whose responses schedule further flushes.
+    // The handler may schedule further flushes, as when it ends a connection.
     while (!flush_due_.empty()) {
         const auto ids = std::exchange(flush_due_, {});
         for (const auto id : ids)
@@ -312,11 +312,8 @@
     connection.flush_scheduled = false;
     if (connection.is_in(Phase::closed) || !write_output(connection)) return;
     report_backlog(connection);
-    const bool may_read_next = !connection.is_in(Phase::responding) && !connection.is_ending();
-    if (may_read_next) {
-        read_next_request(connection);
-        if (connection.is_in(Phase::closed) || connection.is_in(Phase::responding)) return;
-    }
+    if (connection.accepts_request()) await_next_request(connection);
+    if (connection.is_in(Phase::closed)) return;
     const bool all_written = connection.output.empty() && connection.write_queue_size() == 0;
     if (connection.is_ending() && all_written) shut_down(connection);
 }
@@ -347,22 +344,27 @@
     handler_.on_backlog(exchange.peer, exchange.backlog_reported);
 }
 
-void HttpServer::read_next_request(Connection& connection) {
+void HttpServer::await_next_request(Connection& connection) {
     connection.start_reading();
-    parse_requests(connection);
-    if (!connection.is_in(Phase::awaiting_request) || !connection.output.empty()) return;
+    if (!connection.unparsed.empty()) return defer_input(connection);
+    if (connection.discarded_bytes > 0) return reject_discarded(connection);
+    if (!connection.is_in(Phase::awaiting_request)) return;
     make_idle(connection);
     if (connection.ends_when_idle) end_when_idle(connection);
 }
 
+void HttpServer::defer_input(Connection& connection) {
+    if (!std::exchange(connection.input_deferred, true)) deferred_input_.defer(connection.id);
+}
+
 // ---- the end of a connection ----
 
 // Ends a connection without a pending request, unless it has unread input. Requests received before the
 // shutdown are answered; later ones are not accepted, and the client can send them elsewhere.
 void HttpServer::end_when_idle(Connection& connection) {
     connection.ends_when_idle = true;
-    const bool idle = connection.is_in(Phase::awaiting_request) && connection.output.empty() &&
-                      connection.write_queue_size() == 0;
+    const bool idle = connection.is_in(Phase::awaiting_request) && connection.unparsed.empty() &&
+                      connection.output.empty() && connection.write_queue_size() == 0;
     if (!idle || may_have_unread(connection)) return;
     connection.enter(Phase::flushing);
     shut_down(connection);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -1,5 +1,6 @@
 // An HTTP/1.1 server on a libuv loop. It delivers complete requests to a handler, one at a time for each
-// connection, and sends the handler's responses whole or as chunks.
+// connection, and sends the handler's responses whole or as chunks. Of the requests that a client pipelines,
+// at most one is delivered in each turn of the loop.
 //
 // Owns its sockets; one loop, one thread. The handler is called from the loop, from flush(), and from the
 // functions that end connections. A client that exceeds a limit of ServerLimits gets an error response (408,
@@ -22,6 +23,7 @@
 #include "http/message.hpp"
 #include "net/client_connection.hpp"
 #include "net/connection_end.hpp"
+#include "net/deferred_input.hpp"
 #include "net/idle_connections.hpp"
 #include "net/listener.hpp"
 #include "net/loop_clock.hpp"
@@ -138,7 +140,10 @@
     [[nodiscard]] static bool may_have_unread(const Connection& connection);
     [[nodiscard]] bool may_have_unread(Connection::Id id) const;
     void on_plaintext(Connection& connection, std::string_view bytes);
-    void parse_requests(Connection& connection);
+    // Parses buffered input and passes the next complete request to the handler, unless one is pending.
+    void parse_input(Connection& connection);
+    void parse_deferred(Connection::Id id);
+    void reject_discarded(Connection& connection);
     void on_partial_request(Connection& connection, bool send_continue);
     void on_whole_request(Connection& connection, http::Request request);
     void close_if_disconnected(Connection& connection);
@@ -146,12 +151,15 @@
     void reject(Connection& connection, const http::Fault& fault);
     void append_output(Connection& connection, std::string_view bytes);
     void schedule_flush(Connection& connection);
-    // Writes the connection's output, then parses the next request or shuts the connection down.
+    // Writes the connection's output, then continues with its input or shuts it down.
     void flush(Connection& connection);
     // Returns false if the write failed; the connection is then closed.
     bool write_output(Connection& connection);
     void report_backlog(Connection& connection);
-    void read_next_request(Connection& connection);
+    // Defers the parsing of the next request if its input is buffered, or lists the connection as idle.
+    void await_next_request(Connection& connection);
+    // Parses the buffered input in the next turn of the loop, after those of other connections.
+    void defer_input(Connection& connection);
     void finish_response(Connection& connection);
     void end_when_idle(Connection& connection);
     void shut_down(Connection& connection);
@@ -176,6 +184,7 @@
     std::unordered_map<Connection::Id, OwnedConnection<Connection>> connections_;
     std::unordered_map<Peer, Connection*> active_requests_;
     std::vector<Connection::Id> flush_due_;
+    DeferredInput deferred_input_;
     std::size_t unfinished_bytes_ = 0;  // Total bytes of incomplete and pipelined requests
     IdleConnections idle_connections_;
     Connection::Id last_connection_ = 0;
