Discovery: keep up to three list calls that timed out open beside the next one

Cause: one list call without a response stayed open after its time-out, and gave way to the next one to time out, so that each lived 1.8 s. A call whose response had begun was closed.

Change: membership::LateListCalls decides which calls stay open: the two newest, so that a call on a dead connection never excludes a later one, and the oldest, for 6 s and then twice as long after each time in vain, up to 60 s. Their responses are read in whatever parts they come; the first complete list is applied and ends the others. A failed late response ends its own call only.

--- a/src/membership/watch_schedule.cpp
+++ b/src/membership/watch_schedule.cpp
@@ -7,17 +7,13 @@
 
 void WatchSchedule::opened(WatchCall call, Time now) {
     open_ = call;
-    response_began_ = false;
     list_received_ = false;
     inside_object_ = false;
     opened_at_ = now;
     last_received_ = now;
 }
 
-void WatchSchedule::response_began(Time now) {
-    response_began_ = true;
-    last_received_ = now;
-}
+void WatchSchedule::response_began(Time now) { last_received_ = now; }
 
 void WatchSchedule::received(Time now, bool inside_object) {
     last_received_ = now;
--- a/src/membership/watch_schedule.hpp
+++ b/src/membership/watch_schedule.hpp
@@ -51,9 +51,11 @@
 
     // Returns whether the open call has timed out.
     [[nodiscard]] bool timed_out(Time now) const;
-    // Returns whether the open call is a list call without any response so far. The owner keeps such a call
-    // open beside the next one, as its response may still arrive.
-    [[nodiscard]] bool may_be_answered_late() const { return open_ == WatchCall::list && !response_began_; }
+    // Returns whether the open call is a list call that has not delivered the list. If it times out, its
+    // owner keeps it open beside the next one, as the list may still arrive.
+    [[nodiscard]] bool may_be_answered_late() const { return open_ == WatchCall::list && !list_received_; }
+    // Returns when the open call was opened.
+    [[nodiscard]] Time opened_at() const { return opened_at_; }
     // Returns whether the open call has delivered the list.
     [[nodiscard]] bool list_known() const { return list_received_; }
     // Returns the call to open now, if one is due.
@@ -63,7 +65,6 @@
     WatchLimits limits_;
     std::optional<WatchCall> open_;
     WatchCall next_ = WatchCall::list;  // kind of the next call; valid while no call is open
-    bool response_began_ = false;       // the head of the open call's response has arrived
     bool list_received_ = false;        // the open call has delivered the list
     bool inside_object_ = false;        // the bytes received so far end inside an object
     Time opened_at_{};
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -15,7 +15,8 @@
 // A step of the wall clock is detected within this time.
 constexpr Duration kWallClockInterval = std::chrono::milliseconds(500);
 constexpr std::size_t kHeadBytes = 16 * 1024;
-constexpr std::size_t kConnections = 2;  // one for the open call, one for the call that replaces it
+// For the open call, the call that replaces it, and late calls.
+constexpr std::size_t kConnections = 2 + membership::LateListCalls::kMaxCalls;
 
 Duration wall_now() {
     return std::chrono::duration_cast<Duration>(std::chrono::system_clock::now().time_since_epoch());
@@ -59,6 +60,7 @@
 void DiscoveryWatch::poll() {
     const Time now = uv_now_time();
     if (now >= wall_clock_due_) observe_wall_clock(now);
+    while (const auto expired = late_calls_.remove_expired(now)) cancel_late(*expired);
     if (schedule_.timed_out(now)) on_timeout();
     if (const auto call = schedule_.due(now)) open(*call);
 }
@@ -67,8 +69,9 @@
     if (discovery == discovery_) return;
     log_.info("discovery", "address changed to " + format_address(discovery));
     discovery_ = std::move(discovery);
-    drop(call_);
-    drop(late_call_);
+    cancel_open_call();
+    cancel_all_late();
+    late_calls_.reset_patience();
     schedule_.target_changed(uv_now_time());
     open(WatchCall::list);
 }
@@ -84,30 +87,65 @@
     pool_.start(call_->id, Target(discovery_), {"GET", target, {}, {}});
 }
 
-void DiscoveryWatch::drop(std::optional<OpenCall>& call) {
-    if (call) pool_.cancel(call->id);
-    call.reset();
+void DiscoveryWatch::cancel_open_call() {
+    if (call_) pool_.cancel(call_->id);
+    call_.reset();
 }
 
-// Keeps a list call that timed out open beside the next one. Otherwise a discovery service that takes longer
-// than the time-out would never deliver the list: each call would be cancelled before its response.
 void DiscoveryWatch::on_timeout() {
     if (!schedule_.may_be_answered_late()) return close("timed out");
-    drop(late_call_);
-    late_call_ = std::move(call_);
+    late_responses_.emplace(call_->id, std::move(call_->objects));
+    const auto displaced = late_calls_.add(call_->id, schedule_.opened_at());
     on_ended("timed out");
+    if (displaced) cancel_late(*displaced);
+}
+
+// ---- list calls that timed out ----
+
+void DiscoveryWatch::on_late_body(UpstreamPool::Call call, std::string_view bytes) {
+    auto& response = late_responses_.at(call);
+    const auto objects = response.feed(bytes);
+    if (!objects.empty()) {
+        // The call made after it may still be answered correctly.
+        if (!platform::parse_endpoint_list(objects.front())) return cancel_late(call);
+        resume_late_call(call);
+        return on_objects(objects);
+    }
+    if (response.overflowed() || incomplete_bytes() > limits_.object_bytes) cancel_late(call);
 }
 
-// Continues with the timed-out list call, whose response has now begun, and cancels the call made after it.
-void DiscoveryWatch::resume_late_call() {
-    drop(call_);
-    call_ = std::exchange(late_call_, std::nullopt);
+void DiscoveryWatch::resume_late_call(UpstreamPool::Call call) {
+    cancel_open_call();
+    call_.emplace(OpenCall{call, WatchCall::list, std::move(late_responses_.at(call))});
+    forget_late(call);
     schedule_.opened(WatchCall::list, uv_now_time());
     log_.info("discovery", "response to a timed-out list call arrived");
 }
 
+std::size_t DiscoveryWatch::incomplete_bytes() const {
+    std::size_t bytes = call_ ? call_->objects.partial_bytes() : 0;
+    for (const auto& [call, response] : late_responses_) bytes += response.partial_bytes();
+    return bytes;
+}
+
+void DiscoveryWatch::forget_late(UpstreamPool::Call call) {
+    late_calls_.remove(call);
+    late_responses_.erase(call);
+}
+
+void DiscoveryWatch::cancel_late(UpstreamPool::Call call) {
+    forget_late(call);
+    pool_.cancel(call);
+}
+
+void DiscoveryWatch::cancel_all_late() {
+    for (const auto call : late_calls_.clear()) cancel_late(call);
+}
+
+// ---- the end and the response of the open call ----
+
 void DiscoveryWatch::close(const std::string& reason) {
-    drop(call_);
+    cancel_open_call();
     on_ended(reason);
 }
 
@@ -122,16 +160,23 @@
 }
 
 void DiscoveryWatch::on_head(UpstreamPool::Call call, int status, http::Headers) {
-    if (late_call_ && late_call_->id == call) resume_late_call();
+    if (is_late(call) && status != 200) return cancel_late(call);
     if (!is_open(call)) return;
     if (status == 200) schedule_.response_began(uv_now_time());
     else close("response status " + std::to_string(status));
 }
 
 void DiscoveryWatch::on_body(UpstreamPool::Call call, std::string bytes) {
+    if (is_late(call)) return on_late_body(call, bytes);
     if (!is_open(call)) return;
     const auto objects = call_->objects.feed(bytes);
     schedule_.received(uv_now_time(), call_->objects.midway());
+    if (schedule_.may_be_answered_late() && !objects.empty()) late_calls_.reset_patience();
+    on_objects(objects);
+}
+
+void DiscoveryWatch::on_objects(const std::vector<std::string>& objects) {
+    const UpstreamPool::Call call = call_->id;
     for (const auto& text : objects) {
         on_object(text);
         if (!is_open(call)) return;
@@ -149,7 +194,7 @@
 // Applies the response to a list call as a complete list, whether or not the object is marked as complete.
 void DiscoveryWatch::on_list(const platform::EndpointListUpdate& list) {
     if (schedule_.list_known()) return close("second object in the response to a list call");
-    drop(late_call_);
+    cancel_all_late();
     (void)sequence_.accept(EndpointUpdateKind::snapshot, list.generation, list.endpoints.empty());
     schedule_.list_received();
     publish(list, EndpointUpdateKind::snapshot);
--- a/src/net/discovery_watch.hpp
+++ b/src/net/discovery_watch.hpp
@@ -11,11 +11,15 @@
 
 #include <chalksail/chalksail.hpp>
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 #include "membership/endpoint_source.hpp"
+#include "membership/late_list_calls.hpp"
 #include "membership/update_sequence.hpp"
 #include "membership/wall_clock.hpp"
 #include "membership/watch_schedule.hpp"
@@ -58,15 +62,25 @@
     // Closes the open call if it has timed out, and opens the next one if it is due.
     void poll();
     void open(membership::WatchCall kind);
-    void drop(std::optional<OpenCall>& call);
+    // Cancels the open call, if there is one.
+    void cancel_open_call();
     void on_timeout();
-    void resume_late_call();
-    void forget_late(UpstreamPool::Call call) {
-        if (late_call_ && late_call_->id == call) late_call_.reset();
-    }
+
+    [[nodiscard]] bool is_late(UpstreamPool::Call call) const { return late_responses_.contains(call); }
+    void on_late_body(UpstreamPool::Call call, std::string_view bytes);
+    // Makes a late call, which has delivered an object, the open one.
+    void resume_late_call(UpstreamPool::Call call);
+    // Returns the bytes of the incomplete objects of all calls.
+    [[nodiscard]] std::size_t incomplete_bytes() const;
+    void forget_late(UpstreamPool::Call call);
+    void cancel_late(UpstreamPool::Call call);
+    void cancel_all_late();
+
     // Cancels the open call because of invalid data or a time-out.
     void close(const std::string& reason);
     void on_ended(const std::string& reason);
+    // Processes the objects that the open call has delivered.
+    void on_objects(const std::vector<std::string>& objects);
     void on_object(const std::string& text);
     void on_list(const platform::EndpointListUpdate& list);
     void on_update(const platform::EndpointListUpdate& update);
@@ -88,7 +102,9 @@
     membership::UpdateSequence sequence_;
     UpstreamPool::Call last_call_ = 0;
     std::optional<OpenCall> call_;
-    std::optional<OpenCall> late_call_;  // a list call that timed out; its response may still arrive
+    // List calls that timed out and may still be answered, and what was received of their responses.
+    membership::LateListCalls late_calls_;
+    std::map<UpstreamPool::Call, platform::ObjectReader> late_responses_;
 };
 
 }  // namespace chalksail::net
--- a/src/platform/endpoint_list.hpp
+++ b/src/platform/endpoint_list.hpp
@@ -51,6 +51,8 @@
     [[nodiscard]] bool overflowed() const { return overflowed_; }
     // Returns true while an object is incomplete.
     [[nodiscard]] bool midway() const { return !partial_.empty(); }
+    // Returns the number of bytes of the incomplete object.
+    [[nodiscard]] std::size_t partial_bytes() const { return partial_.size(); }
 
 private:
     // Tracks strings and nesting over one more byte. Returns true if the byte ends the object.
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -343,6 +343,71 @@
     EXPECT_TRUE(until([&] { return waiting->disconnected; }));  // the second list call was cancelled
 }
 
+// Guards against never receiving a list from a discovery that takes longer than two time-outs of a call: a
+// call was cancelled when the next one timed out. Here each call is answered when the second one after it has
+// arrived.
+TEST_F(PlatformRig, ListResponseThatIsLateByTwoCallsIsApplied) {
+    watch_limits.object_silence_timeout = 50ms;
+    watch_limits.silence_timeout = 1h;
+    begin([](auto& p) { p.send(kStream); });
+    edge.reset();
+    std::vector<RawServer::Peer*> waiting;
+    discovery = std::make_unique<RawServer>(loop, [&](RawServer::Peer& p) {
+        if (is_watch_request(*p.server)) return p.send(kStreamHead);
+        waiting.push_back(&p);
+        if (waiting.size() > 2) waiting[waiting.size() - 3]->send(sized(200, complete_list(41)));
+    });
+    open(std::nullopt, [](auto&) {});
+    EXPECT_TRUE(served("a1"));
+    ASSERT_TRUE(until([&] { return is_watch_request(*discovery); }));
+    EXPECT_TRUE(until([&] { return waiting[1]->disconnected && waiting[2]->disconnected; }));
+}
+
+// The same for a list that begins in time and whose rest is late.
+TEST_F(PlatformRig, ListWhoseRestIsLateIsApplied) {
+    watch_limits.object_silence_timeout = 50ms;
+    watch_limits.silence_timeout = 1h;
+    begin([](auto& p) { p.send(kStream); });
+    edge.reset();
+    std::vector<RawServer::Peer*> waiting;
+    discovery = std::make_unique<RawServer>(loop, [&](RawServer::Peer& p) {
+        if (is_watch_request(*p.server)) return p.send(kStreamHead);
+        waiting.push_back(&p);
+        const std::string list = sized(200, complete_list(41));
+        const std::size_t half = list.size() / 2;
+        p.send(list.substr(0, half));
+        if (waiting.size() > 1) waiting[waiting.size() - 2]->send(list.substr(half));
+    });
+    open(std::nullopt, [](auto&) {});
+    EXPECT_TRUE(served("a1"));
+    ASSERT_TRUE(until([&] { return is_watch_request(*discovery); }));
+    EXPECT_TRUE(until([&] { return waiting.back()->disconnected; }));
+}
+
+// A late response with an error status, or that is malformed, ends its call only.
+TEST_F(PlatformRig, FailedLateListResponseDoesNotDisturbTheNextCall) {
+    for (const auto& late : {sized(503, "{}"), sized(200, "not a list\n")}) {
+        watch_limits.object_silence_timeout = 50ms;
+        watch_limits.silence_timeout = 1h;
+        begin([](auto& p) { p.send(kStream); });
+        edge.reset();
+        std::vector<RawServer::Peer*> waiting;
+        discovery = std::make_unique<RawServer>(loop, [&](RawServer::Peer& p) {
+            if (is_watch_request(*p.server)) return p.send(kStreamHead);
+            waiting.push_back(&p);
+            if (waiting.size() == 2) waiting[0]->send(late);
+        });
+        open(std::nullopt, [](auto&) {});
+        ASSERT_TRUE(until([&] { return waiting.size() == 2; }));
+        ASSERT_TRUE(until([&] { return waiting[0]->disconnected || waiting.size() > 2; }));
+        EXPECT_FALSE(waiting[1]->disconnected);
+        waiting[1]->send(sized(200, complete_list(41)));
+        EXPECT_TRUE(served("a1"));
+        ASSERT_TRUE(until([&] { return is_watch_request(*discovery); }));
+        stop();
+    }
+}
+
 // The later of two list calls may be answered first; the response to the earlier one is then ignored.
 TEST_F(PlatformRig, LateResponseAfterTheListIsIgnored) {
     watch_limits.object_silence_timeout = 50ms;
