Upstream pool: let a connection rest after a response, before it carries the next request

Cause: a connection could be reused as soon as its response had ended. Unread bytes were looked for at that moment only; what came behind the next request was read as its response.

On a connection that has served a call, a response that begins before its request is written ends the attempt. `server-rest` is this minimum now (before: a preference).

Three tests of reuse wait for the delay first.

--- a/src/config/settings.cpp
+++ b/src/config/settings.cpp
@@ -175,7 +175,9 @@
         block.size("request-bytes", limits.request_bytes);
         block.size("unfinished-bytes", limits.unfinished_bytes);
         block.integer("server-connections", limits.server_connections, 0, 1'000'000);
-        block.duration("server-rest", limits.server_preferred_idle);
+        block.duration("server-rest", limits.server_reuse_delay);
+        block.duration("server-rest-increased", limits.server_reuse_delay_increased);
+        block.duration("server-rest-increased-for", limits.server_reuse_delay_increased_for);
         block.duration("stall-timeout", limits.stall_timeout);
         block.duration("stream-idle", limits.stream_idle_timeout);
         block.duration("stream-longest", limits.max_stream_duration);
--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -161,8 +161,12 @@
     // How long to wait for the response to a cancelled prefill, which may already be on its way.
     Duration cancel_wait = std::chrono::milliseconds(20);
     Duration server_idle_timeout = std::chrono::seconds(30);  // for an unused connection to a server
-    // A connection idle for at least this long is reused before one that has just responded.
-    Duration server_preferred_idle{};
+    // From the end of a response to the next request on its connection. Unrequested bytes that follow the
+    // response within this time close the connection, and are not taken for the next response.
+    Duration server_reuse_delay = std::chrono::milliseconds(25);
+    // The same for a server that has sent unrequested bytes, for a while after the last of them.
+    Duration server_reuse_delay_increased = std::chrono::milliseconds(250);
+    Duration server_reuse_delay_increased_for = std::chrono::seconds(10);
     Duration release_timeout = std::chrono::seconds(2);  // for a release call or a health check
     std::int64_t release_attempts = 1;  // rounds of release calls, if any server accepts them
     Duration release_retry{};           // delay before the next round; 0: release_timeout
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -54,7 +54,6 @@
     limits.stream_idle_timeout = seconds(4);
     // The gateway closes an idle connection well before the server does.
     if (server_idle_timeout > Duration::zero()) limits.server_idle_timeout = server_idle_timeout / 2;
-    limits.server_preferred_idle = milliseconds(5);
     limits.release_timeout = milliseconds(150);
     // A held KV state must be released within 300 ms after it is due, enough for four rounds of release
     // calls.
--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -308,7 +308,7 @@
     const bool valid = chunks.feed(bytes, body);
     if (!body.empty()) parsed.emplace_back(ResponseBodyPart{std::move(body)});
     if (!valid) parsed.emplace_back(Fault{502, "malformed chunked body in the response"});
-    else if (chunks.complete()) parsed.emplace_back(ResponseEnd{keep_alive && bytes.empty()});
+    else if (chunks.complete()) parsed.emplace_back(ResponseEnd{keep_alive && bytes.empty(), !bytes.empty()});
     return parsed;
 }
 
@@ -327,7 +327,7 @@
         return out;
     }
     if (s.complete) {
-        if (consumed < bytes.size()) std::get<ResponseEnd>(out.back()).keep_alive = false;
+        if (consumed < bytes.size()) std::get<ResponseEnd>(out.back()) = {false, true};
         return out;
     }
     if (s.head_too_large || HTTP_PARSER_ERRNO(&s.parser) == HPE_HEADER_OVERFLOW)
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -105,6 +105,7 @@
 };
 struct ResponseEnd {
     bool keep_alive = false;
+    bool surplus = false;  // bytes that belong to no response followed in the same input
 };
 using ResponsePart = std::variant<ResponseHead, ResponseBodyPart, ResponseEnd, Fault>;
 
--- a/src/net/edge_server_limits.cpp
+++ b/src/net/edge_server_limits.cpp
@@ -38,7 +38,8 @@
     out.connections = static_cast<std::size_t>(limits.server_connections);
     out.dial_timeout = settings.router.dial_timeout;
     out.idle_timeout = limits.server_idle_timeout;
-    out.preferred_idle = limits.server_preferred_idle;
+    out.reuse_delay = {limits.server_reuse_delay, limits.server_reuse_delay_increased,
+                       limits.server_reuse_delay_increased_for};
     out.completion_timeout = limits.release_timeout;
     out.handshakes = {static_cast<std::size_t>(limits.handshakes),
                       static_cast<std::size_t>(limits.handshakes_per_server)};
--- a/src/net/gateway_gauges.cpp
+++ b/src/net/gateway_gauges.cpp
@@ -47,6 +47,7 @@
     out.set("server_dials", servers.dialled);
     out.set("server_dials_failed", servers.dial_failed);
     out.set("server_connections_reused", servers.reused);
+    out.set("server_connections_unrequested_bytes", servers.unrequested);
     out.set("servers_not_verified", gauges.core.unverified_servers);
     out.set("tls_handshakes_under_way", servers.handshakes_under_way);
     out.set("tls_handshakes_waiting", servers.handshakes_waiting);
--- a/src/net/server_connections.hpp
+++ b/src/net/server_connections.hpp
@@ -15,12 +15,12 @@
     std::size_t count = 0;                  // Connections in any state
     std::vector<UpstreamConnection*> idle;  // Most recently used last
 
-    // Returns the most recently used connection that has been idle since `idle_since` or longer, or else the
-    // most recently used one, so that the others can reach their idle time-out. `idle` must not be empty.
-    [[nodiscard]] UpstreamConnection* preferred(Time idle_since) const {
+    // Returns the most recently used of the connections that may be reused by now, so that the others can
+    // reach their idle time-out; nullptr if there is none.
+    [[nodiscard]] UpstreamConnection* find_reusable(Time now) const {
         const auto found = std::find_if(idle.rbegin(), idle.rend(),
-                                        [&](const auto* one) { return one->since <= idle_since; });
-        return found == idle.rend() ? idle.back() : *found;
+                                        [now](const auto* one) { return one->reusable_at <= now; });
+        return found == idle.rend() ? nullptr : *found;
     }
 };
 
--- a/src/net/upstream_connection.cpp
+++ b/src/net/upstream_connection.cpp
@@ -22,11 +22,6 @@
     return tls()->start();
 }
 
-bool UpstreamConnection::has_no_unread_input() const {
-    const auto unread = peek();
-    return unread == Unread::nothing || unread == Unread::unknown;
-}
-
 bool UpstreamConnection::can_be_reused() const {
     const bool all_written = write_queue_size() == 0 && !write_failed;
     return all_written && !half_closed && !exchange.paused;
@@ -38,6 +33,10 @@
     return is_in(State::busy) && exchange.response_unwanted && age > completion_timeout;
 }
 
+bool UpstreamConnection::may_receive_surplus() const {
+    return has_served && !exchange.response_begun && !exchange.written;
+}
+
 bool UpstreamConnection::broke_after_idle() const {
     return is_in(State::busy) && !exchange.response_begun && exchange.idle_before > Duration::zero();
 }
--- a/src/net/upstream_connection.hpp
+++ b/src/net/upstream_connection.hpp
@@ -65,8 +65,6 @@
     int try_connect(Time now);
     // Starts the TLS handshake. The result holds the first bytes to send to the server.
     [[nodiscard]] tls::Step begin_handshake();
-    // Whether an idle connection has received neither an end of stream nor unrequested bytes.
-    [[nodiscard]] bool has_no_unread_input() const;
     // Whether the connection can serve another call once the response has ended. A response may end before
     // its request was fully written; the rest of it would then be sent ahead of the next request and be
     // answered in its place.
@@ -74,6 +72,9 @@
     // Whether the connection was idle for longer than `idle_timeout`, or an unwanted response did not end
     // within `completion_timeout`.
     [[nodiscard]] bool is_unused(Time now, Duration idle_timeout, Duration completion_timeout) const;
+    // Whether input that arrives now may belong to an earlier exchange, as the current request is not written
+    // completely: a server responds to a request that it has received.
+    [[nodiscard]] bool may_receive_surplus() const;
     // Whether the connection was reused and has received no part of a response. If it fails now, it may have
     // been dropped while it was idle.
     [[nodiscard]] bool broke_after_idle() const;
@@ -83,6 +84,8 @@
     PendingCall initial_call;  // The call that it is established for, until the request is sent
     Exchange exchange;
     Time since{};                                // Start of the period that the time-outs measure
+    Time reusable_at{};                          // An idle connection carries no request before this time
+    bool has_served = false;                     // A response was received; more bytes may follow it
     tls::HandshakeLimiter::Id handshake_id = 0;  // 0: neither queued for a handshake nor in one
     Time retry_at{};                             // Time of the next connect(), while awaiting_retry
     Backoff retry_backoff{kRetryMin, kRetryMax};
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -23,6 +23,7 @@
       limits_(limits),
       sweep_timer_(loop, [this] { sweep(); }),
       read_buffer_(kPoolReadBufferBytes),
+      reuse_delay_(limits.reuse_delay),
       handshakes_(limits.handshakes) {
     sweep_timer_.start_repeating(kPoolSweepInterval);
     sweep_timer_.unref();
@@ -35,9 +36,9 @@
 void UpstreamPool::start(Call call, const Target& to, UpstreamRequest request, CallOptions options) {
     add_framing_headers(request, to);
     const Key key = to.key();
-    if (Connection* const idle = take_idle(key)) {
+    if (Connection* const reusable = take_reusable(key)) {
         counts_.reused += 1;
-        return send(*idle, call, std::move(request));
+        return send(*reusable, call, std::move(request));
     }
     ServerConnections& server = servers_[key];
     PendingCall pending{call, uv_now_time(), std::move(request), std::make_shared<Target>(to),
@@ -55,18 +56,25 @@
 
 // Skips and closes idle connections that have unread input. After an end of stream a request would be lost;
 // unrequested bytes would be taken for its response.
-UpstreamPool::Connection* UpstreamPool::take_idle(const Key& key) {
+UpstreamPool::Connection* UpstreamPool::take_reusable(const Key& key) {
     const Duration longest = idle_limit_.longest_usable(uv_now_time());
     for (;;) {
         const auto server = servers_.find(key);
-        if (server == servers_.end() || server->second.idle.empty()) return nullptr;
-        Connection* const connection = server->second.preferred(uv_now_time() - limits_.preferred_idle);
-        if (connection->has_no_unread_input() && uv_now_time() - connection->since <= longest) {
+        if (server == servers_.end()) return nullptr;
+        const Time now = uv_now_time();
+        Connection* const connection = server->second.find_reusable(now);
+        if (connection == nullptr) return nullptr;
+        const auto unread = connection->peek();
+        const bool is_open = unread != Connection::Unread::end && unread != Connection::Unread::bytes;
+        if (is_open && now - connection->since <= longest) {
             std::erase(server->second.idle, connection);
             return connection;
         }
         counts_.stale += 1;
-        close(*connection);
+        // With TLS they may be records of the TLS session itself.
+        if (unread == Connection::Unread::bytes && connection->tls() == nullptr)
+            on_unrequested_bytes(*connection);
+        else close(*connection);
     }
 }
 
@@ -258,13 +266,29 @@
 }
 
 void UpstreamPool::on_plaintext(Connection& connection, std::string_view bytes) {
-    if (!connection.is_in(State::busy)) return close(connection);  // unrequested bytes
+    if (!connection.is_in(State::busy)) return on_unrequested_bytes(connection);
+    if (connection.may_receive_surplus()) {
+        connection.exchange.response_begun = true;  // the connection was not dropped while it was idle
+        record_unrequested_bytes(connection);
+        return on_failure(connection, ExchangeEnd::connection_closed,
+                          "received bytes before the request was written");
+    }
     auto& exchange = connection.exchange;
     if (!std::exchange(exchange.response_begun, true) && exchange.idle_before > Duration::zero())
         idle_limit_.record(uv_now_time(), exchange.idle_before, {}, false);
     on_response_parts(connection, connection.reader.feed(bytes));
 }
 
+void UpstreamPool::on_unrequested_bytes(Connection& connection) {
+    record_unrequested_bytes(connection);
+    close(connection);
+}
+
+void UpstreamPool::record_unrequested_bytes(const Connection& connection) {
+    counts_.unrequested += 1;
+    reuse_delay_.record_unrequested_bytes(connection.target.key(), uv_now_time());
+}
+
 void UpstreamPool::on_stream_ended(Connection& connection) {
     if (connection.is_in(State::idle)) return close(connection);
     if (connection.being_established())
@@ -281,7 +305,7 @@
         if (!connection.is_in(State::busy) || connection.exchange.call != call) return;
         const bool wanted = !connection.exchange.response_unwanted;
         if (const auto* end = std::get_if<http::ResponseEnd>(&part)) {
-            on_response_end(connection, end->keep_alive);
+            on_response_end(connection, *end);
             if (wanted) handler_.on_done(call);
             return;
         }
@@ -297,8 +321,11 @@
 }
 
 // Keeps the connection for the next call, or closes it.
-void UpstreamPool::on_response_end(Connection& connection, bool keep_alive) {
-    const bool reusable = keep_alive && connection.can_be_reused();
+void UpstreamPool::on_response_end(Connection& connection, const http::ResponseEnd& end) {
+    const bool reusable = end.keep_alive && connection.can_be_reused();
+    if (end.surplus) record_unrequested_bytes(connection);
+    connection.has_served = true;
+    connection.reusable_at = reuse_delay_.reusable_at(connection.target.key(), uv_now_time());
     detach_call(connection);
     if (reusable) make_idle(connection);
     else close(connection);
@@ -354,20 +381,31 @@
 void UpstreamPool::dispatch_next(const Key& key) {
     reuse_for_queued_handshakes(key);
     if (queue_.empty(key)) return;
-    Connection* const idle = take_idle(key);
+    Connection* const reusable = take_reusable(key);
     if (queue_.empty(key)) {  // closing a stale connection has dispatched the last waiting call
-        if (idle != nullptr) servers_[key].idle.push_back(idle);
+        if (reusable != nullptr) servers_[key].idle.push_back(reusable);
         return;
     }
     ServerConnections& server = servers_[key];
-    if (idle == nullptr && (server.count >= limits_.connections_per_server || !make_room())) return;
+    if (reusable == nullptr && (server.count >= limits_.connections_per_server || !make_room())) return;
     PendingCall pending = queue_.pop(key);
-    if (idle == nullptr) {
+    if (reusable == nullptr) {
         const auto target = pending.target;
         return dial(*target, server, std::move(pending));
     }
     counts_.reused += 1;
-    send(*idle, pending.call, std::move(*pending.request));
+    send(*reusable, pending.call, std::move(*pending.request));
+}
+
+void UpstreamPool::dispatch_to_reusable(Time now) {
+    if (queue_.size() == 0 && handshakes_.waiting() == 0) return;
+    const auto has_waiting_call = [this](const Key& key) {
+        return !queue_.empty(key) || handshakes_.first_waiting(key) != nullptr;
+    };
+    std::vector<Key> ready;
+    for (const auto& [key, server] : servers_)
+        if (server.find_reusable(now) != nullptr && has_waiting_call(key)) ready.push_back(key);
+    for (const Key& key : ready) dispatch_next(key);
 }
 
 // Moves calls that wait for a handshake to idle connections, which saves the server the handshakes.
@@ -377,11 +415,11 @@
         return first != nullptr && first->initial_call.request ? first : nullptr;
     };
     while (first_with_request() != nullptr) {
-        Connection* const idle = take_idle(key);
-        if (idle == nullptr) return;
+        Connection* const reusable = take_reusable(key);
+        if (reusable == nullptr) return;
         Connection* const queued = first_with_request();
         if (queued == nullptr) {  // closing a stale connection has dispatched the last waiting call
-            servers_[key].idle.push_back(idle);
+            servers_[key].idle.push_back(reusable);
             return;
         }
         const Call call = queued->exchange.call;
@@ -389,7 +427,7 @@
         detach_call(*queued);
         close(*queued);
         counts_.reused += 1;
-        send(*idle, call, std::move(request));
+        send(*reusable, call, std::move(request));
     }
 }
 
@@ -440,6 +478,7 @@
     });
     if (++sweeps_ % kSweepsPerIdleCheck == 0) close_unused(now);
     retry_connects(now);
+    dispatch_to_reusable(now);
     for (Connection* connection : overdue)
         if (connection->being_established()) fail_overdue_connect(*connection);
     fail_overdue_calls(now);
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -1,6 +1,7 @@
 // A pool of reusable HTTP/1.1 connections to servers, on a libuv loop. A connection serves one call at a
-// time. Calls queue while a server has its maximum of connections, and new connections queue for the
-// handshake limiter; both waits count towards the dial time-out. The owner chooses the server of a call and
+// time, and rests between two calls (ReuseDelay), so that a response is never taken for that of a later call.
+// Calls queue while a server has its maximum of connections, and new connections queue for the handshake
+// limiter; both waits count towards the dial time-out. The owner chooses the server of a call and
 // decides about retries; the pool never sends a call twice. If the server has closed a reused connection in
 // the meantime, the call fails like on any other broken connection, as it may have run.
 //
@@ -34,6 +35,7 @@
 #include "net/idle_limit.hpp"
 #include "net/loop_clock.hpp"
 #include "net/loop_handles.hpp"
+#include "net/reuse_delay.hpp"
 #include "net/server_connections.hpp"
 #include "net/tls/handshake_limiter.hpp"
 #include "net/upstream_connection.hpp"
@@ -48,9 +50,7 @@
     std::size_t max_queued_calls = 4096;  // For each server
     Duration dial_timeout = std::chrono::milliseconds(250);
     Duration idle_timeout = std::chrono::seconds(30);
-    // Connections that have been idle for at least this long are preferred: if the server had closed them
-    // right after the response, the close would have arrived by now.
-    Duration preferred_idle{};
+    ReuseDelay::Limits reuse_delay;
     tls::HandshakeLimiter::Limits handshakes;
     // Maximum time after complete() for the response to end.
     Duration completion_timeout = std::chrono::seconds(2);
@@ -115,7 +115,8 @@
         std::uint64_t dial_failed = 0;
         std::uint64_t dials_retried = 0;  // Retried because this machine temporarily lacked a resource
         std::uint64_t reused = 0;
-        std::uint64_t stale = 0;  // Idle connections that were found unusable and closed
+        std::uint64_t stale = 0;        // Idle connections that were found unusable and closed
+        std::uint64_t unrequested = 0;  // Connections closed as the server sent bytes that belong to no call
         std::size_t connections = 0;
         std::size_t waiting = 0;
     };
@@ -133,8 +134,8 @@
     void on_write_completed(Connection& connection, int status) override;
 
     [[nodiscard]] Connection* find(Call call) const;
-    // Removes a usable connection from the server's idle ones and returns it; nullptr if there is none.
-    Connection* take_idle(const Key& key);
+    // Removes a reusable connection from the server's idle ones and returns it; nullptr if there is none.
+    Connection* take_reusable(const Key& key);
     // Returns whether a new connection may be made. At the total limit, closes the one that has been idle
     // longest.
     bool make_room();
@@ -148,16 +149,21 @@
     // Calls on_written() if the kernel has accepted the connection's whole request.
     void report_if_written(Connection& connection);
     void on_plaintext(Connection& connection, std::string_view bytes);
+    // Closes the idle connection on which bytes have arrived.
+    void on_unrequested_bytes(Connection& connection);
+    void record_unrequested_bytes(const Connection& connection);
     void on_tls_fault(Connection& connection, const tls::Fault& fault);
     void on_stream_ended(Connection& connection);
     void on_response_parts(Connection& connection, std::vector<http::ResponsePart> parts);
-    void on_response_end(Connection& connection, bool keep_alive);
+    void on_response_end(Connection& connection, const http::ResponseEnd& end);
     void on_failure(Connection& connection, engine::ExchangeEnd ending, const std::string& detail);
     void close(Connection& connection);
     // Separates the connection from its call without a report.
     void detach_call(Connection& connection);
-    // Assigns a waiting call to an idle connection of this server, or to a new one if the limits allow it.
+    // Assigns a waiting call to a reusable connection of this server, or to a new one if the limits allow it.
     void dispatch_next(const Key& key);
+    // Assigns waiting calls to connections that have become reusable.
+    void dispatch_to_reusable(Time now);
     void reuse_for_queued_handshakes(const Key& key);
 
     void sweep();
@@ -178,6 +184,7 @@
     std::set<Connection*> being_established_;
     std::set<Connection*> writing_;  // Busy connections whose request is not known to be fully written
     IdleLimit idle_limit_;
+    ReuseDelay reuse_delay_;
     HandshakeQueue handshakes_;
     std::uint64_t sweeps_ = 0;
     Counts counts_;
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -7,11 +7,36 @@
 TEST_F(PlatformRig, ServesAStream) {
     begin([](auto& p) { p.send(kStream); });
     EXPECT_TRUE(served("a1"));
+    pass_reuse_delay();
     EXPECT_TRUE(served("a2"));
     EXPECT_EQ(writer->peers.size(), 1U);  // the connection was reused
     EXPECT_NE(writer->last.find("X-Correlation-Id: a2"), std::string::npos);
 }
 
+// Guards against a foreign answer: a server's second response, some milliseconds behind the first, was
+// forwarded to the client of the next request on that connection (review/1).
+TEST_F(PlatformRig, LateSecondResponseIsNotForwardedToAnotherClient) {
+    const std::string foreign = kStreamHead + chunked("data: {\"choices\":[],\"foreign\":1}\n\n") +
+                                chunked("data: [DONE]\n\n") + "0\r\n\r\n";
+    std::vector<RawServer::Peer*> decoding;
+    begin([&](auto& p) { decoding.push_back(&p); }, [](auto& s) { s.limits.server_reuse_delay = 1h; });
+    RawClient& first = client();
+    first.send(messages::post("a1"));
+    ASSERT_TRUE(until([&] { return decoding.size() == 1; }));
+    decoding[0]->send(kStream);
+    ASSERT_TRUE(answered(first, "0\r\n\r\n"));
+    RawClient& second = client();
+    second.send(messages::post("a2"));
+    ASSERT_TRUE(until([&] { return decoding.size() == 2; }));
+    decoding[0]->send(foreign);
+    ASSERT_TRUE(until([&] { return decoding[0]->disconnected || !second.got().empty(); }));
+    decoding[1]->send(kStream);
+    ASSERT_TRUE(answered(second, "0\r\n\r\n"));
+    EXPECT_EQ(second.got().find("foreign"), std::string::npos);
+    // The prefill server's connection rests, too.
+    EXPECT_EQ(reader->peers.size(), 2U);
+}
+
 // Guards against idle connections that use up the connection limit: clients that sent one request and kept
 // their connections open caused new connections to be closed, which lost half the requests of a simulated day
 // with client churn.
--- a/tests/net/rig.hpp
+++ b/tests/net/rig.hpp
@@ -277,6 +277,11 @@
         while (!condition() && uv_hrtime() < limit) uv_run(&loop, UV_RUN_ONCE);
         return condition();
     }
+    // Waits until connections whose response has ended by now may be reused.
+    void pass_reuse_delay() {
+        const Time end = uv_now_time() + config::EdgeLimits{}.server_reuse_delay;
+        until([end] { return uv_now_time() > end; });
+    }
     bool served(const std::string& bytes = post("m")) {
         RawClient& c = client();
         c.send(bytes);
--- a/tests/net/socket_test.cpp
+++ b/tests/net/socket_test.cpp
@@ -13,6 +13,7 @@
 TEST_F(Rig, ServesAStream) {
     start(good_write);
     EXPECT_TRUE(served());
+    pass_reuse_delay();
     EXPECT_TRUE(served());
     EXPECT_EQ(writer->peers.size(), 1U);  // the connection was reused
 }
--- a/tests/net/tls_socket_test.cpp
+++ b/tests/net/tls_socket_test.cpp
@@ -119,6 +119,7 @@
 TEST_F(TlsRig, ServesThroughVerifiedEngines) {
     begin(engine("prefill-1.servers.example.org"), engine("decode-7.servers.example.org"));
     EXPECT_TRUE(served());
+    pass_reuse_delay();
     EXPECT_TRUE(served());
     const auto page = metrics();
     EXPECT_NE(page.find("chalksail_tls_handshakes{gateway=\"t\"} 2\n"), std::string::npos)
@@ -126,6 +127,17 @@
     EXPECT_NE(page.find("chalksail_tls_valid_seconds_w"), std::string::npos);
 }
 
+// A connection with TLS rests after a response like any other, on both stages.
+TEST_F(TlsRig, ConnectionsAreNotReusedBeforeTheReuseDelayIsOver) {
+    auto s = settings(engine("prefill-1.servers.example.org"), engine("decode-7.servers.example.org"));
+    s.limits.server_reuse_delay = 1h;
+    log = std::make_unique<observe::Log>("t", "error");
+    edge = std::make_unique<EdgeServer>(loop, s, *log);
+    EXPECT_TRUE(served());
+    EXPECT_TRUE(served());
+    EXPECT_NE(metrics().find("chalksail_tls_handshakes{gateway=\"t\"} 4\n"), std::string::npos);
+}
+
 // A server whose certificate has a different name is refused and receives no byte of a request.
 TEST_F(TlsRig, ServerWithADifferentNameGetsNoByteOfARequest) {
     TlsEngine& wrong = engine("decode-8.servers.example.org");
@@ -323,6 +335,37 @@
     void on_failed(UpstreamPool::Call, engine::ExchangeEnd, std::string detail) override { failed = detail; }
 };
 
+// A call that waits for a handshake is sent on a connection whose reuse delay ends meanwhile.
+TEST_F(TlsRig, WaitingHandshakeIsReplacedByAConnectionThatBecomesReusable) {
+    const std::string name = "decode-7.servers.example.org";
+    RawServer silent(loop, [](RawServer::Peer&) {});  // never answers the handshake
+    tls::SessionCache sessions;
+    const auto target = [&](const Address& address) {
+        Target to(address);
+        to.tls = *tls::Context::client({ca.certificate(), "", "", ""}, now);
+        to.tls_name = name;
+        to.sessions = &sessions;
+        return to;
+    };
+    const Target served_from = target(engine(name).address);
+    PoolClient c;
+    PoolLimits limits;
+    limits.handshakes = {1, 1};
+    limits.dial_timeout = 60s;
+    limits.reuse_delay.normal = 200ms;
+    UpstreamPool pool(loop, c, limits);
+    pool.start(1, served_from, {"GET", "/health", {}, {}});
+    ASSERT_TRUE(until([&] { return c.done; }));
+    c.done = false;
+    pool.start(2, target(silent.address), {"GET", "/health", {}, {}});
+    ASSERT_TRUE(until([&] { return pool.counts().handshakes_under_way == 1; }));
+    pool.start(3, served_from, {"GET", "/health", {}, {}});
+    ASSERT_TRUE(until([&] { return c.done || !c.failed.empty(); }));
+    EXPECT_EQ(c.failed, "");
+    EXPECT_EQ(pool.counts().reused, 1U);
+    pool.close_all();
+}
+
 TEST_F(TlsRig, ListenerPresentsTheRequestedCertificateAndReplacesIt) {
     const auto put = [&](const std::string& file, const std::string& name) {
         const auto issued = ca.issue({{name}, {}, now - 10, now + 10'000, true, 0, 0});
