HTTP server: parse no further request of a client that does not read its responses

Cause: a connection's next request was parsed as soon as the response before it was complete, however much of it was still queued.

Change: while more than stream_buffer_bytes are queued for a client its input waits in the receive buffer, within the limit of pipelined bytes. Each completed write looks again, as it did before.

Tests: UnreadResponses.DelayFurtherRequestsOfTheConnection, requests at once and one by one: without the change 600 of 600 responses of 64 KiB were produced in both, and both fail; with it both pass (61 where they came at once).

--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -127,7 +127,8 @@
     // is closed once too much was discarded.
     const bool over_limit = connection.unparsed.memory_bytes() > limits_.pipelined_bytes ||
                             unfinished_bytes_ > limits_.unfinished_bytes;
-    const bool is_pipelined = connection.is_in(Phase::responding) || !connection.unparsed.empty();
+    const bool is_pipelined =
+        connection.is_in(Phase::responding) || !connection.unparsed.empty() || has_output_backlog(connection);
     if (connection.discarded_bytes > 0 || (is_pipelined && over_limit)) {
         connection.discarded_bytes += bytes.size();
         if (connection.discarded_bytes > limits_.discarded_bytes) close(connection, {Reason::sent_ahead, 0});
@@ -138,6 +139,12 @@
     update_unfinished_bytes(connection, connection.unparsed.memory_bytes());
 }
 
+// A client that does not read its responses gets no further request parsed until it does, so that its
+// responses do not accumulate.
+bool HttpServer::has_output_backlog(const Connection& connection) const {
+    return connection.output.size() + connection.write_queue_size() > limits_.stream_buffer_bytes;
+}
+
 void HttpServer::parse_deferred(Connection::Id id) {
     const auto it = connections_.find(id);
     if (it == connections_.end()) return;
@@ -346,7 +353,10 @@
 
 void HttpServer::await_next_request(Connection& connection) {
     connection.start_reading();
-    if (!connection.unparsed.empty()) return defer_input(connection);
+    if (!connection.unparsed.empty()) {
+        if (!has_output_backlog(connection)) defer_input(connection);
+        return;
+    }
     if (connection.discarded_bytes > 0) return reject_discarded(connection);
     if (!connection.is_in(Phase::awaiting_request)) return;
     make_idle(connection);
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -142,6 +142,8 @@
     [[nodiscard]] static bool may_have_unread(const Connection& connection);
     [[nodiscard]] bool may_have_unread(Connection::Id id) const;
     void on_plaintext(Connection& connection, std::string_view bytes);
+    // Whether more output is queued for the client than ServerLimits::stream_buffer_bytes.
+    [[nodiscard]] bool has_output_backlog(const Connection& connection) const;
     // Parses buffered input and passes the next complete request to the handler, unless one is pending.
     void parse_input(Connection& connection);
     void parse_deferred(Connection::Id id);
--- a/tests/net/pipelining_test.cpp
+++ b/tests/net/pipelining_test.cpp
@@ -63,7 +63,7 @@
     void on_request(HttpServer::Peer peer, http::Request request, Time received_at) override {
         delivered_.emplace_back(turn_, request.target);
         received_at_.emplace_back(received_at, uv_now_time());
-        server_->reply(peer, 200, {}, request.target);
+        server_->reply(peer, 200, {}, response_body_.empty() ? request.target : response_body_);
     }
     void on_closed(HttpServer::Peer, const ConnectionEnd&) override {}
 
@@ -72,6 +72,7 @@
     std::optional<CheckHandle> after_reads_;
     Address address_;
     std::vector<std::unique_ptr<RawClient>> clients_;
+    std::string response_body_;  // if empty, the request's target
     int turn_ = 0;
     std::vector<std::pair<int, std::string>> delivered_;  // the turn and target of each request
     std::vector<std::pair<Time, Time>> received_at_;      // as reported for each request, and the time then
@@ -191,6 +192,32 @@
     EXPECT_EQ(delivered_.size(), 20U);
 }
 
+// Guards against a client that sends requests without reading the responses, which were buffered without a
+// limit. The requests wait until it reads, whether they came at once or one by one.
+class UnreadResponses : public Echo, public ::testing::WithParamInterface<bool> {};
+TEST_P(UnreadResponses, DelayFurtherRequestsOfTheConnection) {
+    constexpr int kRequests = 600;
+    constexpr std::size_t kResponseBytes = 64 * 1024;  // in total more than the sockets buffer
+    start();
+    response_body_ = std::string(kResponseBytes, 'x');
+    const std::string request = "GET /a HTTP/1.1\r\n\r\n";
+    RawClient& c = client();
+    c.stop_reading();
+    const bool at_once = GetParam();
+    if (at_once) c.send(pipelined(request, kRequests));
+    for (int i = 0; i < kRequests; ++i) {
+        if (!at_once) c.send(request);
+        for (int turns = 0; turns < 4; ++turns) uv_run(&loop_, UV_RUN_NOWAIT);
+    }
+    // More turns than requests, for those that are deferred.
+    for (int i = 0; i < kRequests; ++i) uv_run(&loop_, UV_RUN_NOWAIT);
+    EXPECT_LT(delivered_.size(), static_cast<std::size_t>(kRequests));
+    c.resume_reading();
+    EXPECT_TRUE(until([&] { return c.got().size() > kRequests * kResponseBytes; }));
+    EXPECT_EQ(delivered_.size(), static_cast<std::size_t>(kRequests));
+}
+INSTANTIATE_TEST_SUITE_P(Ways, UnreadResponses, ::testing::Bool());
+
 // Input beyond the limit is discarded; the client gets the responses to what was kept, then an error.
 TEST_F(Echo, InputBeyondThePipeliningLimitIsRejectedBehindTheResponses) {
     ServerLimits limits;
--- a/tests/net/rig.hpp
+++ b/tests/net/rig.hpp
@@ -24,6 +24,7 @@
     RawClient(uv_loop_t& loop, const Address& address) : state_(new State) {
         state_->self = state_;
         uv_tcp_init(&loop, &state_->socket);
+        uv_tcp_nodelay(&state_->socket, 1);  // a request is sent even if an earlier one was not acknowledged
         state_->socket.data = state_;
         state_->connect.data = state_;
         sockaddr_in where{};
