Core: release a disconnected client's KV state behind the end of its prefill

The KV state that the prefill then left was never released.

Cause: for a client that had disconnected a running prefill's connection was closed at once and the release sent to another server in the same step. Other cancelled prefills are half-closed and awaited for 20 ms.

Change: a prefill that was written is half-closed in both cases, and the release follows its end.

Tests: ReleaseForADisconnectedClientFollowsTheEndOfItsPrefill fails without the change (the call was aborted and released at once), and passes with it; so does the bound of 20 ms.

--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -338,7 +338,8 @@
 
 // A prefill may complete at the moment of its cancellation. If the connection were closed at once, the
 // response would be lost on its way, and the prompt would be processed again, or its request rejected,
-// although the prefill was done. The connection is therefore half-closed where the protocol allows it.
+// although the prefill was done. For a client that has disconnected, the KV state's release would overtake
+// the end of the prefill. The connection is therefore half-closed where the protocol allows it.
 void Edge::apply(const CancelAttempt& action) {
     ActiveRequest* const request = parts_.requests.find(action.id);
     if (request == nullptr || request->stream_started()) return;
@@ -346,7 +347,7 @@
     if (!request->attempt) return;
     UpstreamCall& call = *parts_.calls.find(*request->attempt);
     if (call.attempt != action.attempt) return;
-    const bool await_response = call.prefill && call.written() && !request->finished();
+    const bool await_response = call.prefill && call.written();
     if (!await_response || !parts_.protocol->half_close_cancels())
         return attempts_.abort(call.id, ExchangeEnd::cancelled, "cancelled", now_, output_);
     if (std::exchange(call.half_closed, true)) return;
--- a/tests/core/platform_actions_test.cpp
+++ b/tests/core/platform_actions_test.cpp
@@ -18,9 +18,10 @@
     std::vector<Event> seen;
 };
 
-// A prefill that the policy cancels, after its last byte was written unless `written` is false.
+// A prefill that the policy cancels at this input, after its last byte was written unless `written` is false.
 struct CancelledPrefill {
-    explicit CancelledPrefill(bool written = true) {
+    explicit CancelledPrefill(bool written = true,
+                              Input input = membership::EndpointList{EndpointUpdateKind::delta, {}}) {
         auto scripted = std::make_unique<ScriptedPolicy>();
         router = scripted.get();
         edge = std::make_unique<Edge>(
@@ -36,8 +37,7 @@
         if (written) step({CallSent{call}, CallWritten{call}});
         router->seen.clear();
         router->next = {CancelAttempt{{1}, {0}}};
-        // Any input, so that the policy acts.
-        step({membership::EndpointList{EndpointUpdateKind::delta, {}}});
+        step({std::move(input)});
     }
     void step(std::vector<Input> inputs) {
         for (const auto& o : edge->step(now, std::move(inputs))) {
@@ -110,6 +110,28 @@
     EXPECT_EQ(d.edge->gauges().calls, 1U);  // the release
 }
 
+// Guards against a release that overtakes the end of a prefill: the prefill's connection was closed when its
+// client disconnected, and the release went to another server at once. A prefill that ended in between left a
+// KV state that nothing released.
+TEST(PlatformEdge, ReleaseForADisconnectedClientFollowsTheEndOfItsPrefill) {
+    CancelledPrefill d(true, ClientClosed{{1}});
+    EXPECT_EQ(d.half_closed, 1);
+    EXPECT_EQ(d.aborted, 0);
+    EXPECT_EQ(d.edge->gauges().calls, 1U);  // the prefill
+    d.step({CallHead{d.call, 202, {}}, CallDone{d.call}});
+    EXPECT_EQ(d.edge->gauges().calls, 1U);  // the release
+    EXPECT_EQ(d.edge->gauges().kv_states_held, 0U);
+}
+
+// The release does not wait long for a server that does not respond to the cancellation.
+TEST(PlatformEdge, ReleaseForADisconnectedClientIsMadeSoonIfItsPrefillDoesNotEnd) {
+    CancelledPrefill d(true, ClientClosed{{1}});
+    d.now += 20ms;
+    d.step({});
+    EXPECT_EQ(d.aborted, 1);
+    EXPECT_EQ(d.edge->gauges().calls, 1U);  // the release
+}
+
 TEST(PlatformEdge, ReservationIsMadeReportedAndReleased) {
     auto scripted = std::make_unique<ScriptedPolicy>();
     ScriptedPolicy& router = *scripted;
--- a/tests/core/platform_release_test.cpp
+++ b/tests/core/platform_release_test.cpp
@@ -258,8 +258,12 @@
     d.advance_time(1s);
     d.calls.clear();
     d.receive(platform_text::post("one"), 1);
-    d.written(d.sent().back().call);
-    d.step({ClientClosed{{1}}});  // the prefill is cancelled, its KV state released
+    const auto prefill = d.sent().back().call;
+    d.written(prefill);
+    d.step(
+        {ClientClosed{{1}}});  // the prefill is cancelled; once its server has reacted, the state is released
+    EXPECT_EQ(d.releases().size(), 0U);
+    d.step({CallFailed{prefill, engine::ExchangeEnd::connection_closed, ""}});
     ASSERT_EQ(d.releases().size(), 1U);
     EXPECT_EQ(d.releases()[0].server, "r1");
     d.advance_time(200ms);
