--- a/tests/faults/discovery_soak_test.cpp
+++ b/tests/faults/discovery_soak_test.cpp
@@ -1,10 +1,12 @@
 // Runs real gateway processes against a discovery service whose list changes while watches break or stall,
-// responses are late, gateways are terminated and killed, and the discovery service moves or restarts. A seed
-// determines the steps. After each step, once the gateway has the current list, requests must go only to
-// servers on that list.
+// responses are late or all of them slow, gateways are terminated and killed, and the discovery service moves
+// or restarts. Decode servers may send second responses. A seed determines the steps. After each step, once
+// the gateway has the current list, requests must go only to servers on that list, and no client may get
+// another request's events.
 #include <random>
 
 #include "faults/process_rig.hpp"
+#include "faults/request_events.hpp"
 #include "net/discovery_stand_in.hpp"
 
 namespace chalksail::faults::testing {
@@ -21,14 +23,20 @@
     static constexpr int kWriters = 3;
     static constexpr int kSteps = 12;
     static constexpr int kClients = 6;
+    static constexpr int kRounds = 3;  // of requests after each step, right behind one another
     static constexpr int kIdleClients = 60;
+    // The delay of every response of a slow discovery service.
+    static constexpr std::chrono::milliseconds kMinSlowDelay{100};
+    static constexpr std::chrono::milliseconds kMaxSlowDelay{4000};
 
     DiscoverySoak() : draw_(GetParam()) {
-        for (int i = 0; i < kReaders; ++i) add_server("r" + std::to_string(i), "reader", kAcceptedResponse);
-        for (int i = 0; i < kWriters; ++i) add_server("w" + std::to_string(i), "writer", kStream);
+        for (int i = 0; i < kReaders; ++i) add_server("r" + std::to_string(i), "reader");
+        for (int i = 0; i < kWriters; ++i) add_server("w" + std::to_string(i), "writer");
         constexpr std::chrono::milliseconds kDelays[] = {0ms, 0ms, 150ms, 1000ms};
         longest_delay_ = kDelays[draw_() % std::size(kDelays)];
         with_idle_clients_ = draw_() % 3 == 0;
+        if (draw_() % 4 == 0) constant_delay_ = kMinSlowDelay + up_to(kMaxSlowDelay - kMinSlowDelay);
+        if (draw_() % 2 == 0) second_response_share_ = 0.3;
         service_ = make_service({random_list()});
     }
     ~DiscoverySoak() override {
@@ -45,13 +53,26 @@
         std::unique_ptr<RawServer> process;
         int attempts = 0;
     };
-    void add_server(const std::string& name, const std::string& kind, const std::string& response) {
+    void add_server(const std::string& name, const std::string& kind) {
         Server& server = servers_[name];
         server.kind = kind;
-        server.process = std::make_unique<RawServer>(loop, [&server, response](RawServer::Peer& p) {
-            const bool release = p.server->last.starts_with("DELETE");
-            server.attempts += release ? 0 : 1;
-            p.send(release ? kNoContentResponse : response);
+        server.process = std::make_unique<RawServer>(loop, [this, &server](RawServer::Peer& p) {
+            if (p.server->last.starts_with("DELETE")) return p.send(kNoContentResponse);
+            server.attempts += 1;
+            if (server.kind == "reader") return p.send(kAcceptedResponse);
+            const std::string response = stream_of(request_id(p.server->last));
+            p.send(response);
+            if (sends_second_response()) send_second_response(p, response);
+        });
+    }
+    bool sends_second_response() {
+        return std::uniform_real_distribution<>(0, 1)(draw_) < second_response_share_;
+    }
+    void send_second_response(RawServer::Peer& peer, const std::string& response) {
+        const auto first_sent_at = Clock::now();
+        const auto delay = kMinSecondResponseDelay + up_to(kMaxSecondResponseDelay - kMinSecondResponseDelay);
+        due_.emplace(first_sent_at + delay, [&peer, response, first_sent_at] {
+            if (Clock::now() <= first_sent_at + kMaxSecondResponseDelay) peer.send(response);
         });
     }
     std::unique_ptr<DiscoveryStandIn> make_service(std::vector<Instances> history) {
@@ -61,10 +82,10 @@
     }
     // Sends at once, or delayed and in two parts; bytes on one connection keep their order.
     void deliver(RawServer::Peer& peer, const std::string& bytes) {
-        if (longest_delay_ == 0ms) return peer.send(bytes);
+        if (longest_delay_ == 0ms && constant_delay_ == 0ms) return peer.send(bytes);
         const auto middle = bytes.size() / 2;
         auto& at = busy_until_[&peer];
-        at = std::max(at, Clock::now() + up_to(longest_delay_));
+        at = std::max(at, Clock::now() + constant_delay_ + up_to(longest_delay_));
         due_.emplace(at, [&peer, part = bytes.substr(0, middle)] { peer.send(part); });
         at += up_to(150ms);
         due_.emplace(at, [&peer, part = bytes.substr(middle)] { peer.send(part); });
@@ -172,22 +193,26 @@
     // Sends one request on each client connection; the connections stay open for further requests.
     void send_requests() {
         clients_.resize(kClients);
+        std::vector<std::string> ids;
         for (auto& client : clients_) {
             if (client == nullptr || !client->read()) client = std::make_unique<DirectClient>(address);
             client->got.clear();
-            client->send(platform_messages::post("q" + std::to_string(++requests_), "chat", "", "20000m"));
+            ids.push_back("q" + std::to_string(++requests_));
+            client->send(platform_messages::post(ids.back(), "chat", "", "20000m"));
         }
-        for (auto& client : clients_) {
+        for (std::size_t i = 0; i < clients_.size(); ++i) {
+            DirectClient& client = *clients_[i];
             EXPECT_TRUE(turn_until([&] {
-                return !client->read() || client->got.find("0\r\n\r\n") != std::string::npos;
+                return !client.read() || client.got.find("0\r\n\r\n") != std::string::npos;
             })) << log();
-            EXPECT_NE(client->got.find("[DONE]"), std::string::npos) << client->got;
+            EXPECT_NE(client.got.find("[DONE]"), std::string::npos) << client.got;
+            EXPECT_FALSE(has_foreign_event(client.got, ids[i])) << ids[i] << " got " << client.got;
         }
     }
     void expect_requests_at_listed_servers_only(int step_number) {
         std::map<std::string, int> before;
         for (const auto& [name, server] : servers_) before[name] = server.attempts;
-        send_requests();
+        for (int round = 0; round < kRounds; ++round) send_requests();
         for (const auto& [name, server] : servers_) {
             if (service_->current().contains(name)) continue;
             EXPECT_EQ(server.attempts, before[name])
@@ -197,8 +222,10 @@
     }
 
     std::mt19937 draw_;
-    std::chrono::milliseconds longest_delay_{};  // maximum delay of discovery's responses
-    bool with_idle_clients_ = false;             // whether idle client connections are open
+    std::chrono::milliseconds longest_delay_{};   // maximum of the random delay of discovery's responses
+    std::chrono::milliseconds constant_delay_{};  // added to each delay
+    double second_response_share_ = 0;            // of the decode servers' responses
+    bool with_idle_clients_ = false;              // whether idle client connections are open
     std::map<std::string, Server> servers_;
     std::unique_ptr<DiscoveryStandIn> service_;
     std::multimap<Clock::time_point, std::function<void()>> due_;
--- a/tests/faults/shutdown_soak_test.cpp
+++ b/tests/faults/shutdown_soak_test.cpp
@@ -1,11 +1,12 @@
 // Shuts down real gateway processes under load; a seed determines the details. Clients continue to use open
 // connections until the process is killed. The earliest time of the kill is the longest deadline (3 s at
 // most) plus 0.7 s after SIGTERM; half of the runs kill up to 1.5 s later. Runs send several signals in a
-// row, let some servers hang, and open many idle connections.
+// row, let some servers hang, have decode servers send second responses, and open many idle connections.
 #include <csignal>
 #include <random>
 
 #include "faults/process_rig.hpp"
+#include "faults/request_events.hpp"
 
 namespace chalksail::faults::testing {
 namespace {
@@ -19,7 +20,8 @@
     bool resume = true;                    // whether clients can resume a stream
     int clients = 0;
     int idle_connections = 0;
-    double unanswered_fraction = 0;  // fraction of the calls that servers never answer
+    double unanswered_fraction = 0;       // fraction of the calls that servers never answer
+    double second_response_fraction = 0;  // fraction of the streams that are followed by a second response
     std::vector<int> signals;
     std::chrono::milliseconds warm_up{};     // load before the first signal
     std::chrono::milliseconds kill_delay{};  // time of the kill after its earliest time
@@ -41,6 +43,7 @@
         signals = series[draw() % series.size()];
         warm_up = std::chrono::milliseconds(100 + draw() % 300);
         kill_delay = std::chrono::milliseconds(draw() % 2 == 0 ? 0 : draw() % 1500);
+        second_response_fraction = draw() % 2 == 0 ? 0 : 0.3;
     }
     [[nodiscard]] Clock::duration kill_after() const {
         return std::min<Clock::duration>(deadline, 3s) + 700ms + kill_delay;
@@ -85,7 +88,8 @@
     std::chrono::milliseconds up_to(std::chrono::milliseconds max) {
         return std::chrono::milliseconds(draw_() % static_cast<unsigned>(max.count() + 1));
     }
-    bool hangs() { return std::uniform_real_distribution<>(0, 1)(draw_) < plan_.unanswered_fraction; }
+    bool happens(double fraction) { return std::uniform_real_distribution<>(0, 1)(draw_) < fraction; }
+    bool hangs() { return happens(plan_.unanswered_fraction); }
     // Schedules an action of a server. Sending to a peer that has disconnected by then has no effect.
     void later(std::chrono::milliseconds after, std::function<void()> act) {
         due_.emplace(Clock::now() + after, std::move(act));
@@ -101,11 +105,24 @@
         });
     }
     void stream(RawServer::Peer& p) {
+        const std::string id = request_id(p.server->last);
+        const std::string event = chunked(event_of(id));
         auto at = up_to(3 * plan_.deadline);
-        later(at, [&p] { p.send(net::testing::kStreamHead + chunked(net::testing::kEvent)); });
+        later(at, [&p, event] { p.send(net::testing::kStreamHead + event); });
         for (auto events = draw_() % 12; events > 0; --events)
-            later(at += up_to(80ms), [&p] { p.send(chunked(net::testing::kEvent)); });
-        later(at + 1ms, [&p] { p.send(chunked("data: [DONE]\n\n") + "0\r\n\r\n"); });
+            later(at += up_to(80ms), [&p, event] { p.send(event); });
+        const bool has_second_response = happens(plan_.second_response_fraction);
+        later(at + 1ms, [this, &p, id, has_second_response] {
+            p.send(chunked("data: [DONE]\n\n") + "0\r\n\r\n");
+            if (has_second_response) send_second_response(p, id);
+        });
+    }
+    void send_second_response(RawServer::Peer& peer, const std::string& id) {
+        const auto first_ended_at = Clock::now();
+        later(kMinSecondResponseDelay + up_to(kMaxSecondResponseDelay - kMinSecondResponseDelay),
+              [&peer, id, first_ended_at] {
+                  if (Clock::now() <= first_ended_at + kMaxSecondResponseDelay) peer.send(stream_of(id));
+              });
     }
     // Runs one turn of the stand-ins and the clients.
     void turn() {
@@ -125,6 +142,8 @@
             c.connection = std::make_unique<DirectClient>(address);
         }
         const bool open = c.connection->read();
+        const bool foreign = !c.id.empty() && has_foreign_event(c.connection->got, c.id);
+        EXPECT_FALSE(foreign) << c.id << " got " << c.connection->got;
         if (!c.id.empty() && is_complete_answer(c.connection->got)) {
             c.id.clear();
             c.next_at = now + up_to(30ms);
