Names: a call's timeout and a connection that stays idle, in place of withdrawn words

LateListCalls said "patience", some comments and test variables "rest" and "told", all on the list of withdrawn names. Names and comments only; the tests follow.

--- a/src/membership/late_list_calls.cpp
+++ b/src/membership/late_list_calls.cpp
@@ -14,10 +14,10 @@
 }
 
 std::optional<LateListCalls::CallId> LateListCalls::remove_expired(Time now) {
-    if (calls_.empty() || now - calls_.front().opened_at <= patience_) return std::nullopt;
+    if (calls_.empty() || now - calls_.front().opened_at <= timeout_) return std::nullopt;
     const CallId expired = calls_.front().id;
     calls_.erase(calls_.begin());
-    patience_ = std::min(2 * patience_, kMaxPatience);
+    timeout_ = std::min(2 * timeout_, kMaxTimeout);
     return expired;
 }
 
--- a/src/membership/late_list_calls.hpp
+++ b/src/membership/late_list_calls.hpp
@@ -19,9 +19,10 @@
     using CallId = std::uint64_t;
     // Maximum number of calls: the oldest, and two that are newer.
     static constexpr std::size_t kMaxCalls = 3;
-    // A change must be known within 6 s, so a longer wait only serves a service that is slower than that.
-    static constexpr Duration kInitialPatience = std::chrono::seconds(6);
-    static constexpr Duration kMaxPatience = std::chrono::seconds(60);
+    // How long the oldest call stays open. A change must be known within 6 s, so a longer time only serves a
+    // service that is slower than that.
+    static constexpr Duration kInitialTimeout = std::chrono::seconds(6);
+    static constexpr Duration kMaxTimeout = std::chrono::seconds(60);
 
     // Adds a call that has timed out. Returns the call that is to be cancelled for it, if there is one.
     [[nodiscard]] std::optional<CallId> add(CallId call, Time opened_at);
@@ -32,7 +33,7 @@
     // Removes all calls and returns them to be cancelled.
     [[nodiscard]] std::vector<CallId> clear();
     // Records that the service has answered in time, or that it is another one.
-    void reset_patience() { patience_ = kInitialPatience; }
+    void reset_timeout() { timeout_ = kInitialTimeout; }
 
 private:
     struct LateCall {
@@ -40,7 +41,7 @@
         Time opened_at{};
     };
     std::vector<LateCall> calls_;  // in the order in which they were opened
-    Duration patience_ = kInitialPatience;
+    Duration timeout_ = kInitialTimeout;
 };
 
 }  // namespace chalksail::membership
--- a/src/net/discovery_watch.cpp
+++ b/src/net/discovery_watch.cpp
@@ -71,7 +71,7 @@
     discovery_ = std::move(discovery);
     cancel_open_call();
     cancel_all_late();
-    late_calls_.reset_patience();
+    late_calls_.reset_timeout();
     schedule_.target_changed(uv_now_time());
     open(WatchCall::list);
 }
@@ -171,7 +171,7 @@
     if (!is_open(call)) return;
     const auto objects = call_->objects.feed(bytes);
     schedule_.received(uv_now_time(), call_->objects.midway());
-    if (schedule_.may_be_answered_late() && !objects.empty()) late_calls_.reset_patience();
+    if (schedule_.may_be_answered_late() && !objects.empty()) late_calls_.reset_timeout();
     on_objects(objects);
 }
 
--- a/src/net/reuse_delay.hpp
+++ b/src/net/reuse_delay.hpp
@@ -1,6 +1,6 @@
-// How long a connection rests after a response before it may carry the next request. A server may send more
-// than the response that it owes, and what arrives after the next request was written cannot be told from
-// that request's response. Unrequested bytes that arrive during the delay close the connection instead.
+// How long a connection stays idle after a response before it may carry the next request. A server may send
+// more than the response that it owes, and what arrives after the next request was written cannot be told
+// from that request's response. Unrequested bytes that arrive during the delay close the connection instead.
 //
 // Servers that have sent unrequested bytes get a longer delay for a while. Reads no clock. Not thread-safe.
 // No errors.
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -1,7 +1,7 @@
 // A pool of reusable HTTP/1.1 connections to servers, on a libuv loop. A connection serves one call at a
-// time, and rests between two calls (ReuseDelay), so that a response is never taken for that of a later call.
-// Calls queue while a server has its maximum of connections, and new connections queue for the handshake
-// limiter; both waits count towards the dial time-out. The owner chooses the server of a call and
+// time, and stays idle between two calls (ReuseDelay), so that a response is never taken for that of a later
+// call. Calls queue while a server has its maximum of connections, and new connections queue for the
+// handshake limiter; both waits count towards the dial time-out. The owner chooses the server of a call and
 // decides about retries; the pool never sends a call twice. If the server has closed a reused connection in
 // the meantime, the call fails like on any other broken connection, as it may have run.
 //
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -54,8 +54,8 @@
     const auto all = platform::parse_time_remaining(in_time.sent().back().headers.get("x-time-left"));
     Platform waited;
     waited.receive(platform_text::post("9b1f", "chat", "", "1000m"), 1, waited.now - 600ms);
-    const auto rest = platform::parse_time_remaining(waited.sent().back().headers.get("x-time-left"));
-    EXPECT_EQ(*rest, *all - 600ms);
+    const auto remaining = platform::parse_time_remaining(waited.sent().back().headers.get("x-time-left"));
+    EXPECT_EQ(*remaining, *all - 600ms);
     waited.now += 400ms;
     waited.step({});
     EXPECT_EQ(waited.responses.size(), 1U);
--- a/tests/membership/late_list_calls_test.cpp
+++ b/tests/membership/late_list_calls_test.cpp
@@ -28,16 +28,16 @@
 
 TEST(LateListCalls, PatienceDoublesUpToItsMaximumEachTimeTheOldestExpires) {
     LateListCalls late;
-    Duration patience = LateListCalls::kInitialPatience;
+    Duration timeout = LateListCalls::kInitialTimeout;
     for (LateListCalls::CallId call = 1; call < 8; ++call) {
         EXPECT_FALSE(late.add(call, kStart));
-        EXPECT_FALSE(late.remove_expired(kStart + patience));
-        EXPECT_EQ(late.remove_expired(kStart + patience + 1ms), call);
-        patience = std::min(2 * patience, LateListCalls::kMaxPatience);
+        EXPECT_FALSE(late.remove_expired(kStart + timeout));
+        EXPECT_EQ(late.remove_expired(kStart + timeout + 1ms), call);
+        timeout = std::min(2 * timeout, LateListCalls::kMaxTimeout);
     }
-    late.reset_patience();
+    late.reset_timeout();
     EXPECT_FALSE(late.add(9, kStart));
-    EXPECT_EQ(late.remove_expired(kStart + LateListCalls::kInitialPatience + 1ms), 9U);
+    EXPECT_EQ(late.remove_expired(kStart + LateListCalls::kInitialTimeout + 1ms), 9U);
 }
 
 TEST(LateListCalls, EndedCallIsNeitherDisplacedNorExpired) {
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -33,7 +33,7 @@
     decoding[1]->send(kStream);
     ASSERT_TRUE(answered(second, "0\r\n\r\n"));
     EXPECT_EQ(second.got().find("foreign"), std::string::npos);
-    // The prefill server's connection rests, too.
+    // The prefill server's connection is not reused either.
     EXPECT_EQ(reader->peers.size(), 2U);
 }
 
--- a/tests/net/receive_buffer_test.cpp
+++ b/tests/net/receive_buffer_test.cpp
@@ -68,9 +68,9 @@
     for (std::size_t at = 0; !buffer.empty();) {
         const auto count =
             static_cast<std::size_t>(*rc::gen::inRange(1, static_cast<int>(buffer.front().size()) + 1));
-        const Time told = buffer.front_received_at();
-        RC_ASSERT(told >= expected[at + count - 1]);
-        RC_ASSERT(told <= expected[at] + ReceiveBuffer::kTimeResolution);
+        const Time reported = buffer.front_received_at();
+        RC_ASSERT(reported >= expected[at + count - 1]);
+        RC_ASSERT(reported <= expected[at] + ReceiveBuffer::kTimeResolution);
         buffer.consume(count);
         at += count;
     }
--- a/tests/net/reuse_delay_test.cpp
+++ b/tests/net/reuse_delay_test.cpp
@@ -1,4 +1,4 @@
-// How long a connection rests after a response, by what its server has sent before.
+// How long a connection stays idle after a response, by what its server has sent before.
 #include "net/reuse_delay.hpp"
 
 #include <gtest/gtest.h>
--- a/tests/net/tls_socket_test.cpp
+++ b/tests/net/tls_socket_test.cpp
@@ -127,7 +127,7 @@
     EXPECT_NE(page.find("chalksail_tls_valid_seconds_w"), std::string::npos);
 }
 
-// A connection with TLS rests after a response like any other, on both stages.
+// A connection with TLS stays idle after a response like any other, on both stages.
 TEST_F(TlsRig, ConnectionsAreNotReusedBeforeTheReuseDelayIsOver) {
     auto s = settings(engine("prefill-1.servers.example.org"), engine("decode-7.servers.example.org"));
     s.limits.server_reuse_delay = 1h;
