Upstream pool: look up a server's entry after room was made, not before

Cause: start() and connect() held a reference to the server's entry while make_room() closed the connection that had been idle longest. If that was the server's last one, close() erased the entry. Since connections wait for the reuse delay a call can meet an idle connection of its own server there; connect() could before.

Change: dial() and the check of the limit look the entry up (connection_count()).

--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -40,12 +40,10 @@
         counts_.reused += 1;
         return send(*reusable, call, std::move(request));
     }
-    ServerConnections& server = servers_[key];
     PendingCall pending{call, uv_now_time(), std::move(request), std::make_shared<Target>(to),
                         options.priority};
-    if (server.count < limits_.connections_per_server) {
-        if (make_room() || options.beyond_limit) return dial(to, server, std::move(pending));
-        if (server.count == 0) servers_.erase(key);
+    if (connection_count(key) < limits_.connections_per_server) {
+        if (make_room() || options.beyond_limit) return dial(to, std::move(pending));
         return handler_.on_failed(call, ExchangeEnd::no_resources,
                                   "connections to all servers are at their limit");
     }
@@ -92,15 +90,19 @@
 // ---- establishing a connection ----
 
 void UpstreamPool::connect(Call call, const Target& to) {
-    ServerConnections& server = servers_[to.key()];
     // At the limit no further connection is needed: the existing ones already show whether the server can be
     // verified.
-    if (server.count >= limits_.connections_per_server || !make_room())
+    if (connection_count(to.key()) >= limits_.connections_per_server || !make_room())
         return handler_.on_failed(call, ExchangeEnd::no_resources, "connection limit reached");
-    dial(to, server, {call, uv_now_time(), std::nullopt, std::make_shared<Target>(to), 0});
+    dial(to, {call, uv_now_time(), std::nullopt, std::make_shared<Target>(to), 0});
+}
+
+std::size_t UpstreamPool::connection_count(const Key& key) const {
+    const auto server = servers_.find(key);
+    return server == servers_.end() ? 0 : server->second.count;
 }
 
-void UpstreamPool::dial(const Target& target, ServerConnections& server, PendingCall initial_call) {
+void UpstreamPool::dial(const Target& target, PendingCall initial_call) {
     auto owned = make_connection<Connection>(loop_, read_buffer_, static_cast<Connection::Owner&>(*this),
                                              limits_.message, target);
     Connection& connection = *owned;
@@ -110,7 +112,7 @@
     connections_.emplace(&connection, std::move(owned));
     being_established_.insert(&connection);
     by_call_.emplace(connection.exchange.call, &connection);
-    server.count += 1;
+    servers_[target.key()].count += 1;
     counts_.dialled += 1;
     try_connect(connection);
 }
@@ -386,12 +388,12 @@
         if (reusable != nullptr) servers_[key].idle.push_back(reusable);
         return;
     }
-    ServerConnections& server = servers_[key];
-    if (reusable == nullptr && (server.count >= limits_.connections_per_server || !make_room())) return;
+    const bool at_server_limit = connection_count(key) >= limits_.connections_per_server;
+    if (reusable == nullptr && (at_server_limit || !make_room())) return;
     PendingCall pending = queue_.pop(key);
     if (reusable == nullptr) {
         const auto target = pending.target;
-        return dial(*target, server, std::move(pending));
+        return dial(*target, std::move(pending));
     }
     counts_.reused += 1;
     send(*reusable, pending.call, std::move(*pending.request));
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -137,9 +137,11 @@
     // Removes a reusable connection from the server's idle ones and returns it; nullptr if there is none.
     Connection* take_reusable(const Key& key);
     // Returns whether a new connection may be made. At the total limit, closes the one that has been idle
-    // longest.
+    // longest, and forgets its server if that was its last connection.
     bool make_room();
-    void dial(const Target& target, ServerConnections& server, PendingCall initial_call);
+    // Returns the number of connections to the server, in any state.
+    [[nodiscard]] std::size_t connection_count(const Key& key) const;
+    void dial(const Target& target, PendingCall initial_call);
     void try_connect(Connection& connection);
     void start_queued_handshakes();
     void begin_handshake(Connection& connection);
--- a/tests/net/pool_reuse_test.cpp
+++ b/tests/net/pool_reuse_test.cpp
@@ -113,6 +113,21 @@
     EXPECT_EQ(ending, engine::ExchangeEnd::response_received);
 }
 
+// The same for a connection that is established without a call. Guards, like the test above, against a use of
+// the server's entry after its last connection was closed to make room.
+TEST_F(PoolReuse, ConnectAtTheTotalLimitReplacesAnIdleConnectionToTheSameServer) {
+    open(1);
+    Peer peer;
+    for (int i = 0; i < 2; ++i) {
+        ended = false;
+        pool->connect(++last_call, Target(peer.address));
+        run_until([&] { return ended; });
+        EXPECT_EQ(ending, engine::ExchangeEnd::response_received);
+    }
+    EXPECT_EQ(pool->counts().dialled, 2U);
+    EXPECT_EQ(pool->counts().connections, 1U);
+}
+
 // Where a server's unrequested bytes arrive.
 enum class Surplus { with_the_response, while_idle, unread_at_the_next_call, before_the_request_is_written };
 class UnrequestedBytes : public PoolReuse, public ::testing::WithParamInterface<Surplus> {
