Logs and metrics: resident memory with its uses, and why client input is rejected or closed

The evidence had no line about memory, and none about input that was answered with an error before it was a request.

A warning is logged when the process passes half of its limit, for each further eighth of it, and when it is below half again; it names the clients' input and output, the retained requests and the servers' responses. At most one line a second counts closed connections and rejected input by reason. The same figures are gauges on the metrics page. The input's count does not cover heads yet.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -119,6 +119,7 @@
 // Limits of a gateway's memory, connections and durations.
 struct EdgeLimits {
     // --- Bytes ---
+    std::size_t memory_bytes = 0;                          // of the whole process; 0: not known
     std::size_t head_bytes = 32 * 1024;                    // head of a request or response
     std::size_t body_bytes = 8 * 1024 * 1024;              // body of a request
     std::size_t request_bytes = std::size_t{1} << 30U;     // retained bodies of all open requests in total
--- a/src/core/active_requests.hpp
+++ b/src/core/active_requests.hpp
@@ -138,6 +138,8 @@
 
     [[nodiscard]] std::size_t unfinished_count() const { return unfinished_; }
     [[nodiscard]] std::size_t streaming_count() const { return streaming_; }
+    // Returns the total size of the bodies that are retained.
+    [[nodiscard]] std::size_t body_bytes() const { return body_bytes_; }
 
 private:
     // Changes the phase; no other function does.
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -95,6 +95,8 @@
             parts_.requests.streaming_count(),
             parts_.calls.count(),
             parts_.kv_states.held_count(),
+            parts_.requests.body_bytes(),
+            parts_.calls.buffered_bytes(),
             router_.tracked_requests(),
             parts_.endpoints.unverified_count(),
             parts_.cache_index.counts()};
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -50,6 +50,8 @@
     std::size_t started_streams = 0;
     std::size_t calls = 0;  // calls to servers in flight
     std::size_t kv_states_held = 0;
+    std::size_t request_bytes = 0;   // retained of open requests
+    std::size_t response_bytes = 0;  // buffered of the servers' responses
     std::size_t tracked_by_router = 0;
     std::size_t unverified_servers = 0;
     CacheIndex::Counts prefixes;
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -32,6 +32,7 @@
     // Totals for all requests. A body is copied while its attempt waits for a connection, so the bodies use
     // at most twice request_bytes.
     const std::size_t memory = static_cast<std::size_t>(memory_mb) * kKiB * kKiB;
+    limits.memory_bytes = memory;
     limits.request_bytes = memory / 8;
     limits.unfinished_bytes = memory / 8;
     limits.response_bytes = 64 * kKiB;
--- a/src/core/upstream_calls.cpp
+++ b/src/core/upstream_calls.cpp
@@ -72,4 +72,10 @@
     return servers;
 }
 
+std::size_t UpstreamCalls::buffered_bytes() const {
+    std::size_t bytes = 0;
+    for (const auto& [id, call] : calls_) bytes += call.body.size();
+    return bytes;
+}
+
 }  // namespace chalksail::core
--- a/src/core/upstream_calls.hpp
+++ b/src/core/upstream_calls.hpp
@@ -83,6 +83,8 @@
     // Returns the servers to which a call is in flight.
     [[nodiscard]] std::set<std::string> servers_in_use() const;
     [[nodiscard]] std::size_t count() const { return calls_.size(); }
+    // Returns the total size of the buffered parts of responses.
+    [[nodiscard]] std::size_t buffered_bytes() const;
 
 private:
     std::map<CallId, UpstreamCall> calls_;
--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -69,6 +69,9 @@
         phase_ = next;
     }
 
+    // Returns the number of output bytes that the kernel has not accepted yet.
+    [[nodiscard]] std::size_t queued_output_bytes() const { return output.size() + write_queue_size(); }
+
     // Parses `unparsed`, which must not be empty, up to the end of the next request, or all of it if no
     // request is complete.
     [[nodiscard]] http::RequestReader::Progress parse_next();
--- a/src/net/edge_server.cpp
+++ b/src/net/edge_server.cpp
@@ -17,6 +17,11 @@
 
 // Limits the log to one line per interval while accept() fails repeatedly, as when file descriptors run out.
 constexpr Duration kAcceptErrorLogInterval = std::chrono::seconds(1);
+constexpr Duration kClientEventsLogInterval = std::chrono::seconds(1);
+constexpr std::size_t kBytesPerMb = std::size_t{1024} * 1024;
+
+std::string in_mb(std::size_t bytes) { return std::to_string(bytes / kBytesPerMb) + " MB"; }
+std::string in_kb(std::size_t bytes) { return std::to_string(bytes / 1024) + " KB"; }
 
 ClockOffset wall_clock_offset() {
     const auto wall = std::chrono::system_clock::now().time_since_epoch();
@@ -48,7 +53,9 @@
       edge_(settings, read_vocabulary(settings.cache_events)),
       certificates_(settings_, log),
       endpoint_source_(std::move(endpoint_source)),
-      shutdown_(loop, *this, log, settings_.limits) {
+      shutdown_(loop, *this, log, settings_.limits),
+      client_events_(kClientEventsLogInterval),
+      memory_monitor_(settings_.limits.memory_bytes) {
     if (endpoint_source_ == nullptr) create_endpoint_sources();
     http_server_ = std::make_unique<HttpServer>(loop_, static_cast<HttpServer::Handler&>(*this),
                                                 client_limits(settings_.limits));
@@ -130,6 +137,8 @@
 void EdgeServer::on_turn(Time turn_began) {
     dispatch();
     log_event_loop_lag(turn_began);
+    log_memory();
+    log_client_events();
     shutdown_.poll();
 }
 
@@ -159,6 +168,26 @@
                                std::to_string(edge_.endpoint_count()) + " servers known");
 }
 
+void EdgeServer::log_memory() {
+    const auto report = memory_monitor_.poll(uv_now_time());
+    if (!report) return;
+    const auto clients = http_server_->counts();
+    const auto core = edge_.gauges();
+    const bool high = report->level == MemoryMonitor::Level::high;
+    log_.warn("memory", in_mb(report->resident_bytes) + " resident, " + (high ? "above" : "no longer above") +
+                            " half of the limit of " + in_mb(report->limit_bytes) + "; at most " +
+                            in_mb(report->peak_bytes) + " so far; " + std::to_string(clients.connections) +
+                            " clients with " + in_kb(clients.input_bytes) + " of input and " +
+                            in_kb(clients.output_bytes) + " of output; " +
+                            std::to_string(core.open_requests) + " requests with " +
+                            in_kb(core.request_bytes) + "; " + std::to_string(core.calls) + " calls with " +
+                            in_kb(core.response_bytes) + " of responses");
+}
+
+void EdgeServer::log_client_events() {
+    if (const auto counts = client_events_.take(uv_now_time())) log_.info("client_events", *counts);
+}
+
 void EdgeServer::reload_tls() {
     const auto changes = certificates_.reload();
     if (changes.server_trust) inputs_.emplace_back(core::TrustStoreChanged{});
@@ -173,7 +202,13 @@
 void EdgeServer::on_closed(HttpServer::Peer peer, const ConnectionEnd& end) {
     enqueue(core::ClientClosed{{peer}, describe(end)});
 }
-void EdgeServer::on_idle_closed(const ConnectionEnd& end) { log_.debug("client_closed", describe(end)); }
+void EdgeServer::on_idle_closed(const ConnectionEnd& end) {
+    log_.debug("client_closed", describe(end));
+    client_events_.add("closed, " + describe(end));
+}
+void EdgeServer::on_rejected(int status, const std::string& text) {
+    client_events_.add("rejected with " + std::to_string(status) + ", " + text);
+}
 void EdgeServer::on_accept_failed(int error) {
     const Time now = uv_now_time();
     accept_errors_ += 1;
@@ -219,6 +254,7 @@
     gauges.core = edge_.gauges();
     gauges.clients = http_server_->counts();
     gauges.accept_errors = accept_errors_;
+    gauges.resident_bytes = memory_monitor_.resident_bytes();
     gauges.servers = upstream_pool_->counts();
     gauges.certificates = certificates_.counts();
     if (const auto tls = certificates_.listener_context())
@@ -253,6 +289,7 @@
 void EdgeServer::finish() {
     if (finished_) return;
     finished_ = true;
+    if (const auto counts = client_events_.take_all(); !counts.empty()) log_.info("client_events", counts);
     shutdown_.end();
     scheduler_.reset();
     tls_poll_timer_.reset();
--- a/src/net/edge_server.hpp
+++ b/src/net/edge_server.hpp
@@ -22,10 +22,12 @@
 #include "net/effect_executor.hpp"
 #include "net/graceful_shutdown.hpp"
 #include "net/http_server.hpp"
+#include "net/memory_monitor.hpp"
 #include "net/tls_certificates.hpp"
 #include "net/turn_scheduler.hpp"
 #include "net/upstream_pool.hpp"
 #include "observe/event_loop_lag.hpp"
+#include "observe/event_summary.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
 
@@ -65,6 +67,7 @@
     void on_closed(HttpServer::Peer peer, const ConnectionEnd& end) override;
     void on_backlog(HttpServer::Peer peer, bool full) override;
     void on_idle_closed(const ConnectionEnd& end) override;
+    void on_rejected(int status, const std::string& text) override;
     void on_accept_failed(int error) override;
     // UpstreamPool::Handler
     bool on_ready(UpstreamPool::Call call, http::Headers& headers) override;
@@ -105,6 +108,9 @@
     // Steps the core and executes its effects until no input is left and no wake-up time of the core is due.
     void dispatch();
     void log_event_loop_lag(Time turn_began);
+    // Logs a change of the memory level with what the memory is used for.
+    void log_memory();
+    void log_client_events();
 
     uv_loop_t& loop_;
     config::EdgeSettings settings_;
@@ -128,6 +134,8 @@
     std::optional<Timer> tls_poll_timer_;     // empty without TLS, and after finish()
     GracefulShutdown shutdown_;
     observe::EventLoopLag event_loop_lag_;
+    observe::EventSummary client_events_;  // closed connections and rejected input, by reason
+    MemoryMonitor memory_monitor_;
     std::uint64_t accept_errors_ = 0;
     Time accept_error_logged_{};
     bool finished_ = false;
--- a/src/net/gateway_gauges.cpp
+++ b/src/net/gateway_gauges.cpp
@@ -30,6 +30,8 @@
     out.set("started_streams", core.started_streams);
     out.set("calls_out", core.calls);
     out.set("states_held", core.kv_states_held);
+    out.set("request_bytes", core.request_bytes);
+    out.set("response_bytes", core.response_bytes);
 }
 
 void write_clients(const GatewayGauges& gauges, GaugeWriter& out) {
@@ -39,6 +41,9 @@
     out.set("client_bad_requests", gauges.clients.bad_requests);
     out.set("client_stalled", gauges.clients.stalled);
     out.set("client_timed_out", gauges.clients.timed_out);
+    out.set("client_input_bytes", gauges.clients.input_bytes);
+    out.set("client_output_bytes", gauges.clients.output_bytes);
+    out.set("resident_bytes", gauges.resident_bytes);
 }
 
 void write_servers(const GatewayGauges& gauges, GaugeWriter& out) {
--- a/src/net/gateway_gauges.hpp
+++ b/src/net/gateway_gauges.hpp
@@ -20,6 +20,7 @@
     core::Gauges core;
     HttpServer::Counts clients;
     std::uint64_t accept_errors = 0;
+    std::size_t resident_bytes = 0;  // memory of this process
     UpstreamPool::Counts servers;
     TlsCertificates::Counts certificates;
     std::optional<std::int64_t> listener_valid_seconds;         // empty if the listener does not use TLS
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -142,7 +142,7 @@
 // A client that does not read its responses gets no further request parsed until it does, so that its
 // responses do not accumulate.
 bool HttpServer::has_output_backlog(const Connection& connection) const {
-    return connection.output.size() + connection.write_queue_size() > limits_.stream_buffer_bytes;
+    return connection.queued_output_bytes() > limits_.stream_buffer_bytes;
 }
 
 void HttpServer::parse_deferred(Connection::Id id) {
@@ -211,6 +211,7 @@
 
 void HttpServer::reject(Connection& connection, const http::Fault& fault) {
     counts_.bad_requests += 1;
+    handler_.on_rejected(fault.status, fault.text);
     const std::string body = R"({"error":{"message":")" + fault.text +
                              R"(","type":"invalid_request_error","param":null,"code":null}})";
     http::Headers headers;
@@ -500,6 +501,8 @@
     Counts out = counts_;
     out.connections = connections_.size();
     out.active_requests = active_requests_.size();
+    out.input_bytes = unfinished_bytes_;
+    for (const auto& [id, connection] : connections_) out.output_bytes += connection->queued_output_bytes();
     return out;
 }
 
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -66,6 +66,8 @@
         virtual void on_backlog(Peer, bool) {}
         // A connection without a pending request ended for a reason other than its client's close.
         virtual void on_idle_closed(const ConnectionEnd&) {}
+        // What a client sent was answered with this status and text, and its connection ends.
+        virtual void on_rejected(int /*status*/, const std::string& /*text*/) {}
         // accept() failed with this errno; the listener retries.
         virtual void on_accept_failed(int) {}
     };
@@ -116,6 +118,8 @@
         std::uint64_t handshakes_failed = 0;
         std::size_t connections = 0;
         std::size_t active_requests = 0;
+        std::size_t input_bytes = 0;   // buffered: incomplete and pipelined requests
+        std::size_t output_bytes = 0;  // buffered: not yet accepted by the kernel
     };
     [[nodiscard]] Counts counts() const;
 
