HTTP: limit the number of header fields, and count their separators

A head may have 100 fields now, in requests (431) and responses (502), and each field's separator counts.

Class: a bound on bytes where the memory follows the number.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -19,22 +19,30 @@
 // does not allocate memory.
 constexpr std::size_t kMaxInitialBodyReserve = 64 * 1024;
 
-// Builds the header fields from http-parser's callbacks and counts the bytes of the head.
+// The bytes of a header field beside its name and value: ":" and CRLF.
+constexpr std::size_t kFieldSeparatorBytes = 3;
+
+// Builds the header fields from http-parser's callbacks and counts the fields and bytes of the head.
 struct HeadBuilder {
     Headers headers;
     bool in_value = false;
     std::size_t bytes = 0;
-
-    // Both return false if the head exceeds `limit` bytes.
-    bool add_to_name(std::string_view part, std::size_t limit) {
-        if ((bytes += part.size()) > limit) return false;
-        if (in_value || headers.all().empty()) headers.add({}, {});
+    std::size_t fields = 0;
+
+    // Both return false if the head exceeds the limits.
+    bool add_to_name(std::string_view part, const Limits& limits) {
+        if (in_value || headers.all().empty()) {
+            if ((fields += 1) > limits.header_fields) return false;
+            bytes += kFieldSeparatorBytes;
+            headers.add({}, {});
+        }
         in_value = false;
+        if ((bytes += part.size()) > limits.head_bytes) return false;
         headers.all().back().name += part;
         return true;
     }
-    bool add_to_value(std::string_view part, std::size_t limit) {
-        if ((bytes += part.size()) > limit) return false;
+    bool add_to_value(std::string_view part, const Limits& limits) {
+        if ((bytes += part.size()) > limits.head_bytes) return false;
         if (headers.all().empty()) return false;
         in_value = true;
         headers.all().back().value += part;
@@ -136,10 +144,10 @@
         return kContinueParsing;
     }
     int on_header_name(std::string_view bytes) {
-        return head.add_to_name(bytes, limits.head_bytes) ? kContinueParsing : head_too_large();
+        return head.add_to_name(bytes, limits) ? kContinueParsing : head_too_large();
     }
     int on_header_value(std::string_view bytes) {
-        return head.add_to_value(bytes, limits.head_bytes) ? kContinueParsing : head_too_large();
+        return head.add_to_value(bytes, limits) ? kContinueParsing : head_too_large();
     }
     int on_head_complete() {
         head_complete = true;
@@ -258,12 +266,8 @@
         head.bytes += bytes;
         return check_head(head.bytes <= limits.head_bytes);
     }
-    int on_header_name(std::string_view bytes) {
-        return check_head(head.add_to_name(bytes, limits.head_bytes));
-    }
-    int on_header_value(std::string_view bytes) {
-        return check_head(head.add_to_value(bytes, limits.head_bytes));
-    }
+    int on_header_name(std::string_view bytes) { return check_head(head.add_to_name(bytes, limits)); }
+    int on_header_value(std::string_view bytes) { return check_head(head.add_to_value(bytes, limits)); }
     int on_head_complete() {
         if (!informational())
             parsed.emplace_back(ResponseHead{static_cast<int>(parser.status_code), head.take()});
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -57,6 +57,7 @@
     std::size_t head_bytes = 32 * 1024;
     std::size_t body_bytes = 8 * 1024 * 1024;
     std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;  // one chunk of a response body
+    std::size_t header_fields = 100;  // bounds the memory of a head whose fields are short
 };
 
 // A parse error: the status to respond with, and a description for logs and error responses.
--- a/tests/http/message_test.cpp
+++ b/tests/http/message_test.cpp
@@ -179,5 +179,45 @@
     }
 }
 
+// Guards against heads that take much more memory than their bytes: each field is stored in two strings.
+TEST(RequestReader, HeadWithTooManyFieldsIsRejected) {
+    Limits limits;
+    for (const std::size_t fields : {limits.header_fields, limits.header_fields + 1}) {
+        std::string head = "GET / HTTP/1.1\r\n";
+        for (std::size_t i = 0; i < fields; ++i) head += "a:\r\n";
+        head += "\r\n";
+        RequestReader reader(limits);
+        std::string_view bytes = head;
+        const auto progress = reader.feed(bytes);
+        if (fields <= limits.header_fields) {
+            EXPECT_TRUE(std::holds_alternative<Request>(progress));
+        } else {
+            ASSERT_TRUE(std::holds_alternative<Fault>(progress));
+            EXPECT_EQ(std::get<Fault>(progress).status, 431);
+        }
+    }
+}
+
+TEST(RequestReader, SeparatorsOfFieldsCountTowardsTheSizeOfTheHead) {
+    Limits limits;
+    limits.head_bytes = 50;
+    RequestReader reader(limits);
+    std::string_view bytes =
+        "GET / "
+        "HTTP/1.1\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\na:\r\n\r\n";
+    ASSERT_TRUE(std::holds_alternative<Fault>(reader.feed(bytes)));
+}
+
+TEST(ResponseReader, HeadWithTooManyFieldsIsAFault) {
+    Limits limits;
+    std::string head = "HTTP/1.1 200 OK\r\n";
+    for (std::size_t i = 0; i <= limits.header_fields; ++i) head += "a:\r\n";
+    ResponseReader reader(limits);
+    const auto parts = reader.feed(head);
+    ASSERT_EQ(parts.size(), 1U);
+    ASSERT_TRUE(std::holds_alternative<Fault>(parts[0]));
+    EXPECT_EQ(std::get<Fault>(parts[0]).status, 502);
+}
+
 }  // namespace
 }  // namespace chalksail::http
