--- a/tests/faults/memory_test.cpp
+++ b/tests/faults/memory_test.cpp
@@ -67,6 +67,13 @@
     });
 }
 
+TEST_F(MemoryLimit, IsKeptForClientsThatReadLongResponsesSlowly) {
+    begin(long_stream(30, 8'000));
+    run_crowd_then_serve([](int i) {
+        return CrowdClient::Behaviour{platform_messages::post("r" + std::to_string(i)), 16 * 1024, 100, 2048};
+    });
+}
+
 // Large requests are retained while the servers that they were sent to do not respond.
 TEST_F(MemoryLimit, IsKeptForLargeRequestsAtSilentServers) {
     set_limits(kMemoryMb, 1024);
@@ -101,6 +108,22 @@
 }
 
 // Servers that write an event, or a prefill's response, up to the size limit and then stop.
+TEST_F(MemoryLimit, IsKeptForResponsesThatStopWithinALargeEvent) {
+    begin(kStreamHead + chunked("data: " + std::string(64'000, 'x')));
+    run_crowd([](int i) {
+        return CrowdClient::Behaviour{platform_messages::post("e" + std::to_string(i), "order")};
+    });
+}
+
 // Guards against reading megabytes of one connection in a single turn of the loop.
+TEST_F(MemoryLimit, IsKeptForResponsesThatNeverEnd) {
+    std::string endless = kStreamHead;
+    for (int i = 0; i < 40; ++i) endless += chunked("data: " + std::string(60'000, 'x') + "\n\n");
+    begin(endless);
+    run_crowd([](int i) {
+        return CrowdClient::Behaviour{platform_messages::post("n" + std::to_string(i), "order")};
+    });
+}
+
 }  // namespace
 }  // namespace chalksail::faults::testing
