Connections: read one buffer of a connection in each turn of the loop

A connection that fills its owner's buffer continues in the next turn now, and the buffer for servers' connections follows from the memory: a sixteenth of it, shared by all of them, 4 to 64 KB each.

Class: a bound that is applied once a turn, to input that is not bounded in a turn.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -126,6 +126,8 @@
     std::size_t unfinished_bytes = std::size_t{1} << 30U;  // requests still being received, in total
     // Queued for a client. Above this limit, reading from the engine pauses.
     std::size_t stream_buffer_bytes = 64 * 1024;
+    // Read at most of a server's connection in one turn of the event loop.
+    std::size_t response_read_bytes = 64 * 1024;
     std::size_t event_bytes = 1024 * 1024;                 // one event of an engine's stream
     std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;   // one chunk of an engine's response
     std::size_t response_bytes = 16 * 1024 * 1024;         // a buffered response, and a prefill's response
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -25,6 +25,12 @@
     limits.dial_queue = limits.open_requests;
 }
 
+// Returns the size of a buffer of which each of so many connections may have one: together they take a
+// sixteenth of the memory, if they are not at their minimum.
+std::size_t buffer_bytes(std::size_t memory, std::int64_t connections) {
+    return std::clamp(memory / 16 / static_cast<std::size_t>(connections), 4 * kKiB, 64 * kKiB);
+}
+
 void set_byte_limits(std::int64_t memory_mb, config::EdgeLimits& limits) {
     // The platform sends no larger bodies in either direction; request heads have a few hundred bytes.
     limits.head_bytes = 16 * kKiB;
@@ -40,6 +46,7 @@
     limits.chunk_bytes = limits.body_bytes;
     limits.max_stream_bytes = limits.body_bytes;
     limits.stream_buffer_bytes = 64 * kKiB;
+    limits.response_read_bytes = buffer_bytes(memory, limits.server_connections);
     limits.pipelined_bytes = limits.unfinished_bytes / 2;  // total, like unfinished_bytes
 }
 
--- a/src/net/edge_server_limits.cpp
+++ b/src/net/edge_server_limits.cpp
@@ -33,6 +33,7 @@
     const auto& limits = settings.limits;
     PoolLimits out;
     out.message = {limits.head_bytes, 0, limits.chunk_bytes};
+    out.read_bytes = limits.response_read_bytes;
     out.connections_per_server = static_cast<std::size_t>(limits.connections_per_server);
     out.max_queued_calls = static_cast<std::size_t>(limits.dial_queue);
     out.connections = static_cast<std::size_t>(limits.server_connections);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -19,7 +19,7 @@
       handler_(handler),
       limits_(limits),
       sweep_timer_(loop, [this] { sweep(); }),
-      read_buffer_(kReadBufferBytes),
+      read_buffer_(loop, kReadBufferBytes),
       deferred_input_(loop, [this](Connection::Id id) { parse_deferred(id); }),
       idle_connections_(limits.idle_connections) {
     sweep_timer_.start_repeating(kSweepInterval);
--- a/src/net/tcp_connection.cpp
+++ b/src/net/tcp_connection.cpp
@@ -33,22 +33,43 @@
 }
 
 void TcpConnection::start_reading() {
-    if (std::exchange(reading_, true)) return;
+    if (!std::exchange(reading_, true)) begin_read();
+}
+
+void TcpConnection::begin_read() {
     uv_read_start(
         stream(),
         [](uv_handle_t* handle, std::size_t, uv_buf_t* buffer) {
-            auto& all = static_cast<TcpConnection*>(handle->data)->read_buffer_;
-            *buffer = uv_buf_init(all.data(), static_cast<unsigned>(all.size()));
+            *buffer = static_cast<TcpConnection*>(handle->data)->read_buffer_.bytes();
         },
         [](uv_stream_t* stream, ssize_t size, const uv_buf_t* buffer) {
             auto& connection = *static_cast<TcpConnection*>(stream->data);
-            if (size > 0) connection.on_bytes({buffer->base, static_cast<std::size_t>(size)});
-            else if (size < 0) connection.on_read_error(static_cast<int>(size));
+            if (size < 0) return connection.on_read_error(static_cast<int>(size));
+            if (size == 0) return;
+            connection.on_bytes({buffer->base, static_cast<std::size_t>(size)});
+            if (static_cast<std::size_t>(size) == buffer->len) connection.yield_turn();
         });
 }
 
+void TcpConnection::yield_turn() {
+    if (closed_ || !reading_ || postponed_) return;
+    uv_read_stop(stream());
+    postponed_ = true;
+    read_buffer_.postpone(*this);
+}
+
+void TcpConnection::continue_reading() {
+    postponed_ = false;
+    begin_read();
+}
+
+void TcpConnection::cancel_postponed_read() {
+    if (std::exchange(postponed_, false)) read_buffer_.remove(*this);
+}
+
 void TcpConnection::stop_reading() {
-    reading_ = false;
+    if (!std::exchange(reading_, false)) return;
+    if (postponed_) return cancel_postponed_read();
     uv_read_stop(stream());
 }
 
@@ -146,11 +167,13 @@
 
 void TcpConnection::close() {
     if (std::exchange(closed_, true)) return;
+    cancel_postponed_read();
     uv_close(handle(), &delete_connection);
 }
 
 void TcpConnection::close_with_reset() {
     if (std::exchange(closed_, true)) return;
+    cancel_postponed_read();
     if (uv_tcp_close_reset(&socket_, &delete_connection) != 0) uv_close(handle(), &delete_connection);
 }
 
--- a/src/net/tcp_connection.hpp
+++ b/src/net/tcp_connection.hpp
@@ -13,17 +13,14 @@
 #include <memory>
 #include <string>
 #include <string_view>
-#include <vector>
 
 #include "base/units.hpp"
+#include "net/read_buffer.hpp"
 #include "net/tls/filter.hpp"
 
 namespace chalksail::net {
 
-// The read buffer that all connections of one owner share. Its bytes are processed before the next read.
-using ReadBuffer = std::vector<char>;
-
-class TcpConnection {
+class TcpConnection : ReadBuffer::Reader {
 public:
     // Closes the socket; libuv's close callback deletes the object.
     struct Closer {
@@ -31,7 +28,7 @@
     };
 
     TcpConnection(uv_loop_t& loop, ReadBuffer& read_buffer);
-    virtual ~TcpConnection() = default;
+    ~TcpConnection() override = default;
     TcpConnection(const TcpConnection&) = delete;
     TcpConnection& operator=(const TcpConnection&) = delete;
 
@@ -41,6 +38,7 @@
     int connect(const Address& address);
     void set_no_delay() { uv_tcp_nodelay(&socket_, 1); }
 
+    // Reads at most one buffer in each turn of the loop.
     void start_reading();
     void stop_reading();
     // Checks the socket for input that the loop has not read yet. `unknown` means that the check failed and
@@ -85,6 +83,11 @@
 private:
     struct PendingWrite;
     void close();
+    void begin_read();
+    // Postpones reading to the next turn of the loop.
+    void yield_turn();
+    void continue_reading() override;
+    void cancel_postponed_read();
     int queue_write(std::string bytes);
     [[nodiscard]] uv_stream_t* stream() { return reinterpret_cast<uv_stream_t*>(&socket_); }
     [[nodiscard]] uv_handle_t* handle() { return reinterpret_cast<uv_handle_t*>(&socket_); }
@@ -98,7 +101,8 @@
     std::size_t pending_writes_ = 0;
     std::size_t last_queue_size_ = 0;  // Queue size at the last call of stalled_for()
     Time last_progress_{};             // Last progress of the pending writes
-    bool reading_ = false;
+    bool reading_ = false;             // as the owner wants it
+    bool postponed_ = false;           // reading continues in the next turn of the loop
     bool closed_ = false;
 };
 
--- a/src/net/upstream_pool.cpp
+++ b/src/net/upstream_pool.cpp
@@ -9,7 +9,6 @@
 
 namespace {
 
-constexpr std::size_t kPoolReadBufferBytes = 64 * 1024;
 // Dial time-outs are tens of milliseconds or longer.
 constexpr std::chrono::milliseconds kPoolSweepInterval{10};
 // Idle time-outs last seconds, so checking them once in so many sweeps is precise enough.
@@ -22,7 +21,7 @@
       handler_(handler),
       limits_(limits),
       sweep_timer_(loop, [this] { sweep(); }),
-      read_buffer_(kPoolReadBufferBytes),
+      read_buffer_(loop, limits.read_bytes),
       reuse_delay_(limits.reuse_delay),
       handshakes_(limits.handshakes) {
     sweep_timer_.start_repeating(kPoolSweepInterval);
--- a/src/net/upstream_pool.hpp
+++ b/src/net/upstream_pool.hpp
@@ -46,6 +46,7 @@
 struct PoolLimits {
     http::Limits message;
     std::size_t connections_per_server = 1024;
+    std::size_t read_bytes = 64 * 1024;   // Read at most of a connection in one turn of the loop
     std::size_t connections = 0;          // Maximum for all servers together; 0: no limit
     std::size_t max_queued_calls = 4096;  // For each server
     Duration dial_timeout = std::chrono::milliseconds(250);
