--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -45,7 +45,8 @@
     limits.event_bytes = 64 * kKiB;
     limits.chunk_bytes = limits.body_bytes;
     limits.max_stream_bytes = limits.body_bytes;
-    limits.stream_buffer_bytes = 64 * kKiB;
+    // Each connection may have one such buffer, and hold one more read than its buffer's limit.
+    limits.stream_buffer_bytes = buffer_bytes(memory, limits.client_connections);
     limits.response_read_bytes = buffer_bytes(memory, limits.server_connections);
     limits.pipelined_bytes = limits.unfinished_bytes / 2;  // total, like unfinished_bytes
 }
