Core: an id that may have run is not run again after its client left

An id was only known while its request was open. Requests for the rest of a stream are exempt, as are idempotent classes and ids that have not run.

Class: identity kept only as long as the connection that brought it.

--- a/src/core/attempt_guard.hpp
+++ b/src/core/attempt_guard.hpp
@@ -30,6 +30,8 @@
     [[nodiscard]] bool may_begin(const ActiveRequest& request, const std::string& server, Time now) const;
     // Returns true if the client may be told that the request was not run.
     [[nodiscard]] bool may_reject(const ActiveRequest& request) const;
+    // Returns true if the request may have run, and a second run under its id is not harmless.
+    [[nodiscard]] bool must_not_rerun(const ActiveRequest& request) const { return !retryable(request); }
     // Returns true if the client can safely retry.
     [[nodiscard]] bool retryable(const ActiveRequest& request) const;
 
--- a/src/core/client_response.hpp
+++ b/src/core/client_response.hpp
@@ -11,6 +11,7 @@
 namespace chalksail::core {
 
 inline constexpr int kOk = 200;
+inline constexpr int kConflict = 409;
 inline constexpr int kBadGateway = 502;
 inline constexpr int kServiceUnavailable = 503;
 inline constexpr int kGatewayTimeout = 504;
--- a/src/core/core_parts.hpp
+++ b/src/core/core_parts.hpp
@@ -11,6 +11,7 @@
 #include "core/endpoint_registry.hpp"
 #include "core/protocol.hpp"
 #include "core/reserved_kv_states.hpp"
+#include "core/run_history.hpp"
 #include "core/upstream_calls.hpp"
 #include "engine/vocabulary.hpp"
 
@@ -36,6 +37,7 @@
     ActiveRequests requests;
     ReservedKvStates kv_states;
     AttemptGuard guard;
+    RunHistory run_history;  // of requests that are not idempotent
 };
 
 }  // namespace chalksail::core
--- a/src/core/request_intake.cpp
+++ b/src/core/request_intake.cpp
@@ -27,6 +27,9 @@
     if (!parsed)
         return reject(input.client, std::move(parsed.error()), Termination::rejected,
                       TerminationReason::invalid_request, output);
+    // Its client may have disconnected and sent it again, or taken a failure for one that may be repeated.
+    if (parts_.run_history.contains(parsed->name) && !parsed->resumes_stream)
+        return reject_rerun(input.client, *parsed, output);
     const Time received_at = std::min(now, input.received_at.value_or(now));
     start_request({input.client, number, body_bytes, received_at}, std::move(*parsed), now, output);
 }
@@ -43,6 +46,13 @@
     send_response(client, std::move(rejection.response), output);
 }
 
+void RequestIntake::reject_rerun(ClientId client, const ParsedRequest& parsed, StepOutput& output) {
+    auto response = parsed.protocol_session->failure(
+        kConflict, "a request with this id may already have run; it was not run again", false);
+    reject(client, {std::move(response), parsed.name, parsed.client_name}, Termination::rejected,
+           TerminationReason::may_have_run_before, output);
+}
+
 Time RequestIntake::deadline(const ParsedRequest& parsed, Time received_at, Time now) const {
     const Settings& settings = parts_.settings.router;
     const Duration time_budget = std::max(settings.tick, parsed.deadline - settings.answer_slack);
--- a/src/core/request_intake.hpp
+++ b/src/core/request_intake.hpp
@@ -33,6 +33,8 @@
 
     void reject(ClientId client, Rejection rejection, observe::Termination termination,
                 observe::TerminationReason reason, StepOutput& output);
+    // Rejects a request whose id is that of an earlier one that must not run again.
+    void reject_rerun(ClientId client, const ParsedRequest& parsed, StepOutput& output);
     void start_request(const Arrival& arrival, ParsedRequest parsed, Time now, StepOutput& output);
     // Rejects a request whose deadline passed before it was started.
     void reject_expired(ActiveRequest& request, Time now, StepOutput& output);
--- a/src/observe/record.cpp
+++ b/src/observe/record.cpp
@@ -18,6 +18,7 @@
         case TerminationReason::draining: return "draining";
         case TerminationReason::over_limit: return "limit";
         case TerminationReason::invalid_request: return "invalid";
+        case TerminationReason::may_have_run_before: return "may_have_run";
         case TerminationReason::rejected_by_engine: return "engine";
         case TerminationReason::not_attempted: return "held";
         case TerminationReason::attempts_failed: return "attempts";
--- a/src/observe/record.hpp
+++ b/src/observe/record.hpp
@@ -46,6 +46,7 @@
     draining,                     // refused: this gateway accepts no new requests
     over_limit,                   // refused: too many open requests, or too many bytes in them
     invalid_request,              // rejected: not a valid request of the protocol
+    may_have_run_before,          // rejected: its id is that of an earlier request that may have run
     rejected_by_engine,           // rejected: an engine found the request invalid
     not_attempted,                // refused: no attempt was started in time
     attempts_failed,              // refused or failed: no attempt succeeded
--- a/tests/core/platform_repeat_test.cpp
+++ b/tests/core/platform_repeat_test.cpp
@@ -109,5 +109,67 @@
 INSTANTIATE_TEST_SUITE_P(Kinds, NonIdempotentEarlyResponse,
                          ::testing::Combine(::testing::Values(400, 404, 408, 413, 500, 503),
                                             ::testing::Bool()));
+
+// ---- an id that comes again ----
+
+constexpr const char* kOnceClass = "order";
+constexpr const char* kIdempotentClass = "chat";
+
+// Begins a decode of request 9b1f that is written to its server, and closes its client's connection.
+void leave_during_decode(Platform& d, const std::string& service_class) {
+    const auto decode = d.advance_to_decode(service_class);
+    d.written(decode);
+    d.step({ClientClosed{{1}}});
+    d.advance_time(1s);
+    expect_no_open_work(d);
+}
+
+// Guards against an id that ran twice: its client left during the decode, which may have run, and sent the
+// request again.
+TEST(PlatformEdge, IdThatMayHaveRunIsNotRunAgainAfterItsClientLeft) {
+    Platform d;
+    leave_during_decode(d, kOnceClass);
+    const auto attempts = d.sent().size();
+    d.receive(platform_text::post("9b1f", kOnceClass), 2);
+    EXPECT_EQ(d.sent().size(), attempts);
+    ASSERT_EQ(d.responses.size(), 1U);
+    EXPECT_EQ(d.responses[0].status, 409);  // neither 429 nor 503, which promise that it has not run
+    expect_no_open_work(d);
+}
+
+// The same if it failed, as a client may treat any end of its connection like a failure.
+TEST(PlatformEdge, IdThatMayHaveRunIsNotRunAgainAfterItFailed) {
+    Platform d;
+    const auto decode = d.advance_to_decode(kOnceClass);
+    d.written(decode);
+    d.step({CallFailed{decode, engine::ExchangeEnd::connection_closed, ""}});
+    ASSERT_EQ(d.responses.size(), 1U);
+    EXPECT_EQ(d.responses[0].status, 502);
+    const auto attempts = d.sent().size();
+    d.receive(platform_text::post("9b1f", kOnceClass), 2);
+    EXPECT_EQ(d.sent().size(), attempts);
+    ASSERT_EQ(d.responses.size(), 2U);
+    EXPECT_EQ(d.responses[1].status, 409);
+}
+
+TEST(PlatformEdge, IdOfAnIdempotentClassMayRunAgain) {
+    Platform d;
+    leave_during_decode(d, kIdempotentClass);
+    const auto attempts = d.sent().size();
+    d.receive(platform_text::post("9b1f", kIdempotentClass), 2);
+    EXPECT_EQ(d.sent().size(), attempts + 1);
+}
+
+// A client that left before any decode was written may send its request again: it has not run.
+TEST(PlatformEdge, IdThatHasNotRunMayComeAgain) {
+    Platform d;
+    d.receive(platform_text::post("9b1f", kOnceClass));
+    d.step({ClientClosed{{1}}});
+    d.advance_time(1s);
+    const auto attempts = d.sent().size();
+    d.receive(platform_text::post("9b1f", kOnceClass), 2);
+    EXPECT_EQ(d.sent().size(), attempts + 1);
+}
+
 }  // namespace
 }  // namespace chalksail::core::testing
