Core: a stream whose server still writes an event is not cut off

The idle time-out counted complete events, so an event that took over 4 s to arrive ended its stream. Any byte of the response counts now, and an event has 60 s: a server that never completes one still loses its stream, as does one that is silent for 4 s.

The control StreamWhoseEventStopsOrNeverEndsIsCutOff held before and after.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -161,6 +161,7 @@
     // --- Streams and servers ---
     Duration stream_idle_timeout = std::chrono::seconds(30);  // between bytes of a stream from an engine
     Duration max_stream_duration = std::chrono::minutes(30);
+    Duration max_event_duration = std::chrono::seconds(60);   // from one event to the end of the next
     // How long to wait for the response to a cancelled prefill, which may already be on its way.
     Duration cancel_wait = std::chrono::milliseconds(20);
     Duration server_idle_timeout = std::chrono::seconds(30);  // for an unused connection to a server
--- a/src/core/active_requests.cpp
+++ b/src/core/active_requests.cpp
@@ -81,7 +81,8 @@
     if (request.migrate_at) limit.end = std::min(limit.end, *request.migrate_at);
     // A client that does not stream receives nothing before the end, so its deadline still applies.
     if (!request.streams()) limit.end = std::min(limit.end, request.deadline);
-    limit.idle = (paused ? now : request.last_chunk) + limits.stream_idle_timeout;
+    limit.idle = std::min((paused ? now : request.last_byte) + limits.stream_idle_timeout,
+                          (paused ? now : request.last_chunk) + limits.max_event_duration);
     return limit;
 }
 
--- a/src/core/active_requests.hpp
+++ b/src/core/active_requests.hpp
@@ -53,6 +53,7 @@
 
     std::optional<Time> first_chunk;  // when the first chunk of the response was received
     Time last_chunk{};
+    Time last_byte{};  // of the response; part of a chunk is progress, too
     std::int64_t chunks = 0;
     double counted_prompt_tokens = 0;  // as counted by the prefill server; 0: not reported
     std::string last_outcome;
@@ -83,7 +84,7 @@
 // The times at which a stream is aborted. They follow from this process's settings, not from the client.
 struct StreamLimit {
     Time end{};   // latest end of the whole response
-    Time idle{};  // idle timeout, if no further chunk is received
+    Time idle{};  // idle timeout, if no further byte is received, or no chunk is completed
     [[nodiscard]] Time next_check() const { return std::min(end, idle); }
     [[nodiscard]] bool reached(Time now) const { return now >= end || now >= idle; }
 };
--- a/src/core/attempt_runner.cpp
+++ b/src/core/attempt_runner.cpp
@@ -45,6 +45,7 @@
     const bool too_large = bytes.size() > remaining;
     bytes = bytes.substr(0, remaining);
     call.stream_bytes += bytes.size();
+    request.last_byte = now;
     auto progress = call.parser->feed(bytes);
     if (progress.events > 0) {
         // The client has disconnected, and the settings do not let the router cancel attempts.
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -151,7 +151,7 @@
     UpstreamCall& attempt = *parts_.calls.find(*request->attempt);
     if (attempt.paused == input.full) return;
     attempt.paused = input.full;
-    request->last_chunk = now_;
+    request->last_chunk = request->last_byte = now_;
     output_.emit(SetCallPaused{attempt.id, input.full});
 }
 
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -74,6 +74,45 @@
     EXPECT_EQ(d.sent().size(), 1U);
 }
 
+// Guards against cutting off a response that its server still writes: only complete events counted as
+// progress, and an event that took longer than the idle time-out ended the stream.
+TEST(PlatformEdge, StreamWhoseEventIsWrittenSlowlyIsNotCutOff) {
+    Platform d;
+    const auto decode = d.advance_to_decode();
+    d.written(decode);
+    d.step({CallHead{decode, 200, {}}});
+    d.body(decode, kEvent);
+    const std::string event = "data: {\"choices\":[{\"delta\":{\"content\":\"slowly written\"}}]}\n\n";
+    for (const char byte : event.substr(0, 8)) {
+        d.advance_time(3s);
+        d.body(decode, std::string(1, byte));
+    }
+    EXPECT_FALSE(d.was_aborted(decode));
+    d.body(decode, event.substr(8) + kDoneEvent);
+    d.step({CallDone{decode}});
+    EXPECT_EQ(d.streamed, kEvent + event + kDoneEvent);
+    EXPECT_EQ(d.streams_ended, 1);
+    expect_no_open_work(d);
+}
+
+// A server that stops writing within an event, or never completes one, does not keep its client for ever.
+TEST(PlatformEdge, StreamWhoseEventStopsOrNeverEndsIsCutOff) {
+    for (const int bytes : {1, 100}) {
+        Platform d;
+        const auto decode = d.advance_to_decode();
+        d.written(decode);
+        d.step({CallHead{decode, 200, {}}});
+        d.body(decode, kEvent + "data: ");
+        for (int i = 0; i < bytes; ++i) {
+            d.advance_time(3s);
+            d.body(decode, "x");
+        }
+        d.advance_time(5s);
+        EXPECT_TRUE(d.was_aborted(decode)) << bytes;
+        EXPECT_EQ(d.streams_aborted, 1) << bytes;
+    }
+}
+
 // An event of `size` bytes.
 std::string event_of_size(std::size_t size) {
     const std::string begin = R"(data: {"text":")";
