Core: limit what is buffered of all servers' responses together

All of them together have a sixteenth of the memory now; beyond it the call with the largest buffer is ended as malformed.

--- a/src/config/settings.hpp
+++ b/src/config/settings.hpp
@@ -128,10 +128,11 @@
     std::size_t stream_buffer_bytes = 64 * 1024;
     // Read at most of a server's connection in one turn of the event loop.
     std::size_t response_read_bytes = 64 * 1024;
-    std::size_t event_bytes = 1024 * 1024;                 // one event of an engine's stream
-    std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;   // one chunk of an engine's response
-    std::size_t response_bytes = 16 * 1024 * 1024;         // a buffered response, and a prefill's response
-    std::size_t max_stream_bytes = std::size_t{1} << 30U;  // the whole body of an engine's stream
+    std::size_t event_bytes = 1024 * 1024;                    // one event of an engine's stream
+    std::uint64_t chunk_bytes = std::uint64_t{1} << 30U;      // one chunk of an engine's response
+    std::size_t response_bytes = 16 * 1024 * 1024;            // a buffered response, and a prefill's response
+    std::size_t all_responses_bytes = std::size_t{1} << 30U;  // buffered of all responses in total
+    std::size_t max_stream_bytes = std::size_t{1} << 30U;     // the whole body of an engine's stream
     std::size_t pipelined_bytes = 16 * 1024 * 1024;  // received from a client ahead of its current request
     // Discarded beyond pipelined_bytes before the connection is closed.
     std::size_t discarded_bytes = 4 * 1024 * 1024;
@@ -160,8 +161,8 @@
 
     // --- Streams and servers ---
     Duration stream_idle_timeout = std::chrono::seconds(30);  // between bytes of a stream from an engine
-    Duration max_stream_duration = std::chrono::minutes(30);
     Duration max_event_duration = std::chrono::seconds(60);   // from one event to the end of the next
+    Duration max_stream_duration = std::chrono::minutes(30);
     // How long to wait for the response to a cancelled prefill, which may already be on its way.
     Duration cancel_wait = std::chrono::milliseconds(20);
     Duration server_idle_timeout = std::chrono::seconds(30);  // for an unused connection to a server
--- a/src/core/attempt_runner.cpp
+++ b/src/core/attempt_runner.cpp
@@ -101,8 +101,8 @@
     if (result.may_have_run(call) && !request.first_run) {
         const auto* const server = parts_.endpoints.find(call.server);
         request.first_run = {call.begun, server == nullptr ? Endpoint{} : server->endpoint};
-    }
         if (parts_.guard.must_not_rerun(request)) parts_.run_history.record(request.parsed.name);
+    }
     AttemptEnded event = attempt_ended_event(request, call, result, now);
     record_engine_counts(request, call, result, now, output);
     if (result.prefill) parts_.kv_states.hold(request.id, call, result.prefill->state, now, output);
--- a/src/core/edge.cpp
+++ b/src/core/edge.cpp
@@ -182,13 +182,26 @@
 void Edge::on(CallBody& input) {
     UpstreamCall* const call = parts_.calls.find(input.call);
     if (call == nullptr) return;
-    if (call->parser != nullptr) return attempts_.receive_stream(*call, input.bytes, now_, output_);
-    if (call->body.size() + input.bytes.size() <= parts_.settings.limits.response_bytes) {
+    if (call->parser != nullptr) {
+        attempts_.receive_stream(*call, input.bytes, now_, output_);
+    } else if (call->body.size() + input.bytes.size() <= parts_.settings.limits.response_bytes) {
         call->body += input.bytes;
-        return;
+    } else {
+        output_.emit(AbortCall{call->id});
+        end_call(call->id, ExchangeEnd::malformed_response, "response body too large");
+    }
+    limit_buffered_responses(input.call);
+}
+
+// Bounds the memory used by many servers that each send part of a response and then stop.
+void Edge::limit_buffered_responses(CallId changed) {
+    if (UpstreamCall* const call = parts_.calls.find(changed)) parts_.calls.update_buffered_bytes(*call);
+    while (parts_.calls.buffered_bytes() > parts_.settings.limits.all_responses_bytes) {
+        const auto largest = parts_.calls.largest_buffer();
+        if (!largest) return;
+        output_.emit(AbortCall{*largest});
+        end_call(*largest, ExchangeEnd::malformed_response, "too much of all servers' responses is buffered");
     }
-    output_.emit(AbortCall{call->id});
-    end_call(call->id, ExchangeEnd::malformed_response, "response body too large");
 }
 
 void Edge::on(const CallFailed& input) {
--- a/src/core/edge.hpp
+++ b/src/core/edge.hpp
@@ -120,6 +120,8 @@
     void resume_deferred(RequestId id);
 
     // ---- calls ----
+    // Ends the calls whose responses take the most memory while their total exceeds its limit.
+    void limit_buffered_responses(CallId changed);
     void end_call(CallId id, engine::ExchangeEnd ending, const std::string& detail);
     void end_reservation(const UpstreamCall& call, engine::ExchangeEnd ending);
     void end_health_check(const UpstreamCall& call, engine::ExchangeEnd ending);
--- a/src/core/platform_protocol.cpp
+++ b/src/core/platform_protocol.cpp
@@ -36,6 +36,7 @@
         return out;
     }
     [[nodiscard]] bool complete() const override { return reader_->done(); }
+    [[nodiscard]] std::size_t buffered_bytes() const override { return reader_->buffered_bytes(); }
 
 private:
     std::shared_ptr<platform::EventReader> reader_;
--- a/src/core/platform_settings.cpp
+++ b/src/core/platform_settings.cpp
@@ -43,6 +43,7 @@
     limits.unfinished_bytes = memory / 8;
     limits.response_bytes = 64 * kKiB;
     limits.event_bytes = 64 * kKiB;
+    limits.all_responses_bytes = memory / 16;
     limits.chunk_bytes = limits.body_bytes;
     limits.max_stream_bytes = limits.body_bytes;
     // Each connection may have one such buffer, and hold one more read than its buffer's limit.
--- a/src/core/protocol.hpp
+++ b/src/core/protocol.hpp
@@ -70,6 +70,8 @@
     [[nodiscard]] virtual Progress feed(std::string_view bytes) = 0;
     // Returns true once the response has been received to its proper end.
     [[nodiscard]] virtual bool complete() const = 0;
+    // Returns the size of the incomplete event that the parser holds.
+    [[nodiscard]] virtual std::size_t buffered_bytes() const { return 0; }
 };
 
 // Encodes and decodes the messages of one request, to servers and to its client.
--- a/src/core/upstream_calls.cpp
+++ b/src/core/upstream_calls.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <utility>
 
 namespace chalksail::core {
 
@@ -36,6 +37,7 @@
     UpstreamCall& call = entry.mapped();
     if (call.timer) timers_.erase({*call.timer, id});
     call.timer.reset();
+    buffered_bytes_ -= std::exchange(call.buffered_bytes, 0);
     return std::move(call);
 }
 
@@ -72,10 +74,19 @@
     return servers;
 }
 
-std::size_t UpstreamCalls::buffered_bytes() const {
-    std::size_t bytes = 0;
-    for (const auto& [id, call] : calls_) bytes += call.body.size();
-    return bytes;
+void UpstreamCalls::update_buffered_bytes(UpstreamCall& call) {
+    const std::size_t bytes = call.body.size() + (call.parser ? call.parser->buffered_bytes() : 0);
+    buffered_bytes_ += bytes;
+    buffered_bytes_ -= std::exchange(call.buffered_bytes, bytes);
+}
+
+std::optional<CallId> UpstreamCalls::largest_buffer() const {
+    const auto is_smaller = [](const auto& a, const auto& b) {
+        return a.second.buffered_bytes < b.second.buffered_bytes;
+    };
+    const auto largest = std::max_element(calls_.begin(), calls_.end(), is_smaller);
+    if (largest == calls_.end() || largest->second.buffered_bytes == 0) return std::nullopt;
+    return largest->first;
 }
 
 }  // namespace chalksail::core
--- a/src/core/upstream_calls.hpp
+++ b/src/core/upstream_calls.hpp
@@ -53,6 +53,7 @@
     bool half_closed = false;     // cancelled by a half-close; the response may still be on its way
     std::unique_ptr<DecodeResponseParser> parser;  // for a decode response with status 200
     std::size_t stream_bytes = 0;                  // bytes of the body that the parser was given
+    std::size_t buffered_bytes = 0;                // of the response, by the call or its parser
 
     [[nodiscard]] bool sent() const { return send_phase != SendPhase::queued; }
     [[nodiscard]] bool written() const { return send_phase == SendPhase::written; }
@@ -83,13 +84,18 @@
     // Returns the servers to which a call is in flight.
     [[nodiscard]] std::set<std::string> servers_in_use() const;
     [[nodiscard]] std::size_t count() const { return calls_.size(); }
+    // Updates the size of the part of the call's response that is buffered.
+    void update_buffered_bytes(UpstreamCall& call);
     // Returns the total size of the buffered parts of responses.
-    [[nodiscard]] std::size_t buffered_bytes() const;
+    [[nodiscard]] std::size_t buffered_bytes() const { return buffered_bytes_; }
+    // Returns the call with the largest buffered part; std::nullopt if nothing is buffered.
+    [[nodiscard]] std::optional<CallId> largest_buffer() const;
 
 private:
     std::map<CallId, UpstreamCall> calls_;
     std::set<std::pair<Time, CallId>> timers_;
     std::uint64_t last_id_ = 0;
+    std::size_t buffered_bytes_ = 0;
 };
 
 }  // namespace chalksail::core
--- a/src/platform/answer.hpp
+++ b/src/platform/answer.hpp
@@ -62,6 +62,8 @@
     [[nodiscard]] bool malformed() const { return malformed_; }
     // Returns true if [DONE] was the last event and no bytes followed it.
     [[nodiscard]] bool done() const { return done_ && partial_.empty() && !malformed_; }
+    // Returns the size of the incomplete event.
+    [[nodiscard]] std::size_t buffered_bytes() const { return partial_.size(); }
     [[nodiscard]] double cached_tokens() const { return cached_tokens_; }
     [[nodiscard]] double prompt_tokens() const { return prompt_tokens_; }
     [[nodiscard]] double completion_tokens() const { return completion_tokens_; }
--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -113,6 +113,32 @@
     }
 }
 
+// Guards against many servers that each send part of an event, within its limit, and then stop.
+TEST(PlatformEdge, IncompleteEventsOfAllStreamsShareALimit) {
+    auto with =
+        platform_settings(platform::parse_configuration(platform_text::configuration_text(), {}).value());
+    with.limits.all_responses_bytes = 50'000;
+    Platform d(with);
+    std::vector<CallId> decodes;
+    for (std::uint64_t client = 1; client <= 3; ++client) {
+        d.receive(platform_text::post("id" + std::to_string(client)), client);
+        d.respond(d.sent().back().call, 202, R"({"cached_tokens":40})");
+        decodes.push_back(d.sent().back().call);
+        d.written(decodes.back());
+        d.step({CallHead{decodes.back(), 200, {}}});
+        d.body(decodes.back(), kEvent + "data: " + std::string(15'000 + 1'000 * client, 'x'));
+    }
+    ASSERT_EQ(d.sent().size(), 6U);
+    EXPECT_TRUE(d.was_aborted(decodes[2]));  // the largest
+    EXPECT_FALSE(d.was_aborted(decodes[0]));
+    EXPECT_FALSE(d.was_aborted(decodes[1]));
+    EXPECT_LE(d.edge.gauges().response_bytes, 50'000U);
+    d.body(decodes[0], "\n\n" + kDoneEvent);
+    d.step({CallDone{decodes[0]}});
+    d.step({CallFailed{decodes[1], engine::ExchangeEnd::connection_closed, ""}});
+    EXPECT_EQ(d.edge.gauges().response_bytes, 0U);
+}
+
 // An event of `size` bytes.
 std::string event_of_size(std::size_t size) {
     const std::string begin = R"(data: {"text":")";
