Log: at most 50 lines a second about requests that were rejected without an attempt

Beyond 50 lines a second such requests are counted by reason. An id in a line has at most 128 bytes, also where it was never checked.

--- a/src/core/platform_protocol.cpp
+++ b/src/core/platform_protocol.cpp
@@ -146,7 +146,7 @@
                                    RejectionReason reason) const {
     const bool draining = reason == RejectionReason::draining;
     Rejection out{error_response(503, draining ? "the gateway is shutting down" : "too many open requests"),
-                  std::string(request.headers.get(platform::kIdHeader)),
+                  std::string(request.headers.get(platform::kIdHeader).substr(0, platform::kMaxNameBytes)),
                   {}};
     if (draining) out.response.headers.add("Connection", "close");
     else if (settings_.router.max_retry_after > Duration::zero())
--- a/src/net/effect_executor.cpp
+++ b/src/net/effect_executor.cpp
@@ -4,6 +4,8 @@
 #include <utility>
 #include <variant>
 
+#include "net/loop_clock.hpp"
+
 namespace chalksail::net {
 
 void EffectExecutor::execute(core::Output& effect) {
@@ -80,7 +82,10 @@
 void EffectExecutor::apply(core::ForgetEndpoint& effect) { resources_.metrics.forget(effect.server); }
 void EffectExecutor::apply(core::EmitRecord& effect) {
     if (resources_.metrics_exposed) resources_.metrics.count(effect.record);
-    resources_.log.write(effect.record);
+    const Time now = uv_now_time();
+    if (rejection_log_limit_.allows(effect.record, now)) resources_.log.write(effect.record);
+    if (const auto counts = rejection_log_limit_.take_suppressed(now))
+        resources_.log.info("request_lines_suppressed", *counts);
 }
 
 }  // namespace chalksail::net
--- a/src/net/effect_executor.hpp
+++ b/src/net/effect_executor.hpp
@@ -10,6 +10,7 @@
 #include "net/upstream_pool.hpp"
 #include "observe/log.hpp"
 #include "observe/metrics.hpp"
+#include "observe/rejection_log_limit.hpp"
 
 namespace chalksail::net {
 
@@ -49,6 +50,7 @@
     void apply(core::EmitRecord& effect);
 
     Resources resources_;
+    observe::RejectionLogLimit rejection_log_limit_;
 };
 
 }  // namespace chalksail::net
--- a/src/platform/request.cpp
+++ b/src/platform/request.cpp
@@ -14,7 +14,6 @@
 namespace chalksail::platform {
 namespace {
 
-constexpr std::size_t kMaxNameBytes = 128;
 constexpr double kMaxTokens = 1e9;
 constexpr double kBytesPerToken = 4;  // the platform's estimate for prompts without a token count
 constexpr std::int64_t kMaxTimeRemainingMs = 86'400'000;
--- a/src/platform/request.hpp
+++ b/src/platform/request.hpp
@@ -12,6 +12,8 @@
 
 namespace chalksail::platform {
 
+// Maximum size of an id and of other names in requests.
+inline constexpr std::size_t kMaxNameBytes = 128;
 inline constexpr std::string_view kChatPath = "/v1/chat/completions";
 inline constexpr std::string_view kReadyPath = "/ready";
 inline constexpr std::string_view kIdHeader = "X-Correlation-Id";
