--- a/apps/edge/main.cpp
+++ b/apps/edge/main.cpp
@@ -12,6 +12,7 @@
 #include <iterator>
 #include <random>
 
+#include "allocator.hpp"
 #include "base/backoff.hpp"
 #include "base/json.hpp"
 #include "config/settings.hpp"
@@ -274,6 +275,7 @@
 }  // namespace
 
 int main(int argc, char** argv) {
+    chalksail::configure_allocator();
     CLI::App app{
         "chalksail-edge: a router for language-model serving with separate prefill and decode engines"};
     app.require_subcommand(1);
