HTTP server: count incomplete heads, and reject the largest incomplete request first

The limit on incomplete requests counted bodies only, so hundreds of clients that stop within a head, or whose requests all end in one turn of the loop, were not limited; and at the limit it was the next sender that was answered 503, a small request as well as a large one. Heads, their fields' memory, pipelined input and the requests delivered since the last flush count now, and the largest incomplete request goes first.

Failed before: PlatformRig.IncompleteHeadsShareALimit (no 503 in 60 s), LargestIncompleteRequestIsRejectedFirst.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -21,6 +21,8 @@
 
 // The bytes of a header field beside its name and value: ":" and CRLF.
 constexpr std::size_t kFieldSeparatorBytes = 3;
+// The memory of a header field beside its bytes, in a vector that has reserved twice of what it holds.
+constexpr std::size_t kFieldMemory = 2 * sizeof(Header);
 
 // Builds the header fields from http-parser's callbacks and counts the fields and bytes of the head.
 struct HeadBuilder {
@@ -85,6 +87,12 @@
 
 // ---- requests ----
 
+std::size_t Request::memory_bytes() const {
+    std::size_t bytes = target.size() + body.size();
+    for (const auto& field : headers.all()) bytes += field.name.size() + field.value.size() + kFieldMemory;
+    return bytes;
+}
+
 struct RequestReader::State {
     explicit State(Limits message_limits) : limits(message_limits) {
         http_parser_settings_init(&callbacks);
@@ -186,7 +194,10 @@
 RequestReader::RequestReader(RequestReader&&) noexcept = default;
 RequestReader& RequestReader::operator=(RequestReader&&) noexcept = default;
 bool RequestReader::in_body() const { return state_->head_complete; }
-std::size_t RequestReader::body_bytes() const { return state_->request.body.size(); }
+std::size_t RequestReader::memory_bytes() const {
+    const State& s = *state_;
+    return s.head.bytes + s.head.fields * kFieldMemory + s.request.body.size();
+}
 
 RequestReader::Progress RequestReader::feed(std::string_view& bytes) {
     State& s = *state_;
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -50,6 +50,8 @@
     [[nodiscard]] std::string_view path() const {
         return std::string_view(target).substr(0, target.find('?'));
     }
+    // Returns the memory that the request takes, approximately.
+    [[nodiscard]] std::size_t memory_bytes() const;
 };
 
 // Maximum sizes of the parts of a message.
@@ -87,8 +89,8 @@
     [[nodiscard]] Progress feed(std::string_view& bytes);
     // Returns true once the head of the current request is complete.
     [[nodiscard]] bool in_body() const;
-    // Returns the number of body bytes received for the current request.
-    [[nodiscard]] std::size_t body_bytes() const;
+    // Returns the memory that the part of the current request received so far takes, approximately.
+    [[nodiscard]] std::size_t memory_bytes() const;
 
 private:
     struct State;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -1,5 +1,6 @@
 #include "net/http_server.hpp"
 
+#include <algorithm>
 #include <ctime>
 #include <utility>
 
@@ -12,6 +13,8 @@
 
 using Reason = ConnectionEnd::Reason;
 
+const http::Fault kTooManyIncomplete{503, "too many requests are still coming"};
+
 }  // namespace
 
 HttpServer::HttpServer(uv_loop_t& loop, Handler& handler, ServerLimits limits)
@@ -125,8 +128,8 @@
     // Reading continues even when a client pipelines more than the limit, because a close would otherwise go
     // unnoticed. Input over the limit is discarded; the requests before it are still answered. The connection
     // is closed once too much was discarded.
-    const bool over_limit = connection.unparsed.memory_bytes() > limits_.pipelined_bytes ||
-                            unfinished_bytes_ > limits_.unfinished_bytes;
+    const bool over_limit =
+        connection.unparsed.memory_bytes() > limits_.pipelined_bytes || has_excess_input();
     const bool is_pipelined =
         connection.is_in(Phase::responding) || !connection.unparsed.empty() || has_output_backlog(connection);
     if (connection.discarded_bytes > 0 || (is_pipelined && over_limit)) {
@@ -174,20 +177,45 @@
 }
 
 void HttpServer::on_partial_request(Connection& connection, bool send_continue) {
-    update_unfinished_bytes(connection, connection.reader.body_bytes());
-    // Bounds the memory used by many clients that each send part of a large request and then stop: each of
-    // them stays within its own limit.
-    if (unfinished_bytes_ > limits_.unfinished_bytes)
-        return reject(connection, {503, "too many requests are still coming"});
+    update_unfinished_bytes(connection,
+                            connection.reader.memory_bytes() + connection.unparsed.memory_bytes());
+    if (has_excess_input()) reject_largest_requests();
+    if (!connection.accepts_request()) return;
     if (connection.discarded_bytes > 0) return reject_discarded(connection);
     if (!send_continue) return;
     append_output(connection, http::kContinue);
     flush(connection);
 }
 
+bool HttpServer::has_excess_input() const {
+    return unfinished_bytes_ + delivered_bytes_ > limits_.unfinished_bytes;
+}
+
+void HttpServer::reject_largest_requests() {
+    const auto is_smaller = [](const auto& a, const auto& b) {
+        const auto size = [](const Connection& c) {
+            return c.is_in(Phase::receiving_request) ? c.unfinished_bytes : 0;
+        };
+        return size(*a.second) < size(*b.second);
+    };
+    while (has_excess_input()) {
+        const auto largest = std::max_element(connections_.begin(), connections_.end(), is_smaller);
+        if (largest == connections_.end() || !largest->second->is_in(Phase::receiving_request)) return;
+        reject(*largest->second, kTooManyIncomplete);
+    }
+}
+
 void HttpServer::on_whole_request(Connection& connection, http::Request request) {
     connection.idle_kind = IdleConnections::Kind::reusable;
     update_unfinished_bytes(connection, connection.unparsed.memory_bytes());
+    const std::size_t request_bytes = request.memory_bytes();
+    delivered_bytes_ += request_bytes;
+    if (has_excess_input()) reject_largest_requests();
+    if (!connection.accepts_request()) return;
+    if (has_excess_input()) {
+        delivered_bytes_ -= request_bytes;
+        return reject(connection, kTooManyIncomplete);
+    }
     connection.enter(Phase::responding);
     connection.exchange = {};
     connection.exchange.peer = ++last_peer_;
@@ -308,6 +336,7 @@
 }
 
 void HttpServer::flush() {
+    delivered_bytes_ = 0;
     // The handler may schedule further flushes, as when it ends a connection.
     while (!flush_due_.empty()) {
         const auto ids = std::exchange(flush_due_, {});
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -41,7 +41,8 @@
     // discarded.
     std::size_t pipelined_bytes = 16 * 1024 * 1024;
     std::size_t discarded_bytes = 4 * 1024 * 1024;  // Discarded bytes after which a connection is closed
-    std::size_t unfinished_bytes = std::size_t{1} << 30U;  // Total bytes of all incomplete requests
+    // Total memory of all requests that are incomplete, pipelined, or delivered since the last flush().
+    std::size_t unfinished_bytes = std::size_t{1} << 30U;
     Duration head_timeout = std::chrono::seconds(10);  // From a request's first byte to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
     // Maximum pause between two bytes of one request; zero disables this limit.
@@ -156,6 +157,10 @@
     void on_whole_request(Connection& connection, http::Request request);
     void close_if_disconnected(Connection& connection);
     void update_unfinished_bytes(Connection& connection, std::size_t bytes);
+    [[nodiscard]] bool has_excess_input() const;
+    // Rejects incomplete requests, the largest first, until the total is within its limit. Small requests are
+    // accepted beside any number of clients that each send part of a large one.
+    void reject_largest_requests();
     void reject(Connection& connection, const http::Fault& fault);
     void append_output(Connection& connection, std::string_view bytes);
     void schedule_flush(Connection& connection);
@@ -193,7 +198,8 @@
     std::unordered_map<Peer, Connection*> active_requests_;
     std::vector<Connection::Id> flush_due_;
     DeferredInput deferred_input_;
-    std::size_t unfinished_bytes_ = 0;  // Total bytes of incomplete and pipelined requests
+    std::size_t unfinished_bytes_ = 0;  // Total memory of incomplete and pipelined requests
+    std::size_t delivered_bytes_ = 0;   // Total memory of the requests delivered since the last flush()
     IdleConnections idle_connections_;
     Connection::Id last_connection_ = 0;
     Peer last_peer_ = 0;
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -89,6 +89,47 @@
     EXPECT_TRUE(served("a1"));
 }
 
+// Guards against many clients that each stop within a head: only bodies were counted.
+TEST_F(PlatformRig, IncompleteHeadsShareALimit) {
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.unfinished_bytes = 100'000; });
+    std::string half = "POST /v1/chat/completions HTTP/1.1\r\n";
+    for (int i = 0; i < 90; ++i) half += "a: " + std::string(150, 'x') + "\r\n";
+    for (int i = 0; i < 20; ++i) client().send(half);
+    EXPECT_TRUE(until([&] {
+        return std::count_if(clients.begin(), clients.end(),
+                             [](const auto& c) { return c->got().starts_with("HTTP/1.1 503"); }) >= 14;
+    }));
+    EXPECT_TRUE(served("a1"));
+}
+
+// Guards against rejecting a small request because others have sent parts of large ones: the largest is
+// rejected first.
+TEST_F(PlatformRig, LargestIncompleteRequestIsRejectedFirst) {
+    begin([](auto& p) { p.send(kStream); }, [](auto& s) { s.limits.unfinished_bytes = 500'000; });
+    const auto half = [](std::size_t bytes) {
+        return "POST /v1/chat/completions HTTP/1.1\r\nContent-Length: 250000\r\n\r\n" +
+               std::string(bytes, 'x');
+    };
+    RawClient& largest = client();
+    largest.send(half(200'000));
+    RawClient& smaller = client();
+    smaller.send(half(150'000));
+    RawClient& small = client();
+    small.send(messages::post("a1").substr(0, 100));
+    // Each of these answers takes some turns of the loop, in which what was sent before is read.
+    for (int i = 0; i < 5; ++i) {
+        RawClient& ready = client();
+        ready.send("GET /ready HTTP/1.1\r\n\r\n");
+        ASSERT_TRUE(answered(ready, "ready"));
+    }
+    for (int i = 0; i < 2; ++i) client().send(half(100'000));
+    EXPECT_TRUE(until([&] { return !largest.got().empty(); }));
+    EXPECT_TRUE(largest.got().starts_with("HTTP/1.1 503")) << largest.got();
+    small.send(messages::post("a1").substr(100));
+    EXPECT_TRUE(answered(small, "[DONE]"));
+    EXPECT_TRUE(smaller.got().empty()) << smaller.got();
+}
+
 // The server closed the connection, or sent extra bytes, before the next request: that request must be sent
 // on another connection, and only once.
 TEST_F(PlatformRig, ConnectionThatWasClosedOrHasExtraBytesIsNotReused) {
