HTTP server: hold a request while its client's socket has more to read

The close stands behind all that the client sent before it: a gateway that was held up for 0.2 s read one buffer of several megabytes and began its first request, 0.15 s after the close. A complete request is held now until the socket was read to its end, for 50 ms at most, and dropped with the connection if the close is found.

The control, a client that stays and gets all of its 100 answers, held before and after. Class: an event that is ordered behind bytes, where acting on the bytes needs the event.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -3,6 +3,7 @@
 #pragma once
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -93,7 +94,10 @@
     IdleConnections::Kind idle_kind = IdleConnections::Kind::silent;
     bool ends_when_idle = false;   // Shut down after the responses to all requests received so far
     bool flush_scheduled = false;  // HttpServer::flush() will write the output
-    bool input_deferred = false;   // `unparsed` will be parsed in the next turn of the loop
+    bool input_deferred = false;   // its input will be processed in the next turn of the loop
+    // A complete request that is not delivered yet, as more input of the client is to be read first.
+    std::optional<http::Request> held_request;
+    Time held_since{};
 
 private:
     void on_bytes(std::string_view bytes) override { owner_.on_bytes(*this, bytes); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,9 @@
 constexpr std::size_t kReadBufferBytes = 64 * 1024;
 // Time-outs last seconds: a few checks per second are precise enough and avoid a timer for each connection.
 constexpr std::chrono::milliseconds kSweepInterval{250};
+// A request is not held for longer, however much its client sends behind it. In that time several megabytes
+// are read of one connection: more than the system buffers for it.
+constexpr std::chrono::milliseconds kMaxRequestHold{50};
 
 using Reason = ConnectionEnd::Reason;
 
@@ -130,8 +133,8 @@
     // is closed once too much was discarded.
     const bool over_limit =
         connection.unparsed.memory_bytes() > limits_.pipelined_bytes || has_excess_input();
-    const bool is_pipelined =
-        connection.is_in(Phase::responding) || !connection.unparsed.empty() || has_output_backlog(connection);
+    const bool is_pipelined = connection.is_in(Phase::responding) || connection.held_request ||
+                              !connection.unparsed.empty() || has_output_backlog(connection);
     if (connection.discarded_bytes > 0 || (is_pipelined && over_limit)) {
         connection.discarded_bytes += bytes.size();
         if (connection.discarded_bytes > limits_.discarded_bytes) close(connection, {Reason::sent_ahead, 0});
@@ -139,7 +142,8 @@
     }
     connection.unparsed.append(bytes, connection.last_byte_at);
     if (!is_pipelined) return parse_input(connection);
-    update_unfinished_bytes(connection, connection.unparsed.memory_bytes());
+    const std::size_t held_bytes = connection.held_request ? connection.held_request->memory_bytes() : 0;
+    update_unfinished_bytes(connection, connection.unparsed.memory_bytes() + held_bytes);
 }
 
 // A client that does not read its responses gets no further request parsed until it does, so that its
@@ -156,7 +160,10 @@
 }
 
 void HttpServer::parse_input(Connection& connection) {
-    if (!connection.accepts_request() || connection.unparsed.empty()) return;
+    if (!connection.accepts_request()) return;
+    if (connection.held_request)
+        return on_whole_request(connection, *std::exchange(connection.held_request, std::nullopt));
+    if (connection.unparsed.empty()) return;
     if (connection.is_in(Phase::awaiting_request)) {
         connection.enter(Phase::receiving_request);
         connection.since = uv_now_time();
@@ -164,9 +171,8 @@
     auto progress = connection.parse_next();
     if (auto* fault = std::get_if<http::Fault>(&progress)) return reject(connection, *fault);
     if (auto* request = std::get_if<http::Request>(&progress)) {
-        on_whole_request(connection, std::move(*request));
-        if (connection.is_in(Phase::responding)) close_if_disconnected(connection);
-        return;
+        connection.held_since = uv_now_time();
+        return on_whole_request(connection, std::move(*request));
     }
     on_partial_request(connection, std::get<http::RequestReader::NeedMore>(progress).send_continue);
 }
@@ -205,7 +211,29 @@
     }
 }
 
+// Detects a client that has closed its connection behind the request. libuv reports the close in a later loop
+// iteration only, when an attempt may already have been sent to a server, and behind all input that the
+// client sent before the close.
 void HttpServer::on_whole_request(Connection& connection, http::Request request) {
+    const auto unread = connection.peek();
+    if (unread == Connection::Unread::bytes && may_hold_request(connection))
+        return hold_request(connection, std::move(request));
+    deliver_request(connection, std::move(request));
+    if (unread == Connection::Unread::end && connection.is_in(Phase::responding))
+        close(connection, {Reason::peer_ended, 0});
+}
+
+bool HttpServer::may_hold_request(const Connection& connection) const {
+    return connection.discarded_bytes == 0 && uv_now_time() - connection.held_since < kMaxRequestHold;
+}
+
+void HttpServer::hold_request(Connection& connection, http::Request request) {
+    update_unfinished_bytes(connection, connection.unparsed.memory_bytes() + request.memory_bytes());
+    connection.held_request = std::move(request);
+    defer_input(connection);
+}
+
+void HttpServer::deliver_request(Connection& connection, http::Request request) {
     connection.idle_kind = IdleConnections::Kind::reusable;
     update_unfinished_bytes(connection, connection.unparsed.memory_bytes());
     const std::size_t request_bytes = request.memory_bytes();
@@ -226,12 +254,6 @@
     handler_.on_request(connection.exchange.peer, std::move(request), connection.parsed_received_at);
 }
 
-// Detects a client that closed its connection immediately after sending the request. libuv reports the close
-// in the next loop iteration only, when an attempt may already have been sent to a server.
-void HttpServer::close_if_disconnected(Connection& connection) {
-    if (connection.peek() == Connection::Unread::end) close(connection, {Reason::peer_ended, 0});
-}
-
 void HttpServer::update_unfinished_bytes(Connection& connection, std::size_t bytes) {
     unfinished_bytes_ += bytes;
     unfinished_bytes_ -= std::exchange(connection.unfinished_bytes, bytes);
@@ -250,6 +272,7 @@
     append_output(connection, body);
     connection.enter(Phase::flushing);
     connection.unparsed.clear();
+    connection.held_request.reset();
     connection.reader = http::RequestReader(limits_.message);  // frees the part of the request read so far
     update_unfinished_bytes(connection, 0);
     flush(connection);
@@ -383,6 +406,7 @@
 
 void HttpServer::await_next_request(Connection& connection) {
     connection.start_reading();
+    if (connection.held_request) return;
     if (!connection.unparsed.empty()) {
         if (!has_output_backlog(connection)) defer_input(connection);
         return;
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -154,8 +154,11 @@
     void parse_deferred(Connection::Id id);
     void reject_discarded(Connection& connection);
     void on_partial_request(Connection& connection, bool send_continue);
+    // Passes a complete request to the handler, or holds it until the client's input was read.
     void on_whole_request(Connection& connection, http::Request request);
-    void close_if_disconnected(Connection& connection);
+    void deliver_request(Connection& connection, http::Request request);
+    void hold_request(Connection& connection, http::Request request);
+    [[nodiscard]] bool may_hold_request(const Connection& connection) const;
     void update_unfinished_bytes(Connection& connection, std::size_t bytes);
     [[nodiscard]] bool has_excess_input() const;
     // Rejects incomplete requests, the largest first, until the total is within its limit. Small requests are
