--- a/tests/core/platform_edge_test.cpp
+++ b/tests/core/platform_edge_test.cpp
@@ -113,6 +113,29 @@
     }
 }
 
+// A server that reads a large request slowly does not delay the final response: it comes before the deadline,
+// whether the prefill or the decode is still being written.
+TEST(PlatformEdge, FinalResponseIsInTimeWhileAServerReadsTheRequestSlowly) {
+    for (const std::string service_class : {"chat", "order"}) {
+        for (const bool during_prefill : {true, false}) {
+            Platform d;
+            const Time arrived = d.now;
+            if (during_prefill) d.receive(platform_text::post("9b1f", service_class, "", "3000m"));
+            else d.advance_to_decode(service_class);
+            const Time deadline = arrived + (during_prefill ? 3s : 4s);
+            std::size_t begun = 0;
+            while (d.responses.empty() && d.now <= deadline) {
+                // The first byte of each attempt is written, and the last byte never is.
+                for (const auto sent = d.sent(); begun < sent.size(); ++begun)
+                    d.step({CallSent{sent[begun].call}});
+                d.advance_time(10ms);
+            }
+            EXPECT_EQ(d.responses.size(), 1U) << service_class << during_prefill;
+            EXPECT_LE(d.now, deadline) << service_class << during_prefill;
+        }
+    }
+}
+
 // Guards against many servers that each send part of an event, within its limit, and then stop.
 TEST(PlatformEdge, IncompleteEventsOfAllStreamsShareALimit) {
     auto with =
