HTTP: a response may follow 32 informational responses at most

Beyond 32 of them the response is malformed. Failed before: ResponseReader.InformationalResponsesWithoutEndAreAFault.

--- a/src/http/message.cpp
+++ b/src/http/message.cpp
@@ -19,6 +19,9 @@
 // does not allocate memory.
 constexpr std::size_t kMaxInitialBodyReserve = 64 * 1024;
 
+// Informational (1xx) responses that may precede a final one.
+constexpr int kMaxInformationalResponses = 32;
+
 // The bytes of a header field beside its name and value: ":" and CRLF.
 constexpr std::size_t kFieldSeparatorBytes = 3;
 // The memory of a header field beside its bytes, in a vector that has reserved twice of what it holds.
@@ -244,6 +247,7 @@
         parser.data = this;
         head = {};
         begun = complete = head_too_large = keep_alive = false;
+        informational_responses = 0;
         chunks.reset();
         parsed.clear();
     }
@@ -255,6 +259,7 @@
     bool begun = false;
     bool complete = false;
     bool head_too_large = false;
+    int informational_responses = 0;    // ahead of the final one
     bool keep_alive = false;            // according to the head; used for chunked bodies
     std::optional<ChunkReader> chunks;  // set while a chunked body is being read
     std::vector<ResponsePart> parsed;   // parts completed by the current input
@@ -297,7 +302,8 @@
     int on_complete() {
         if (informational()) {
             begun = false;
-            return 0;
+            informational_responses += 1;
+            return check_head(informational_responses <= kMaxInformationalResponses);
         }
         http_parser_pause(&parser, 1);
         if (chunks) return 0;  // only the head is complete: ChunkReader finds the end of the body
--- a/src/http/message.hpp
+++ b/src/http/message.hpp
@@ -112,8 +112,8 @@
 };
 using ResponsePart = std::variant<ResponseHead, ResponseBodyPart, ResponseEnd, Fault>;
 
-// Reads responses from a byte stream. Skips informational (1xx) responses. Does not limit the size of the
-// whole body: body parts are returned as they arrive, and the caller must count their bytes.
+// Reads responses from a byte stream. Skips a limited number of informational (1xx) responses. Does not limit
+// the size of the whole body: body parts are returned as they arrive, and the caller must count their bytes.
 class ResponseReader {
 public:
     explicit ResponseReader(Limits limits);
--- a/tests/http/message_test.cpp
+++ b/tests/http/message_test.cpp
@@ -208,6 +208,22 @@
     ASSERT_TRUE(std::holds_alternative<Fault>(reader.feed(bytes)));
 }
 
+// Guards against a server that sends informational responses without end: each was skipped, at the cost of
+// the processor, until the attempt's time was over.
+TEST(ResponseReader, InformationalResponsesWithoutEndAreAFault) {
+    const std::string informational = "HTTP/1.1 100 Continue\r\n\r\n";
+    const std::string final_response = "HTTP/1.1 204 No Content\r\n\r\n";
+    std::string some;
+    for (int i = 0; i < 10; ++i) some += informational;
+    ResponseReader patient(Limits{});
+    EXPECT_TRUE(std::holds_alternative<ResponseHead>(patient.feed(some + final_response).at(0)));
+    ResponseReader reader(Limits{});
+    std::vector<ResponsePart> parts;
+    for (int i = 0; i < 100 && parts.empty(); ++i) parts = reader.feed(some);
+    ASSERT_EQ(parts.size(), 1U);
+    EXPECT_TRUE(std::holds_alternative<Fault>(parts[0]));
+}
+
 TEST(ResponseReader, HeadWithTooManyFieldsIsAFault) {
     Limits limits;
     std::string head = "HTTP/1.1 200 OK\r\n";
