HTTP server: pipelined input has a limit of its own and never crowds out incomplete requests

Incomplete requests, pipelined input and delivered requests are counted apart now: the first and the last may take the limit each, pipelined input half of it.

Failed before: PlatformRig.PipelinedInputLeavesRoomForOtherRequests (its first expectation: the four held requests never reached their server).

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -89,7 +89,9 @@
     // Pipelined bytes that were discarded. If there are any, the connection gets an error response and ends
     // after the responses to the requests before them.
     std::size_t discarded_bytes = 0;
-    std::size_t unfinished_bytes = 0;  // This connection's share of HttpServer::unfinished_bytes_
+    // This connection's shares of the totals of HttpServer.
+    std::size_t incomplete_bytes = 0;
+    std::size_t pipelined_bytes = 0;
     // How it is listed while idle: `silent` until its first complete request.
     IdleConnections::Kind idle_kind = IdleConnections::Kind::silent;
     bool ends_when_idle = false;   // Shut down after the responses to all requests received so far
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -131,19 +131,16 @@
     // Reading continues even when a client pipelines more than the limit, because a close would otherwise go
     // unnoticed. Input over the limit is discarded; the requests before it are still answered. The connection
     // is closed once too much was discarded.
-    const bool over_limit =
-        connection.unparsed.memory_bytes() > limits_.pipelined_bytes || has_excess_input();
     const bool is_pipelined = connection.is_in(Phase::responding) || connection.held_request ||
                               !connection.unparsed.empty() || has_output_backlog(connection);
-    if (connection.discarded_bytes > 0 || (is_pipelined && over_limit)) {
+    if (connection.discarded_bytes > 0 || (is_pipelined && has_excess_pipelined_input(connection))) {
         connection.discarded_bytes += bytes.size();
         if (connection.discarded_bytes > limits_.discarded_bytes) close(connection, {Reason::sent_ahead, 0});
         return;
     }
     connection.unparsed.append(bytes, connection.last_byte_at);
     if (!is_pipelined) return parse_input(connection);
-    const std::size_t held_bytes = connection.held_request ? connection.held_request->memory_bytes() : 0;
-    update_unfinished_bytes(connection, connection.unparsed.memory_bytes() + held_bytes);
+    update_input_bytes(connection);
 }
 
 // A client that does not read its responses gets no further request parsed until it does, so that its
@@ -183,9 +180,8 @@
 }
 
 void HttpServer::on_partial_request(Connection& connection, bool send_continue) {
-    update_unfinished_bytes(connection,
-                            connection.reader.memory_bytes() + connection.unparsed.memory_bytes());
-    if (has_excess_input()) reject_largest_requests();
+    update_input_bytes(connection);
+    reject_largest_requests();
     if (!connection.accepts_request()) return;
     if (connection.discarded_bytes > 0) return reject_discarded(connection);
     if (!send_continue) return;
@@ -193,20 +189,17 @@
     flush(connection);
 }
 
-bool HttpServer::has_excess_input() const {
-    return unfinished_bytes_ + delivered_bytes_ > limits_.unfinished_bytes;
+bool HttpServer::has_excess_pipelined_input(const Connection& connection) const {
+    return connection.unparsed.memory_bytes() > limits_.pipelined_bytes ||
+           pipelined_bytes_ > limits_.unfinished_bytes / 2;
 }
 
 void HttpServer::reject_largest_requests() {
     const auto is_smaller = [](const auto& a, const auto& b) {
-        const auto size = [](const Connection& c) {
-            return c.is_in(Phase::receiving_request) ? c.unfinished_bytes : 0;
-        };
-        return size(*a.second) < size(*b.second);
+        return a.second->incomplete_bytes < b.second->incomplete_bytes;
     };
-    while (has_excess_input()) {
+    while (incomplete_bytes_ > limits_.unfinished_bytes) {
         const auto largest = std::max_element(connections_.begin(), connections_.end(), is_smaller);
-        if (largest == connections_.end() || !largest->second->is_in(Phase::receiving_request)) return;
         reject(*largest->second, kTooManyIncomplete);
     }
 }
@@ -228,22 +221,18 @@
 }
 
 void HttpServer::hold_request(Connection& connection, http::Request request) {
-    update_unfinished_bytes(connection, connection.unparsed.memory_bytes() + request.memory_bytes());
     connection.held_request = std::move(request);
+    update_input_bytes(connection);
     defer_input(connection);
 }
 
 void HttpServer::deliver_request(Connection& connection, http::Request request) {
     connection.idle_kind = IdleConnections::Kind::reusable;
-    update_unfinished_bytes(connection, connection.unparsed.memory_bytes());
+    update_input_bytes(connection);
     const std::size_t request_bytes = request.memory_bytes();
-    delivered_bytes_ += request_bytes;
-    if (has_excess_input()) reject_largest_requests();
-    if (!connection.accepts_request()) return;
-    if (has_excess_input()) {
-        delivered_bytes_ -= request_bytes;
+    if (delivered_bytes_ + request_bytes > limits_.unfinished_bytes)
         return reject(connection, kTooManyIncomplete);
-    }
+    delivered_bytes_ += request_bytes;
     connection.enter(Phase::responding);
     connection.exchange = {};
     connection.exchange.peer = ++last_peer_;
@@ -254,9 +243,16 @@
     handler_.on_request(connection.exchange.peer, std::move(request), connection.parsed_received_at);
 }
 
-void HttpServer::update_unfinished_bytes(Connection& connection, std::size_t bytes) {
-    unfinished_bytes_ += bytes;
-    unfinished_bytes_ -= std::exchange(connection.unfinished_bytes, bytes);
+void HttpServer::update_input_bytes(Connection& connection) {
+    const std::size_t held = connection.held_request ? connection.held_request->memory_bytes() : 0;
+    set_input_bytes(connection, connection.reader.memory_bytes(), connection.unparsed.memory_bytes() + held);
+}
+
+void HttpServer::set_input_bytes(Connection& connection, std::size_t incomplete, std::size_t pipelined) {
+    incomplete_bytes_ += incomplete;
+    incomplete_bytes_ -= std::exchange(connection.incomplete_bytes, incomplete);
+    pipelined_bytes_ += pipelined;
+    pipelined_bytes_ -= std::exchange(connection.pipelined_bytes, pipelined);
 }
 
 void HttpServer::reject(Connection& connection, const http::Fault& fault) {
@@ -274,7 +270,7 @@
     connection.unparsed.clear();
     connection.held_request.reset();
     connection.reader = http::RequestReader(limits_.message);  // frees the part of the request read so far
-    update_unfinished_bytes(connection, 0);
+    update_input_bytes(connection);
     flush(connection);
 }
 
@@ -452,7 +448,7 @@
 OwnedConnection<HttpServer::Connection> HttpServer::remove(Connection& connection) {
     connection.enter(Phase::closed);
     idle_connections_.remove(connection.id);
-    update_unfinished_bytes(connection, 0);
+    set_input_bytes(connection, 0, 0);
     const auto it = connections_.find(connection.id);
     auto owned = std::move(it->second);
     connections_.erase(it);
@@ -554,7 +550,7 @@
     Counts out = counts_;
     out.connections = connections_.size();
     out.active_requests = active_requests_.size();
-    out.input_bytes = unfinished_bytes_;
+    out.input_bytes = incomplete_bytes_ + pipelined_bytes_;
     for (const auto& [id, connection] : connections_) out.output_bytes += connection->queued_output_bytes();
     return out;
 }
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -41,7 +41,8 @@
     // discarded.
     std::size_t pipelined_bytes = 16 * 1024 * 1024;
     std::size_t discarded_bytes = 4 * 1024 * 1024;  // Discarded bytes after which a connection is closed
-    // Total memory of all requests that are incomplete, pipelined, or delivered since the last flush().
+    // Total memory of all incomplete requests, and of those delivered since the last flush(). Pipelined input
+    // may take half of it in total.
     std::size_t unfinished_bytes = std::size_t{1} << 30U;
     Duration head_timeout = std::chrono::seconds(10);  // From a request's first byte to the end of its head
     Duration body_timeout = std::chrono::seconds(30);
@@ -159,8 +160,10 @@
     void deliver_request(Connection& connection, http::Request request);
     void hold_request(Connection& connection, http::Request request);
     [[nodiscard]] bool may_hold_request(const Connection& connection) const;
-    void update_unfinished_bytes(Connection& connection, std::size_t bytes);
-    [[nodiscard]] bool has_excess_input() const;
+    // Updates the totals of buffered input after the connection's input has changed.
+    void update_input_bytes(Connection& connection);
+    void set_input_bytes(Connection& connection, std::size_t incomplete, std::size_t pipelined);
+    [[nodiscard]] bool has_excess_pipelined_input(const Connection& connection) const;
     // Rejects incomplete requests, the largest first, until the total is within its limit. Small requests are
     // accepted beside any number of clients that each send part of a large one.
     void reject_largest_requests();
@@ -201,7 +204,8 @@
     std::unordered_map<Peer, Connection*> active_requests_;
     std::vector<Connection::Id> flush_due_;
     DeferredInput deferred_input_;
-    std::size_t unfinished_bytes_ = 0;  // Total memory of incomplete and pipelined requests
+    std::size_t incomplete_bytes_ = 0;  // Total memory of incomplete requests
+    std::size_t pipelined_bytes_ = 0;   // Total memory of input that is not parsed yet, and of held requests
     std::size_t delivered_bytes_ = 0;   // Total memory of the requests delivered since the last flush()
     IdleConnections idle_connections_;
     Connection::Id last_connection_ = 0;
--- a/tests/net/platform_socket_test.cpp
+++ b/tests/net/platform_socket_test.cpp
@@ -102,6 +102,33 @@
     EXPECT_TRUE(served("a1"));
 }
 
+// Guards against clients that pipeline as much as they may: requests of others were answered 503 while they
+// were still coming.
+TEST_F(PlatformRig, PipelinedInputLeavesRoomForOtherRequests) {
+    const auto respond = [](RawServer::Peer& p) {
+        if (p.server->last.find("X-Correlation-Id: unanswered") == std::string::npos) p.send(kStream);
+    };
+    begin(respond, [](auto& s) {
+        s.limits.unfinished_bytes = 400'000;
+        s.limits.pipelined_bytes = 200'000;
+    });
+    std::string requests;
+    for (int i = 0; i < 6'000; ++i) requests += "GET /unknown HTTP/1.1\r\n\r\n";
+    for (int i = 0; i < 4; ++i)
+        client().send(messages::post("unanswered" + std::to_string(i), "order", "", "60000m") + requests);
+    EXPECT_TRUE(until([&] { return writer->requests == 4; }));
+    for (int i = 0; i < 20; ++i) {
+        RawClient& c = client();
+        const std::string request = messages::post("a" + std::to_string(i));
+        c.send(request.substr(0, 200));
+        RawClient& ready = client();  // answered behind the read of what was sent before
+        ready.send("GET /ready HTTP/1.1\r\n\r\n");
+        ASSERT_TRUE(answered(ready, "ready"));
+        c.send(request.substr(200));
+        EXPECT_TRUE(answered(c, "[DONE]")) << c.got();
+    }
+}
+
 // Guards against rejecting a small request because others have sent parts of large ones: the largest is
 // rejected first.
 TEST_F(PlatformRig, LargestIncompleteRequestIsRejectedFirst) {
