HTTP server: hold a request by turns of the loop, and until its client's input is quiet

Traced: the log has the request begun 4 to 8 ms after it was read, so its hold had not timed out. It was given up as soon as input over the pipelining limit was discarded (4.2 MB here), and where the socket was empty for a moment while the client's system still had bytes to send. It is bounded by 100 turns of the loop now, each of which reads a buffer; the wait for a quiet client has 50 ms.

--- a/src/net/client_connection.hpp
+++ b/src/net/client_connection.hpp
@@ -100,6 +100,7 @@
     // A complete request that is not delivered yet, as more input of the client is to be read first.
     std::optional<http::Request> held_request;
     Time held_since{};
+    int held_turns = 0;  // for which more input was to be read
 
 private:
     void on_bytes(std::string_view bytes) override { owner_.on_bytes(*this, bytes); }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,9 +10,12 @@
 constexpr std::size_t kReadBufferBytes = 64 * 1024;
 // Time-outs last seconds: a few checks per second are precise enough and avoid a timer for each connection.
 constexpr std::chrono::milliseconds kSweepInterval{250};
-// A request is not held for longer, however much its client sends behind it. In that time several megabytes
-// are read of one connection: more than the system buffers for it.
-constexpr std::chrono::milliseconds kMaxRequestHold{50};
+// Turns of the loop for which a request is held while its client's socket has more to read. They read several
+// megabytes: more than the system buffers for a connection.
+constexpr int kMaxHeldTurns = 100;
+constexpr std::chrono::milliseconds kMaxQuietWait{50};
+// A client that has sent more than one request is taken to have sent all after this time without a byte.
+constexpr std::chrono::milliseconds kInputQuietTime{5};
 
 using Reason = ConnectionEnd::Reason;
 
@@ -25,6 +28,7 @@
       handler_(handler),
       limits_(limits),
       sweep_timer_(loop, [this] { sweep(); }),
+      quiet_input_timer_(loop, [this] { on_quiet_input_timer(); }),
       read_buffer_(loop, kReadBufferBytes),
       deferred_input_(loop, [this](Connection::Id id) { parse_deferred(id); }),
       idle_connections_(limits.idle_connections) {
@@ -169,6 +173,7 @@
     if (auto* fault = std::get_if<http::Fault>(&progress)) return reject(connection, *fault);
     if (auto* request = std::get_if<http::Request>(&progress)) {
         connection.held_since = uv_now_time();
+        connection.held_turns = 0;
         return on_whole_request(connection, std::move(*request));
     }
     on_partial_request(connection, std::get<http::RequestReader::NeedMore>(progress).send_continue);
@@ -209,21 +214,35 @@
 // client sent before the close.
 void HttpServer::on_whole_request(Connection& connection, http::Request request) {
     const auto unread = connection.peek();
-    if (unread == Connection::Unread::bytes && may_hold_request(connection))
-        return hold_request(connection, std::move(request));
+    if (unread == Connection::Unread::bytes && ++connection.held_turns <= kMaxHeldTurns) {
+        hold_request(connection, std::move(request));
+        return defer_input(connection);
+    }
+    if (unread == Connection::Unread::nothing && may_send_more(connection)) {
+        hold_request(connection, std::move(request));
+        if (awaiting_quiet_input_.empty()) quiet_input_timer_.start_once(kInputQuietTime);
+        return awaiting_quiet_input_.push_back(connection.id);
+    }
     deliver_request(connection, std::move(request));
     if (unread == Connection::Unread::end && connection.is_in(Phase::responding))
         close(connection, {Reason::peer_ended, 0});
 }
 
-bool HttpServer::may_hold_request(const Connection& connection) const {
-    return connection.discarded_bytes == 0 && uv_now_time() - connection.held_since < kMaxRequestHold;
+// The socket of a client that pipelines may be empty for a moment only, while the client's system still has
+// bytes to send.
+bool HttpServer::may_send_more(const Connection& connection) {
+    const Time now = uv_now_time();
+    return !connection.unparsed.empty() && now - connection.last_byte_at < kInputQuietTime &&
+           now - connection.held_since < kMaxQuietWait;
 }
 
 void HttpServer::hold_request(Connection& connection, http::Request request) {
     connection.held_request = std::move(request);
     update_input_bytes(connection);
-    defer_input(connection);
+}
+
+void HttpServer::on_quiet_input_timer() {
+    for (const auto id : std::exchange(awaiting_quiet_input_, {})) parse_deferred(id);
 }
 
 void HttpServer::deliver_request(Connection& connection, http::Request request) {
--- a/src/net/http_server.hpp
+++ b/src/net/http_server.hpp
@@ -159,7 +159,8 @@
     void on_whole_request(Connection& connection, http::Request request);
     void deliver_request(Connection& connection, http::Request request);
     void hold_request(Connection& connection, http::Request request);
-    [[nodiscard]] bool may_hold_request(const Connection& connection) const;
+    [[nodiscard]] static bool may_send_more(const Connection& connection);
+    void on_quiet_input_timer();
     // Updates the totals of buffered input after the connection's input has changed.
     void update_input_bytes(Connection& connection);
     void set_input_bytes(Connection& connection, std::size_t incomplete, std::size_t pipelined);
@@ -199,14 +200,16 @@
     std::shared_ptr<tls::Context> tls_;
     std::map<const Listener*, ListenerEntry> listeners_;
     Timer sweep_timer_;
+    Timer quiet_input_timer_;
     ReadBuffer read_buffer_;
     std::unordered_map<Connection::Id, OwnedConnection<Connection>> connections_;
     std::unordered_map<Peer, Connection*> active_requests_;
     std::vector<Connection::Id> flush_due_;
     DeferredInput deferred_input_;
-    std::size_t incomplete_bytes_ = 0;  // Total memory of incomplete requests
-    std::size_t pipelined_bytes_ = 0;   // Total memory of input that is not parsed yet, and of held requests
-    std::size_t delivered_bytes_ = 0;   // Total memory of the requests delivered since the last flush()
+    std::vector<Connection::Id> awaiting_quiet_input_;  // connections with a held request and an empty socket
+    std::size_t incomplete_bytes_ = 0;                  // Total memory of incomplete requests
+    std::size_t pipelined_bytes_ = 0;  // Total memory of input that is not parsed yet, and of held requests
+    std::size_t delivered_bytes_ = 0;  // Total memory of the requests delivered since the last flush()
     IdleConnections idle_connections_;
     Connection::Id last_connection_ = 0;
     Peer last_peer_ = 0;
